--- /dev/null
+++ b/libs/base/include/pierbank/base/Archive.h
@@ -0,0 +1,249 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_BASE_ARCHIVE_H
+#define PIERBANK_BASE_ARCHIVE_H
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "pierbank/base/Clock.h"
+
+/**
+ * Typed values to and from CBOR arrays. A type takes part by a free function that names its
+ * fields once, in their order on the wire, for writing and reading alike:
+ *
+ *     template <typename Archive>
+ *     void describe(Archive& archive, Hello& hello) {
+ *         archive(hello.m_node, hello.m_instance, hello.m_configurationVersion);
+ *     }
+ *
+ * Include this header in source files only: it brings the whole JSON library.
+ */
+namespace pierbank {
+
+/** Writes fields, one after another, into an array. */
+class ArchiveWriter {
+public:
+    template <typename... Fields>
+    void operator()(const Fields&... fields) {
+        (m_array.push_back(toValue(fields)), ...);
+    }
+
+    /** The value of a whole described object. */
+    template <typename T>
+    static nlohmann::json toValue(const T& value) {
+        if constexpr (std::is_enum_v<T>) {
+            return static_cast<std::uint64_t>(value);
+        } else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
+            return value;
+        } else {
+            ArchiveWriter writer;
+            describe(writer, const_cast<T&>(value));  // writing only reads the fields
+            return std::move(writer.m_array);
+        }
+    }
+
+    static nlohmann::json toValue(const Millis& value) { return value.count(); }
+
+    template <typename T>
+    static nlohmann::json toValue(const std::optional<T>& value) {
+        return value.has_value() ? toValue(*value) : nlohmann::json();
+    }
+
+    template <typename T>
+    static nlohmann::json toValue(const std::vector<T>& values) {
+        nlohmann::json array = nlohmann::json::array();
+        for (const T& value : values) {
+            array.push_back(toValue(value));
+        }
+        return array;
+    }
+
+    template <typename T>
+    static nlohmann::json toValue(const std::map<std::string, T>& values) {
+        nlohmann::json object = nlohmann::json::object();
+        for (const auto& [key, value] : values) {
+            object[key] = toValue(value);
+        }
+        return object;
+    }
+
+private:
+    nlohmann::json m_array = nlohmann::json::array();
+};
+
+/**
+ * Reads what ArchiveWriter wrote. Anything else (wrong types, numbers out of range, too few or
+ * too many fields) sets the failure, after which the values read mean nothing.
+ */
+class ArchiveReader {
+public:
+    /** Reads one value. @return false when `from` is not what a T is written as. */
+    template <typename T>
+    static bool read(const nlohmann::json& from, T& into) {
+        if constexpr (std::is_same_v<T, bool>) {
+            return readBool(from, into);
+        } else if constexpr (std::is_enum_v<T>) {
+            return readEnum(from, into);
+        } else if constexpr (std::is_integral_v<T>) {
+            return readInteger(from, into);
+        } else if constexpr (std::is_floating_point_v<T>) {
+            return readFloat(from, into);
+        } else {
+            return readObject(from, into);
+        }
+    }
+
+    static bool read(const nlohmann::json& from, std::string& into) {
+        if (!from.is_string()) {
+            return false;
+        }
+        into = from.get_ref<const std::string&>();
+        return true;
+    }
+
+    static bool read(const nlohmann::json& from, Millis& into) {
+        std::int64_t count = 0;
+        const bool isRead = readInteger(from, count);
+        into = Millis(count);
+        return isRead;
+    }
+
+    template <typename T>
+    static bool read(const nlohmann::json& from, std::optional<T>& into) {
+        if (from.is_null()) {
+            into.reset();
+            return true;
+        }
+        return read(from, into.emplace());
+    }
+
+    template <typename T>
+    static bool read(const nlohmann::json& from, std::vector<T>& into) {
+        if (!from.is_array()) {
+            return false;
+        }
+        into.clear();
+        into.reserve(from.size());
+        for (const nlohmann::json& element : from) {
+            if (!read(element, into.emplace_back())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    template <typename T>
+    static bool read(const nlohmann::json& from, std::map<std::string, T>& into) {
+        if (!from.is_object()) {
+            return false;
+        }
+        into.clear();
+        for (const auto& [key, element] : from.items()) {
+            if (!read(element, into[key])) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    template <typename... Fields>
+    void operator()(Fields&... fields) {
+        (readNext(fields), ...);
+    }
+
+private:
+    explicit ArchiveReader(const nlohmann::json& array) : m_array(array) {}
+
+    template <typename T>
+    void readNext(T& field) {
+        m_isGood = m_isGood && m_next < m_array.size() && read(m_array[m_next], field);
+        ++m_next;
+    }
+
+    static bool readBool(const nlohmann::json& from, bool& into) {
+        into = from.is_boolean() && from.get<bool>();
+        return from.is_boolean();
+    }
+
+    template <typename T>
+    static bool readFloat(const nlohmann::json& from, T& into) {
+        into = from.is_number() ? from.get<T>() : T();
+        return from.is_number();
+    }
+
+    template <typename T>
+    static bool readInteger(const nlohmann::json& from, T& into) {
+        if (from.is_number_unsigned()) {
+            const auto number = from.get<std::uint64_t>();
+            into = static_cast<T>(number);
+            return std::in_range<T>(number);
+        }
+        if (from.is_number_integer()) {
+            const auto number = from.get<std::int64_t>();
+            into = static_cast<T>(number);
+            return std::in_range<T>(number);
+        }
+        return false;
+    }
+
+    /** Enumerations taking part declare `constexpr T lastOf(T)`, found by their namespace. */
+    template <typename T>
+    static bool readEnum(const nlohmann::json& from, T& into) {
+        std::uint64_t number = 0;
+        if (!readInteger(from, number) || number > static_cast<std::uint64_t>(lastOf(T()))) {
+            return false;
+        }
+        into = static_cast<T>(number);
+        return true;
+    }
+
+    template <typename T>
+    static bool readObject(const nlohmann::json& from, T& into) {
+        if (!from.is_array()) {
+            return false;
+        }
+        ArchiveReader reader(from);
+        describe(reader, into);
+        return reader.m_isGood && reader.m_next == from.size();
+    }
+
+    const nlohmann::json& m_array;
+    std::size_t m_next = 0;
+    bool m_isGood = true;
+};
+
+/** The CBOR bytes of a described value. */
+template <typename T>
+std::string toCbor(const T& value) {
+    std::string bytes;
+    nlohmann::json::to_cbor(ArchiveWriter::toValue(value), bytes);
+    return bytes;
+}
+
+/**
+ * Parses CBOR without exceptions; a discarded value for what is not CBOR, or nests deeper than any
+ * value of the project (the parser recurses, and hostile nesting must not use up the stack).
+ */
+nlohmann::json parseCbor(std::string_view bytes);
+
+/** Reads a described value; empty for bytes that toCbor() of its type does not write. */
+template <typename T>
+std::optional<T> fromCbor(std::string_view bytes) {
+    const nlohmann::json parsed = parseCbor(bytes);
+    T value;
+    if (parsed.is_discarded() || !ArchiveReader::read(parsed, value)) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_BASE_ARCHIVE_H
--- /dev/null
+++ b/libs/gateway/src/Metrics.cpp
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/gateway/Metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+namespace pierbank {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+using Quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
+using Totals = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>;
+
+constexpr double MEDIAN = 0.5;
+constexpr double HIGH = 0.99;
+
+}  // namespace
+
+struct LatencySummary::Detail {
+    Quantile m_median{acc::quantile_probability = MEDIAN};
+    Quantile m_high{acc::quantile_probability = HIGH};
+    Totals m_totals;
+};
+
+LatencySummary::LatencySummary() : m_detail(std::make_unique<Detail>()) {}
+LatencySummary::~LatencySummary() = default;
+
+void LatencySummary::add(Millis duration) {
+    const auto millis = static_cast<double>(duration.count());
+    m_detail->m_median(millis);
+    m_detail->m_high(millis);
+    m_detail->m_totals(millis);
+}
+
+std::uint64_t LatencySummary::getCount() const {
+    return acc::count(m_detail->m_totals);
+}
+
+double LatencySummary::getMedian() const {
+    return getCount() == 0 ? 0.0 : acc::p_square_quantile(m_detail->m_median);
+}
+
+double LatencySummary::get99th() const {
+    return getCount() == 0 ? 0.0 : acc::p_square_quantile(m_detail->m_high);
+}
+
+double LatencySummary::getSum() const {
+    return acc::sum(m_detail->m_totals);
+}
+
+void MetricsPage::addHead(std::string_view name, std::string_view help, std::string_view type) {
+    m_text.append("# HELP ").append(name).append(" ").append(help).append("\n");
+    m_text.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+}
+
+void MetricsPage::addCounter(std::string_view name, std::string_view help, std::uint64_t value) {
+    addHead(name, help, "counter");
+    m_text.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+void MetricsPage::addGauge(std::string_view name, std::string_view help, double value) {
+    addHead(name, help, "gauge");
+    m_text.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+void MetricsPage::addSummary(std::string_view name, std::string_view help,
+                             const LatencySummary& summary) {
+    addHead(name, help, "summary");
+    const std::string base(name);
+    m_text += base + "{quantile=\"0.5\"} " + std::to_string(summary.getMedian()) + "\n";
+    m_text += base + "{quantile=\"0.99\"} " + std::to_string(summary.get99th()) + "\n";
+    m_text += base + "_sum " + std::to_string(summary.getSum()) + "\n";
+    m_text += base + "_count " + std::to_string(summary.getCount()) + "\n";
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/libs/gateway/src/OperatorServer.cpp
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/gateway/OperatorServer.h"
+
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace pierbank {
+
+namespace {
+
+constexpr std::uint32_t HTTP_OK = 200;
+constexpr std::uint32_t HTTP_BAD_REQUEST = 400;
+constexpr std::uint32_t HTTP_UNAUTHORIZED = 401;
+constexpr std::uint32_t HTTP_NOT_FOUND = 404;
+constexpr std::uint32_t HTTP_CONFLICT = 409;
+constexpr std::uint32_t HTTP_UNAVAILABLE = 503;
+constexpr std::uint32_t HTTP_TIMEOUT = 504;
+constexpr std::string_view FORWARDED = "Pierbank-Forwarded";
+constexpr Millis RETRY_AFTER{1000};
+/** Longer than a statement's patience at the leader. */
+constexpr Millis FORWARD_TIMEOUT{6000};
+
+std::string dump(const nlohmann::json& value) {
+    constexpr int NO_INDENT = -1;
+    return value.dump(NO_INDENT, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string_view toText(StatementStatus status) {
+    constexpr std::array<std::string_view, 5> NAMES = {"done", "refused", "invalid", "not-run",
+                                                       "unknown"};
+    return NAMES.at(static_cast<std::size_t>(status));
+}
+
+std::uint32_t toHttpStatus(StatementStatus status) {
+    constexpr std::array<std::uint32_t, 5> CODES = {HTTP_OK, HTTP_CONFLICT, HTTP_BAD_REQUEST,
+                                                    HTTP_UNAVAILABLE, HTTP_TIMEOUT};
+    return CODES.at(static_cast<std::size_t>(status));
+}
+
+nlohmann::json toJson(const Table& table) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (const std::vector<Cell>& row : table.m_rows) {
+        nlohmann::json cells = nlohmann::json::array();
+        for (const Cell& cell : row) {
+            cells.push_back(cell.m_number.has_value() ? nlohmann::json(*cell.m_number)
+                                                      : nlohmann::json(cell.m_text));
+        }
+        rows.push_back(std::move(cells));
+    }
+    return {{"columns", table.m_columns}, {"rows", std::move(rows)}};
+}
+
+HttpServerAnswer makeText(std::uint32_t status, std::string_view type, std::string body) {
+    return {status, {{"Content-Type", std::string(type)}}, std::move(body)};
+}
+
+StatementAnswer makeFailure(StatementStatus status, std::string message) {
+    StatementAnswer answer;
+    answer.m_status = status;
+    answer.m_message = std::move(message);
+    const bool mayRetry = status == StatementStatus::NOT_RUN || status == StatementStatus::UNKNOWN;
+    answer.m_retryAfter = mayRetry ? RETRY_AFTER : Millis(0);
+    return answer;
+}
+
+std::uint64_t readVersion(std::string_view text) {
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+/** Configuration and endpoints are known everywhere; the rest is the leader's. */
+bool isLocal(const Statement& statement) {
+    const auto* const show = std::get_if<Show>(&statement);
+    return show != nullptr &&
+           (show->m_subject == Subject::ENDPOINTS || show->m_subject == Subject::CONFIGURATION);
+}
+
+}  // namespace
+
+HttpServerAnswer makeStatementAnswer(const StatementAnswer& answer) {
+    nlohmann::json body;
+    body["status"] = toText(answer.m_status);
+    body["message"] = answer.m_message;
+    if (answer.m_table.has_value()) {
+        body["table"] = toJson(*answer.m_table);
+    }
+    HttpServerAnswer http = makeText(toHttpStatus(answer.m_status), "application/json", dump(body));
+    if (answer.m_retryAfter > Millis(0)) {
+        constexpr std::int64_t MILLIS_PER_SECOND = 1000;
+        http.m_headers.push_back(
+                {"Retry-After",
+                 std::to_string((answer.m_retryAfter.count() + 999) / MILLIS_PER_SECOND)});
+    }
+    return http;
+}
+
+OperatorServer::OperatorServer(OperatorBackend& backend, HttpClient& client, OperatorTokens tokens)
+        : m_backend(backend),
+          m_client(client),
+          m_tokens(std::move(tokens)),
+          m_server([this](const HttpServerRequest& request, const CallPtr& call) {
+              handle(request, call);
+          }) {}
+
+void OperatorServer::handle(const HttpServerRequest& request, const CallPtr& call) {
+    if (request.m_method == "GET" && request.m_target == "/pierbank/v1/health") {
+        call->answer(makeText(HTTP_OK, "application/json", m_backend.getHealth()));
+    } else if (request.m_method == "GET" && request.m_target == "/pierbank/v1/metrics") {
+        call->answer(makeText(HTTP_OK, "text/plain; version=0.0.4", m_backend.getMetrics()));
+    } else if (request.m_method == "POST" && request.m_target == "/pierbank/v1/statements") {
+        handleStatement(request, call);
+    } else {
+        call->answer(makeText(HTTP_NOT_FOUND, "text/plain", "there is nothing here\n"));
+    }
+}
+
+std::optional<std::string> OperatorServer::authenticate(const HttpServerRequest& request) const {
+    constexpr std::string_view SCHEME = "Bearer ";
+    const std::string_view header = request.getHeader("Authorization");
+    if (!header.starts_with(SCHEME)) {
+        return std::nullopt;
+    }
+    const auto found = m_tokens.find(header.substr(SCHEME.size()));
+    return found == m_tokens.end() ? std::nullopt : std::optional(found->second);
+}
+
+void OperatorServer::handleStatement(const HttpServerRequest& request, const CallPtr& call) {
+    const auto name = authenticate(request);
+    if (!name.has_value()) {
+        call->answer(makeText(HTTP_UNAUTHORIZED, "text/plain",
+                              "a bearer token of an operator is required\n"));
+        return;
+    }
+    ParseResult parsed = parseStatement(request.m_body);
+    if (!parsed.m_statement.has_value()) {
+        call->answer(makeStatementAnswer(
+                makeFailure(StatementStatus::INVALID, parsed.m_error.toText(request.m_body))));
+        return;
+    }
+    const bool isForLeader = !isLocal(*parsed.m_statement) && !m_backend.isLeading();
+    const bool wasForwarded = !request.getHeader(FORWARDED).empty();
+    const auto leader = m_backend.getLeader();
+    if (isForLeader && (wasForwarded || !leader.has_value())) {
+        call->answer(makeStatementAnswer(makeFailure(
+                StatementStatus::NOT_RUN, "not run: no gateway leads the region just now")));
+        return;
+    }
+    if (isForLeader) {
+        forward(request, *leader, call);
+        return;
+    }
+    StatementRequest statement;
+    statement.m_statement = *std::move(parsed.m_statement);
+    statement.m_text = request.m_body;
+    statement.m_operator = *name;
+    statement.m_seenVersion = readVersion(request.getHeader("Pierbank-Seen-Version"));
+    m_backend.execute(std::move(statement), [call](const StatementAnswer& answer) {
+        call->answer(makeStatementAnswer(answer));
+    });
+}
+
+void OperatorServer::forward(const HttpServerRequest& request, const Address& leader,
+                             const CallPtr& call) {
+    HttpCall forwarded;
+    forwarded.m_method = "POST";
+    forwarded.m_address = leader;
+    forwarded.m_target = request.m_target;
+    forwarded.m_body = request.m_body;
+    forwarded.m_timeout = FORWARD_TIMEOUT;
+    forwarded.m_newConnection = true;
+    forwarded.m_headers = {{"Authorization", std::string(request.getHeader("Authorization"))},
+                           {std::string(FORWARDED), "1"}};
+    const std::string_view seen = request.getHeader("Pierbank-Seen-Version");
+    if (!seen.empty()) {
+        forwarded.m_headers.push_back({"Pierbank-Seen-Version", std::string(seen)});
+    }
+    m_client.send(forwarded, [call](const HttpResult& result) {
+        if (result.m_status != 0) {
+            call->answer(
+                    makeText(result.m_status, result.getHeader("Content-Type"), result.m_body));
+            return;
+        }
+        const bool isProved = result.m_isRefused;
+        call->answer(makeStatementAnswer(makeFailure(
+                isProved ? StatementStatus::NOT_RUN : StatementStatus::UNKNOWN,
+                isProved ? "not run: the leader cannot be reached"
+                         : "unknown: the leader did not answer; look with `show` before "
+                           "repeating it")));
+    });
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/libs/part.cmake
@@ -0,0 +1,10 @@
+# Adds one part to libpierbank: its sources, its public headers and its tests.
+file(GLOB PART_SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+target_sources(pierbank PRIVATE ${PART_SOURCES})
+target_include_directories(pierbank PUBLIC
+    $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include>
+    $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
+install(DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}/include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
+
+file(GLOB PART_TESTS CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
+set_property(GLOBAL APPEND PROPERTY PIERBANK_TESTS ${PART_TESTS})
--- /dev/null
+++ b/libs/platform/src/HttpClient.cpp
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/platform/HttpClient.h"
+
+#include <libsoup/soup.h>
+
+#include <utility>
+
+namespace pierbank {
+
+namespace {
+
+/** libsoup's own limits are 10 connections in all and 2 a host. */
+constexpr int MAX_CONNECTIONS = 512;
+
+/** What one call carries from send() to its end. */
+struct Pending {
+    HttpClient::Callback m_done;
+    SoupMessage* m_message = nullptr;
+    GCancellable* m_cancellable = g_cancellable_new();
+    guint m_timer = 0;
+
+    Pending() = default;
+    Pending(const Pending&) = delete;
+    Pending& operator=(const Pending&) = delete;
+    ~Pending() {
+        if (m_timer != 0) {
+            g_source_remove(m_timer);
+        }
+        g_object_unref(m_cancellable);
+        g_clear_object(&m_message);
+    }
+};
+
+gboolean onTimeout(gpointer data) {
+    auto* pending = static_cast<Pending*>(data);
+    pending->m_timer = 0;
+    g_cancellable_cancel(pending->m_cancellable);
+    return G_SOURCE_REMOVE;
+}
+
+void readHeaders(SoupMessage* message, std::vector<HttpHeader>& headers) {
+    SoupMessageHeadersIter iterator;
+    soup_message_headers_iter_init(&iterator, soup_message_get_response_headers(message));
+    const char* name = nullptr;
+    const char* value = nullptr;
+    while (soup_message_headers_iter_next(&iterator, &name, &value) != FALSE) {
+        headers.push_back({name, value});
+    }
+}
+
+void finishSend(GObject* session, GAsyncResult* result, gpointer data) {
+    const std::unique_ptr<Pending> pending(static_cast<Pending*>(data));
+    HttpResult outcome;
+    GError* error = nullptr;
+    GBytes* body = soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
+    if (body == nullptr) {
+        outcome.m_reason = error->message;
+        outcome.m_isRefused =
+                g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != FALSE;
+        g_error_free(error);
+    } else {
+        gsize size = 0;
+        const auto* bytes = static_cast<const char*>(g_bytes_get_data(body, &size));
+        outcome.m_body.assign(bytes == nullptr ? "" : bytes, size);
+        outcome.m_status = soup_message_get_status(pending->m_message);
+        readHeaders(pending->m_message, outcome.m_headers);
+        g_bytes_unref(body);
+    }
+    pending->m_done(outcome);
+}
+
+}  // namespace
+
+std::string HttpResult::getHeader(std::string_view name) const {
+    const std::string wanted(name);
+    for (const HttpHeader& header : m_headers) {
+        if (g_ascii_strcasecmp(header.m_name.c_str(), wanted.c_str()) == 0) {
+            return header.m_value;
+        }
+    }
+    return {};
+}
+
+struct HttpClient::Detail {
+    SoupSession* m_session = soup_session_new_with_options(
+            "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, nullptr);
+};
+
+HttpClient::HttpClient() : m_detail(std::make_unique<Detail>()) {}
+
+HttpClient::~HttpClient() {
+    soup_session_abort(m_detail->m_session);
+    g_object_unref(m_detail->m_session);
+}
+
+void HttpClient::send(const HttpCall& call, Callback done) {
+    auto pending = std::make_unique<Pending>();
+    pending->m_done = std::move(done);
+    const std::string uri = "http://" + call.m_address.toText() + call.m_target;
+    pending->m_message = soup_message_new(call.m_method.c_str(), uri.c_str());
+    if (pending->m_message == nullptr) {
+        auto* idle = pending.release();
+        g_idle_add_once(
+                [](gpointer data) {
+                    const std::unique_ptr<Pending> failed(static_cast<Pending*>(data));
+                    HttpResult outcome;
+                    outcome.m_reason = "not a valid method or path";
+                    outcome.m_isRefused = true;
+                    failed->m_done(outcome);
+                },
+                idle);
+        return;
+    }
+    SoupMessage* message = pending->m_message;
+    soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+    if (call.m_newConnection) {
+        soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+    }
+    for (const HttpHeader& header : call.m_headers) {
+        soup_message_headers_append(soup_message_get_request_headers(message),
+                                    header.m_name.c_str(), header.m_value.c_str());
+    }
+    if (!call.m_body.empty()) {
+        GBytes* body = g_bytes_new(call.m_body.data(), call.m_body.size());
+        soup_message_set_request_body_from_bytes(message, nullptr, body);
+        g_bytes_unref(body);
+    }
+    pending->m_timer =
+            g_timeout_add(static_cast<guint>(std::max<std::int64_t>(1, call.m_timeout.count())),
+                          &onTimeout, pending.get());
+    GCancellable* cancellable = pending->m_cancellable;
+    soup_session_send_and_read_async(m_detail->m_session, message, G_PRIORITY_DEFAULT, cancellable,
+                                     &finishSend, pending.release());
+}
+
+std::string escapeUri(std::string_view text) {
+    const std::string owned(text);
+    gchar* escaped = g_uri_escape_string(owned.c_str(), "/", FALSE);
+    std::string result(escaped);
+    g_free(escaped);
+    return result;
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/libs/policy/include/pierbank/policy/PolicySettings.h
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_POLICY_POLICYSETTINGS_H
+#define PIERBANK_POLICY_POLICYSETTINGS_H
+
+#include <cstdint>
+
+#include "pierbank/base/Clock.h"
+
+namespace pierbank {
+
+/** What operators can tune of the decisions. Each deployment has its own. */
+struct PolicySettings {
+    /**
+     * 0 to 100: how much fragmentation weighs against completion time when the queue is ordered.
+     * High values start large jobs first, low ones short jobs.
+     */
+    std::uint32_t m_fragmentationWeight = 50;
+
+    /** A job that has waited this long gets workers set aside for it. */
+    Millis m_starvationBound{30 * 60'000};
+
+    /** How long workers set aside drain before younger borrowed work on them is preempted. */
+    Millis m_claimPatience{10 * 60'000};
+
+    /** How many starved jobs may have workers set aside at a time. */
+    std::uint32_t m_maxStarvedClaims = 2;
+
+    /** How long a preempted task may take for its checkpoint before it is stopped. */
+    Millis m_checkpointGrace{3000};
+
+    /** A worker is quarantined after this many failures since its last success... */
+    std::uint32_t m_workerFailures = 3;
+    /** ...which came from at least this many different jobs. */
+    std::uint32_t m_workerFailureJobs = 2;
+    /** First pause of a failing worker; each further one is twice as long. */
+    Millis m_quarantinePause{60'000};
+    /** Longest pause. */
+    Millis m_maxQuarantinePause{4 * 3'600'000};
+
+    /** A job that failed on this many different workers is at fault itself. */
+    std::uint32_t m_jobFailures = 3;
+
+    /** Waiting jobs that one pass explains in full. */
+    std::uint32_t m_maxExplained = 16;
+};
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_POLICY_POLICYSETTINGS_H
--- /dev/null
+++ b/libs/policy/src/Occupancy.cpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Occupancy.h"
+
+#include <bit>
+
+namespace pierbank {
+
+namespace {
+
+std::uint32_t subtract(std::uint32_t from, std::uint32_t amount) {
+    return from > amount ? from - amount : 0;
+}
+
+}  // namespace
+
+void forEachWorker(const Job& job, const WorkerVisitor& visit) {
+    std::map<WorkerIndex, std::uint32_t> counts;
+    for (const Member& member : job.m_members) {
+        counts[member.m_worker] += job.m_shape.m_accelerators;
+    }
+    for (const auto& [worker, count] : counts) {
+        visit(worker, count);
+    }
+}
+
+bool isFirmClaim(const Job& job) {
+    return job.m_isUrgent || job.m_unit.has_value();
+}
+
+Occupancy::Occupancy(const ClusterState& state)
+        : m_capacity(state.m_workers.size(), 0),
+          m_held(state.m_workers.size(), 0),
+          m_stopping(state.m_workers.size(), 0),
+          m_firmClaims(state.m_workers.size(), 0),
+          m_starvedClaims(state.m_workers.size(), 0) {
+    for (WorkerIndex i = 0; i < state.m_workers.size(); ++i) {
+        const Worker& worker = state.m_workers[i];
+        m_capacity[i] = worker.m_state == WorkerState::LIVE ? worker.m_accelerators : 0;
+    }
+    for (const auto& [name, job] : state.m_jobs) {
+        if (job.m_state == JobState::CLAIMING) {
+            addClaim(job);
+        } else if (job.holdsAccelerators()) {
+            addHeld(job);
+        }
+        if (job.isPlaced() && job.m_unit.has_value()) {
+            m_busyUnits.insert(*job.m_unit);
+        }
+    }
+}
+
+void Occupancy::addHeld(const Job& job) {
+    for (const Member& member : job.m_members) {
+        m_held[member.m_worker] |= member.m_accelerators;
+    }
+    if (job.m_state == JobState::STOPPING) {
+        forEachWorker(job, [this](WorkerIndex worker, std::uint32_t count) {
+            m_stopping[worker] += count;
+        });
+    }
+}
+
+void Occupancy::addClaim(const Job& job) {
+    auto& claims = isFirmClaim(job) ? m_firmClaims : m_starvedClaims;
+    forEachWorker(job, [&](WorkerIndex worker, std::uint32_t count) { claims[worker] += count; });
+}
+
+void Occupancy::removeClaim(const Job& job) {
+    auto& claims = isFirmClaim(job) ? m_firmClaims : m_starvedClaims;
+    forEachWorker(job, [&](WorkerIndex worker, std::uint32_t count) {
+        claims[worker] = subtract(claims[worker], count);
+    });
+}
+
+std::uint32_t Occupancy::getFree(WorkerIndex worker) const {
+    const auto held = static_cast<std::uint32_t>(std::popcount(m_held[worker]));
+    return subtract(m_capacity[worker], held);
+}
+
+std::uint32_t Occupancy::getFreeOfFirmClaims(WorkerIndex worker) const {
+    return subtract(getFree(worker), m_firmClaims[worker]);
+}
+
+std::uint32_t Occupancy::getOpen(WorkerIndex worker) const {
+    return subtract(getFreeOfFirmClaims(worker), m_starvedClaims[worker]);
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/libs/policy/src/PlanPass.h
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_POLICY_SRC_PLANPASS_H
+#define PIERBANK_POLICY_SRC_PLANPASS_H
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "Occupancy.h"
+#include "pierbank/policy/CellFinder.h"
+#include "pierbank/policy/Planner.h"
+#include "pierbank/policy/UnitPacker.h"
+
+namespace pierbank {
+
+/** One pass of the planner over one state. */
+class PlanPass {
+public:
+    PlanPass(const PolicySettings& settings, ClusterState& state, Millis now);
+
+    Plan run();
+
+private:
+    using ShapeKey = std::tuple<std::uint32_t, std::uint32_t, Adjacency>;
+    using CountOf = std::function<std::uint32_t(WorkerIndex)>;
+    using IsVictim = std::function<bool(const Job&)>;
+
+    /** Where a job would go inside one unit, and what else that changes. */
+    struct UnitPlace {
+        std::uint64_t m_unit = 0;
+        CellChoice m_choice;
+        /** Accelerators that borrowed work would have to give back. */
+        std::uint32_t m_shortage = 0;
+    };
+
+    // Steps of a pass.
+    void repackUnits();
+    void adoptIntoUnits();
+    void revertHopelessClaims();
+    void assignClaims();
+    void preemptForPatientClaims();
+    void placeQueue();
+
+    // Ways to place one queued job, best first.
+    bool placeWithinGuarantee(Job& job);
+    bool placeOnOpen(Job& job);
+    bool placeBackfill(Job& job);
+    bool claimForUrgent(Job& job);
+    bool claimForStarved(Job& job);
+    void explainWaiting(Job& job, bool inFull);
+
+    // Guarantees.
+    void adopt(Job& job);
+    std::optional<UnitPlace> findInBusyUnit(const Job& job, const GuaranteeUnit& unit) const;
+    bool takeByRebinding(Job& job, const GuaranteeUnit& unit);
+    std::optional<UnitPlace> findInIdleUnit(const Job& job, const GuaranteeUnit& unit) const;
+    std::optional<CellChoice> chooseCells(const Job& job, const GuaranteeUnit& unit) const;
+    std::uint32_t countShortage(const Job& job, const CellChoice& choice) const;
+
+    // Changes.
+    void place(Job& job, const CellChoice& choice, const Explanation& why);
+    void claim(Job& job, const CellChoice& choice, const Explanation& why);
+    void assign(Job& job);
+    bool canAssign(const Job& job, bool useStarvedClaims) const;
+    std::vector<std::string> preemptFor(const Job& job, const IsVictim& isVictim,
+                                        Constraint constraint);
+    void preempt(Job& victim, const Job& forJob, Constraint constraint);
+    void decide(Job& job, const Explanation& why);
+
+    // Questions.
+    bool isBorrowed(const Job& job) const;
+    bool isStarved(const Job& job) const;
+    double getQueueKey(const Job& job) const;
+    std::vector<Job*> getQueue();
+    std::vector<Job*> getClaims();
+    std::vector<std::uint32_t> collect(const CountOf& count) const;
+    std::vector<std::uint32_t> collectWithVictims(const IsVictim& isVictim) const;
+    std::vector<double> getDisturbance(const IsVictim& isVictim) const;
+    std::optional<CellChoice> findAvoiding(const Job& job, std::vector<std::uint32_t> available,
+                                           const std::vector<double>& disturbance) const;
+    Millis getEarliestClaimTime() const;
+    Explanation makeWhy(Verdict verdict, Constraint constraint, const Job& job,
+                        std::uint32_t candidates) const;
+
+    const PolicySettings& m_settings;
+    ClusterState& m_state;
+    const Millis m_now;
+    const CellFinder m_finder;
+    UnitPacker m_packer;
+    Occupancy m_occupancy;
+    Plan m_plan;
+    std::set<ShapeKey> m_failedShapes;
+    std::uint32_t m_explained = 0;
+};
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_POLICY_SRC_PLANPASS_H
--- /dev/null
+++ b/libs/policy/src/PlanPassGuarantees.cpp
@@ -0,0 +1,188 @@
+// SPDX-License-Identifier: Apache-2.0
+// The part of PlanPass that serves organisations inside their guarantees.
+#include <algorithm>
+
+#include "PlanPass.h"
+
+namespace pierbank {
+
+namespace {
+
+std::vector<UnitCell> toCells(const CellChoice& choice, const Shape& shape) {
+    std::vector<UnitCell> cells;
+    for (const WorkerIndex worker : choice.m_workers) {
+        cells.push_back({worker, shape.m_accelerators});
+    }
+    return cells;
+}
+
+}  // namespace
+
+std::optional<CellChoice> PlanPass::chooseCells(const Job& job, const GuaranteeUnit& unit) const {
+    std::vector<std::uint32_t> room(m_state.m_workers.size(), 0);
+    for (const UnitCell& cell : unit.m_cells) {
+        room[cell.m_worker] += cell.m_accelerators;
+    }
+    for (const auto& [name, other] : m_state.m_jobs) {
+        if (!other.isPlaced() || other.m_unit != unit.m_id) {
+            continue;
+        }
+        forEachWorker(other, [&](WorkerIndex worker, std::uint32_t count) {
+            room[worker] -= std::min(room[worker], count);
+        });
+    }
+    std::vector<std::uint32_t> free(room.size(), 0);
+    std::vector<double> disturbance(room.size(), 1.0);
+    for (WorkerIndex i = 0; i < room.size(); ++i) {
+        const bool isLive = m_state.m_workers[i].m_state == WorkerState::LIVE;
+        room[i] = isLive ? room[i] : 0;
+        free[i] = std::min(room[i], m_occupancy.getFreeOfFirmClaims(i));
+    }
+    // The unit's cells already keep to the job's adjacency (Shape::fitsInto()).
+    Shape anywhere = job.m_shape;
+    anywhere.m_adjacency = Adjacency::REGION;
+    return m_finder.find(anywhere, {room, free, disturbance});
+}
+
+std::uint32_t PlanPass::countShortage(const Job& job, const CellChoice& choice) const {
+    std::vector<std::uint32_t> needed(m_state.m_workers.size(), 0);
+    for (const WorkerIndex worker : choice.m_workers) {
+        needed[worker] += job.m_shape.m_accelerators;
+    }
+    std::uint32_t shortage = 0;
+    for (WorkerIndex i = 0; i < needed.size(); ++i) {
+        const std::uint32_t free = m_occupancy.getFreeOfFirmClaims(i);
+        shortage += needed[i] > free ? needed[i] - free : 0;
+    }
+    return shortage;
+}
+
+std::optional<PlanPass::UnitPlace> PlanPass::findInBusyUnit(const Job& job,
+                                                            const GuaranteeUnit& unit) const {
+    if (m_occupancy.m_busyUnits.count(unit.m_id) == 0) {
+        return std::nullopt;
+    }
+    auto choice = chooseCells(job, unit);
+    if (!choice.has_value()) {
+        return std::nullopt;
+    }
+    const std::uint32_t shortage = countShortage(job, *choice);
+    return UnitPlace{unit.m_id, *std::move(choice), shortage};
+}
+
+std::optional<PlanPass::UnitPlace> PlanPass::findInIdleUnit(const Job& job,
+                                                            const GuaranteeUnit& unit) const {
+    if (m_occupancy.m_busyUnits.count(unit.m_id) != 0) {
+        return std::nullopt;
+    }
+    auto choice = chooseCells(job, unit);
+    if (!choice.has_value()) {
+        return std::nullopt;
+    }
+    const std::uint32_t shortage = countShortage(job, *choice);
+    return UnitPlace{unit.m_id, *std::move(choice), shortage};
+}
+
+bool PlanPass::takeByRebinding(Job& job, const GuaranteeUnit& unit) {
+    if (m_occupancy.m_busyUnits.count(unit.m_id) != 0) {
+        return false;
+    }
+    const auto open = collect([this](WorkerIndex i) { return m_occupancy.getFreeOfFirmClaims(i); });
+    const auto choice = m_finder.find(unit.m_shape, {open, open, {}});
+    const bool isMoved =
+            choice.has_value() &&
+            m_packer.rebind(unit.m_id, toCells(*choice, unit.m_shape), m_occupancy.m_busyUnits);
+    if (!isMoved) {
+        return false;
+    }
+    const auto inside = chooseCells(job, unit);
+    if (!inside.has_value() || countShortage(job, *inside) > 0) {
+        return false;
+    }
+    job.m_unit = unit.m_id;
+    place(job, *inside,
+          makeWhy(Verdict::PLACED, Constraint::WITHIN_GUARANTEE, job, choice->m_candidates));
+    return true;
+}
+
+bool PlanPass::placeWithinGuarantee(Job& job) {
+    std::vector<const GuaranteeUnit*> fitting;
+    for (const GuaranteeUnit& unit : m_state.m_units) {
+        const bool isOwn = unit.m_organisation == job.m_organisation;
+        if (isOwn && !unit.m_cells.empty() && job.m_shape.fitsInto(unit.m_shape)) {
+            fitting.push_back(&unit);
+        }
+    }
+    std::stable_sort(fitting.begin(), fitting.end(), [](const auto* a, const auto* b) {
+        return a->m_shape.getTotal() < b->m_shape.getTotal();
+    });
+    std::optional<UnitPlace> best;
+    const auto consider = [&best](std::optional<UnitPlace> place) {
+        if (place.has_value() && (!best.has_value() || place->m_shortage < best->m_shortage)) {
+            best = std::move(place);
+        }
+    };
+    for (const GuaranteeUnit* unit : fitting) {
+        consider(findInBusyUnit(job, *unit));
+    }
+    const bool isReady = best.has_value() && best->m_shortage == 0;
+    for (const GuaranteeUnit* unit : fitting) {
+        if (!isReady && takeByRebinding(job, *unit)) {
+            return true;
+        }
+    }
+    for (const GuaranteeUnit* unit : fitting) {
+        consider(findInIdleUnit(job, *unit));
+    }
+    if (!best.has_value()) {
+        return false;
+    }
+    job.m_unit = best->m_unit;
+    const std::uint32_t candidates = best->m_choice.m_candidates;
+    if (best->m_shortage == 0) {
+        place(job, best->m_choice,
+              makeWhy(Verdict::PLACED, Constraint::WITHIN_GUARANTEE, job, candidates));
+        return true;
+    }
+    claim(job, best->m_choice,
+          makeWhy(Verdict::CLAIMED, Constraint::WITHIN_GUARANTEE, job, candidates));
+    const auto isVictim = [this](const Job& other) {
+        return isBorrowed(other);
+    };
+    job.m_why.m_preempted = preemptFor(job, isVictim, Constraint::RECLAIMED);
+    return true;
+}
+
+void PlanPass::adoptIntoUnits() {
+    for (auto& [name, job] : m_state.m_jobs) {
+        const bool holds = job.m_state == JobState::RUNNING || job.m_state == JobState::PREPARING;
+        if (holds && isBorrowed(job)) {
+            adopt(job);
+        }
+    }
+}
+
+void PlanPass::adopt(Job& job) {
+    std::vector<UnitCell> cells;
+    for (const Member& member : job.m_members) {
+        cells.push_back({member.m_worker, job.m_shape.m_accelerators});
+    }
+    for (const GuaranteeUnit& unit : m_state.m_units) {
+        const bool isOwnIdle = unit.m_organisation == job.m_organisation &&
+                               m_occupancy.m_busyUnits.count(unit.m_id) == 0;
+        // Only the same shape: cells of a looser job would break the unit's own adjacency.
+        if (!isOwnIdle || !(unit.m_shape == job.m_shape) ||
+            !m_packer.rebind(unit.m_id, cells, m_occupancy.m_busyUnits)) {
+            continue;
+        }
+        job.m_unit = unit.m_id;
+        m_occupancy.m_busyUnits.insert(unit.m_id);
+        Explanation why = job.m_why;
+        why.m_constraint = Constraint::WITHIN_GUARANTEE;
+        why.m_decidedAt = m_now;
+        decide(job, why);
+        return;
+    }
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/libs/schedule/include/pierbank/schedule/Table.h
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_SCHEDULE_TABLE_H
+#define PIERBANK_SCHEDULE_TABLE_H
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pierbank/base/Findings.h"
+#include "pierbank/statement/Statement.h"
+
+namespace pierbank {
+
+/** One value of a table: text, or a number that sorts and compares as one. */
+struct Cell {
+    std::string m_text;
+    std::optional<double> m_number;
+
+    static Cell ofText(std::string_view text);
+    static Cell ofNumber(double number);
+    bool operator==(const Cell&) const = default;
+};
+
+/** Answer of a query: rows of cells below named columns. */
+struct Table {
+    std::vector<std::string> m_columns;
+    std::vector<std::vector<Cell>> m_rows;
+};
+
+/**
+ * Applies the conditions, the order and the limit of a `show`.
+ * @return empty, with `reason`, when the statement names a column that the table does not have.
+ */
+std::optional<Table> selectRows(Table table, const Show& show, Reason& reason);
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_SCHEDULE_TABLE_H
--- /dev/null
+++ b/libs/wire/include/pierbank/wire/WebSocketCodec.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_WIRE_WEBSOCKETCODEC_H
+#define PIERBANK_WIRE_WEBSOCKETCODEC_H
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace pierbank {
+
+/**
+ * The WebSocket protocol (RFC 6455) of one connection, without any input or output: bytes from
+ * the peer go into feed(), bytes for the peer come out of a callback. websocketpp does the work.
+ *
+ * The source file is compiled as C++17, because websocketpp 0.8.2 does not compile as C++20; this
+ * header is read by both.
+ */
+class WebSocketCodec {
+public:
+    enum class Role { CLIENT, SERVER };
+
+    /** Called from feed(), start(), send() and close(); never after the codec is gone. */
+    struct Callbacks {
+        std::function<void(std::string_view bytes)> m_write;
+        std::function<void()> m_open;
+        std::function<void(std::string_view message)> m_message;
+        std::function<void()> m_closed;
+    };
+
+    /** The largest message that is sent or taken, in bytes; a larger one closes the connection. */
+    static constexpr std::size_t MAX_MESSAGE_BYTES = 8U << 20U;
+
+    /** @param peer `IP:PORT` of the server; only a client's opening request uses it. */
+    WebSocketCodec(Role role, const std::string& peer, Callbacks callbacks);
+    ~WebSocketCodec();
+    WebSocketCodec(const WebSocketCodec&) = delete;
+    WebSocketCodec& operator=(const WebSocketCodec&) = delete;
+
+    /** Begins the opening handshake. */
+    void start();
+
+    /** Takes bytes that the peer sent. */
+    void feed(std::string_view bytes);
+
+    /** Sends one binary message. @return false when the connection is not open. */
+    bool send(std::string_view message);
+
+    /** Sends a close frame. */
+    void close();
+
+private:
+    class Detail;
+    std::shared_ptr<Detail> m_detail;
+};
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_WIRE_WEBSOCKETCODEC_H
--- /dev/null
+++ b/libs/wire/src/FrameCodec.cpp
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/wire/FrameCodec.h"
+
+#include <utility>
+
+#include "pierbank/base/Archive.h"
+
+namespace pierbank {
+
+constexpr MemberState lastOf(MemberState) {
+    return MemberState::REFUSED;
+}
+
+constexpr RequestFate lastOf(RequestFate) {
+    return RequestFate::FAILED;
+}
+
+// Found by argument-dependent lookup, so outside the unnamed namespace.
+
+template <typename Archive>
+void describe(Archive& archive, RequestId& id) {
+    archive(id.m_gateway, id.m_number);
+}
+
+template <typename Archive>
+void describe(Archive& archive, AttemptId& id) {
+    archive(id.m_job, id.m_attempt);
+}
+
+template <typename Archive>
+void describe(Archive& archive, HttpHeader& header) {
+    archive(header.m_name, header.m_value);
+}
+
+template <typename Archive>
+void describe(Archive& archive, Hello& frame) {
+    archive(frame.m_node, frame.m_instance, frame.m_configurationVersion);
+}
+
+template <typename Archive>
+void describe(Archive& archive, LeaseAsk& frame) {
+    archive(frame.m_sequence);
+}
+
+template <typename Archive>
+void describe(Archive& archive, LeaseRenewal& frame) {
+    archive(frame.m_epoch, frame.m_sequence, frame.m_timeToLiveMs);
+}
+
+template <typename Archive>
+void describe(Archive& archive, GangPrepare& frame) {
+    archive(frame.m_epoch, frame.m_attempt, frame.m_member, frame.m_accelerators,
+            frame.m_runTimeMs);
+}
+
+template <typename Archive>
+void describe(Archive& archive, GangStart& frame) {
+    archive(frame.m_epoch, frame.m_attempt, frame.m_member);
+}
+
+template <typename Archive>
+void describe(Archive& archive, GangStop& frame) {
+    archive(frame.m_epoch, frame.m_attempt, frame.m_member, frame.m_graceMs);
+}
+
+template <typename Archive>
+void describe(Archive& archive, MemberReport& frame) {
+    archive(frame.m_attempt, frame.m_member, frame.m_state, frame.m_reason);
+}
+
+template <typename Archive>
+void describe(Archive& archive, MemberQuery& frame) {
+    archive(frame.m_epoch);
+}
+
+template <typename Archive>
+void describe(Archive& archive, MemberReportEnd& frame) {
+    archive(frame.m_epoch);
+}
+
+template <typename Archive>
+void describe(Archive& archive, ForwardRequest& frame) {
+    archive(frame.m_id, frame.m_method, frame.m_path, frame.m_headers, frame.m_body,
+            frame.m_remainingMs, frame.m_neverRepeat);
+}
+
+template <typename Archive>
+void describe(Archive& archive, ForwardAnswer& frame) {
+    archive(frame.m_id, frame.m_status, frame.m_headers, frame.m_body);
+}
+
+template <typename Archive>
+void describe(Archive& archive, FateReport& frame) {
+    archive(frame.m_id, frame.m_fate, frame.m_reason, frame.m_isEndpointFailure);
+}
+
+template <typename Archive>
+void describe(Archive& archive, FateQuery& frame) {
+    archive(frame.m_id);
+}
+
+template <typename Archive>
+void describe(Archive& archive, CancelRequest& frame) {
+    archive(frame.m_id);
+}
+
+template <typename Archive>
+void describe(Archive& archive, LoadReport& frame) {
+    archive(frame.m_slots, frame.m_running, frame.m_waiting, frame.m_isLeaving,
+            frame.m_configurationVersion);
+}
+
+template <typename Archive>
+void describe(Archive& archive, ConfigurationPush& frame) {
+    archive(frame.m_version, frame.m_bytes);
+}
+
+namespace {
+
+template <std::size_t... Types>
+bool readAs(std::size_t type, const nlohmann::json& fields, Frame& frame,
+            std::index_sequence<Types...>) {
+    bool isRead = false;
+    const auto tryType = [&](auto index) {
+        if (type == index) {
+            isRead = ArchiveReader::read(fields, frame.emplace<index>());
+        }
+    };
+    (tryType(std::integral_constant<std::size_t, Types>()), ...);
+    return isRead;
+}
+
+}  // namespace
+
+std::string encodeFrame(const Frame& frame) {
+    nlohmann::json whole = nlohmann::json::array();
+    whole.push_back(frame.index());
+    whole.push_back(std::visit([](const auto& f) { return ArchiveWriter::toValue(f); }, frame));
+    std::string bytes;
+    nlohmann::json::to_cbor(whole, bytes);
+    return bytes;
+}
+
+std::optional<Frame> decodeFrame(std::string_view bytes, Reason& reason) {
+    const nlohmann::json whole = parseCbor(bytes);
+    if (whole.is_discarded()) {
+        reason = "not CBOR";
+        return std::nullopt;
+    }
+    constexpr std::size_t PARTS = 2;
+    if (!whole.is_array() || whole.size() != PARTS || !whole[0].is_number_unsigned()) {
+        reason = "not an array of type and fields";
+        return std::nullopt;
+    }
+    const auto type = whole[0].get<std::size_t>();
+    Frame frame;
+    constexpr auto TYPES = std::make_index_sequence<std::variant_size_v<Frame>>();
+    if (!readAs(type, whole[1], frame, TYPES)) {
+        reason = "unknown frame type or wrong fields, type " + std::to_string(type);
+        return std::nullopt;
+    }
+    return frame;
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/libs/wire/src/SocketLink.cpp
@@ -0,0 +1,205 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "SocketLink.h"
+
+#include <utility>
+
+#include "pierbank/base/Log.h"
+#include "pierbank/wire/FrameCodec.h"
+
+namespace pierbank {
+
+SocketLink::SocketLink(GSocketConnection* connection, WebSocketCodec::Role role,
+                       const std::string& peer)
+        : m_connection(connection), m_socket(g_socket_connection_get_socket(connection)) {
+    g_object_ref(m_connection);
+    g_socket_set_blocking(m_socket, FALSE);
+    constexpr int TCP_LEVEL = 6;
+    constexpr int TCP_NO_DELAY = 1;
+    g_socket_set_option(m_socket, TCP_LEVEL, TCP_NO_DELAY, 1, nullptr);
+    WebSocketCodec::Callbacks callbacks;
+    callbacks.m_write = [this](std::string_view bytes) {
+        write(bytes);
+    };
+    callbacks.m_open = [this] {
+        handleOpen();
+    };
+    callbacks.m_message = [this](std::string_view message) {
+        handleMessage(message);
+    };
+    callbacks.m_closed = [this] {
+        fail();
+    };
+    m_codec = std::make_unique<WebSocketCodec>(role, peer, std::move(callbacks));
+}
+
+SocketLink::~SocketLink() {
+    close();
+    g_object_unref(m_connection);
+}
+
+void SocketLink::start(ReadyCallback onReady) {
+    m_onReady = std::move(onReady);
+    m_selfWhileOpening = shared_from_this();
+    m_handshakeTimer = g_timeout_add(HANDSHAKE_TIMEOUT_MS, &onHandshakeTimeout, this);
+    watchFor(G_IO_IN);
+    m_codec->start();
+}
+
+gboolean SocketLink::onHandshakeTimeout(gpointer self) {
+    auto* link = static_cast<SocketLink*>(self);
+    link->m_handshakeTimer = 0;
+    link->fail();
+    return G_SOURCE_REMOVE;
+}
+
+void SocketLink::setCallbacks(FrameCallback onFrame, CloseCallback onClose) {
+    m_onFrame = std::move(onFrame);
+    m_onClose = std::move(onClose);
+}
+
+bool SocketLink::send(const Frame& frame) {
+    if (m_isClosed || m_waiting.size() - m_sent > MAX_WAITING_BYTES) {
+        return false;
+    }
+    const std::string bytes = encodeFrame(frame);
+    if (bytes.size() > WebSocketCodec::MAX_MESSAGE_BYTES) {
+        return false;
+    }
+    return m_codec->send(bytes) && !m_isClosed;
+}
+
+void SocketLink::close() {
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    stopWatching();
+    if (m_handshakeTimer != 0) {
+        g_source_remove(m_handshakeTimer);
+        m_handshakeTimer = 0;
+    }
+    g_io_stream_close(G_IO_STREAM(m_connection), nullptr, nullptr);
+}
+
+void SocketLink::watchFor(GIOCondition condition) {
+    if (m_isClosed || condition == m_condition) {
+        return;
+    }
+    stopWatching();
+    m_condition = condition;
+    m_source = g_socket_create_source(m_socket, condition, nullptr);
+    g_source_set_callback(m_source, G_SOURCE_FUNC(&onSocket), this, nullptr);
+    g_source_attach(m_source, nullptr);
+}
+
+void SocketLink::stopWatching() {
+    if (m_source != nullptr) {
+        g_source_destroy(m_source);
+        g_source_unref(m_source);
+        m_source = nullptr;
+    }
+    m_condition = GIOCondition(0);
+}
+
+gboolean SocketLink::onSocket(GSocket*, GIOCondition condition, gpointer self) {
+    // A callback may drop the last other owner.
+    const auto link = static_cast<SocketLink*>(self)->shared_from_this();
+    if ((condition & G_IO_OUT) != 0) {
+        link->flush();
+    }
+    if ((condition & ~G_IO_OUT) != 0 && !link->m_isClosed) {
+        link->readAvailable();
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+void SocketLink::readAvailable() {
+    std::array<char, READ_BYTES> buffer;
+    GError* error = nullptr;
+    const gssize count = g_socket_receive(m_socket, buffer.data(), buffer.size(), nullptr, &error);
+    if (count > 0) {
+        m_codec->feed(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
+        return;
+    }
+    const bool wouldBlock =
+            error != nullptr && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
+    g_clear_error(&error);
+    if (!wouldBlock) {
+        fail();
+    }
+}
+
+void SocketLink::write(std::string_view bytes) {
+    if (m_isClosed) {
+        return;
+    }
+    const bool wasIdle = m_waiting.empty();
+    m_waiting.append(bytes);
+    if (wasIdle) {
+        flush();
+    }
+}
+
+void SocketLink::flush() {
+    while (m_sent < m_waiting.size()) {
+        GError* error = nullptr;
+        const gssize count = g_socket_send(m_socket, m_waiting.data() + m_sent,
+                                           m_waiting.size() - m_sent, nullptr, &error);
+        if (count < 0) {
+            // A broken socket also becomes readable; the reader reports the end.
+            g_clear_error(&error);
+            watchFor(GIOCondition(G_IO_IN | G_IO_OUT));
+            return;
+        }
+        m_sent += static_cast<std::size_t>(count);
+    }
+    m_waiting.clear();
+    m_sent = 0;
+    watchFor(G_IO_IN);
+}
+
+void SocketLink::handleOpen() {
+    finishHandshake(true);
+}
+
+void SocketLink::handleMessage(std::string_view message) {
+    Reason reason;
+    const auto frame = decodeFrame(message, reason);
+    if (!frame.has_value()) {
+        logEvent(Severity::WARNING, "link", "bad-frame", {{"reason", reason}});
+        fail();
+        return;
+    }
+    if (m_onFrame && !m_isClosed) {
+        const FrameCallback onFrame = m_onFrame;
+        onFrame(*frame);
+    }
+}
+
+void SocketLink::fail() {
+    if (m_isClosed) {
+        return;
+    }
+    const auto keep = shared_from_this();
+    close();
+    finishHandshake(false);
+    const CloseCallback onClose = std::exchange(m_onClose, nullptr);
+    m_onFrame = nullptr;
+    if (onClose) {
+        onClose();
+    }
+}
+
+void SocketLink::finishHandshake(bool isOpen) {
+    if (m_handshakeTimer != 0) {
+        g_source_remove(m_handshakeTimer);
+        m_handshakeTimer = 0;
+    }
+    const auto keep = std::exchange(m_selfWhileOpening, nullptr);
+    const ReadyCallback onReady = std::exchange(m_onReady, nullptr);
+    if (onReady) {
+        onReady(isOpen);
+    }
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/tools/common/DaemonOptions.h
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_TOOLS_COMMON_DAEMONOPTIONS_H
+#define PIERBANK_TOOLS_COMMON_DAEMONOPTIONS_H
+
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "pierbank/base/Version.h"
+
+namespace pierbank {
+
+/** Exit statuses of the daemons. */
+inline constexpr int EXIT_DONE = 0;
+inline constexpr int EXIT_FAILED = 1;
+inline constexpr int EXIT_USAGE = 2;
+
+/** Command line of a daemon. */
+struct DaemonOptions {
+    std::string m_settingsPath;
+    bool m_isCheck = false;
+};
+
+/** Reads the command line; sets `exitStatus` when the program has nothing more to do. */
+inline std::optional<DaemonOptions> readDaemonOptions(int argc, char** argv,
+                                                      const std::string& name, int& exitStatus) {
+    namespace po = boost::program_options;
+    DaemonOptions options;
+    po::options_description description(name + " --settings FILE");
+    description.add_options()("settings", po::value(&options.m_settingsPath),
+                              "INI file with the settings")(
+            "check", po::bool_switch(&options.m_isCheck), "only check the settings")(
+            "help", "this text")("version", "the version");
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, description), values);
+        po::notify(values);
+    } catch (const po::error& error) {
+        std::cerr << name << ": " << error.what() << "\n";
+        exitStatus = EXIT_USAGE;
+        return std::nullopt;
+    }
+    exitStatus = EXIT_DONE;
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return std::nullopt;
+    }
+    if (values.count("version") != 0) {
+        std::cout << name << " " << VERSION << "\n";
+        return std::nullopt;
+    }
+    if (options.m_settingsPath.empty()) {
+        std::cerr << name << ": --settings FILE is required; see --help\n";
+        exitStatus = EXIT_USAGE;
+        return std::nullopt;
+    }
+    return options;
+}
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_TOOLS_COMMON_DAEMONOPTIONS_H
