Requests in progress no longer keep each other alive after the gateway

Cause: an exchange and its flight held each other; the leak check of the address sanitizer named 227 of them after the burst test. Change: the exchange holds its flight weakly; the metrics hook holds a time instead of the exchange.

--- a/libs/gateway/src/GatewayCore.cpp
+++ b/libs/gateway/src/GatewayCore.cpp
@@ -81,10 +81,11 @@
 }
 
 void GatewayCore::handleRequest(const CallerExchangePtr& exchange) {
-    exchange->onDone([this, alive = m_isAlive, exchange](const CallerAnswer* answer) {
+    exchange->onDone([this, alive = m_isAlive,
+                      arrivedAt = exchange->getArrivedAt()](const CallerAnswer* answer) {
         if (*alive && answer != nullptr) {
             ++m_outcomes.at(static_cast<std::size_t>(answer->m_outcome));
-            m_latency.add(m_loop.now() - exchange->getArrivedAt());
+            m_latency.add(m_loop.now() - arrivedAt);
         }
     });
     m_filters.run(exchange);
--- a/libs/request/src/Forwarder.cpp
+++ b/libs/request/src/Forwarder.cpp
@@ -48,11 +48,14 @@
                                                        handleDeadline(flight);
                                                    }
                                                });
-    exchange->onDone([this, alive = m_isAlive, flight](const CallerAnswer*) {
-        if (*alive) {
-            handleDone(flight);
-        }
-    });
+    // Weak: the flight owns the exchange, and both would keep each other.
+    exchange->onDone(
+            [this, alive = m_isAlive, weak = std::weak_ptr<Flight>(flight)](const CallerAnswer*) {
+                const FlightPtr done = weak.lock();
+                if (*alive && done != nullptr) {
+                    handleDone(done);
+                }
+            });
     dispatch(flight);
 }
 
