--- a/libs/policy/include/pierbank/policy/PolicySettings.h
+++ b/libs/policy/include/pierbank/policy/PolicySettings.h
@@ -16,8 +16,13 @@
      */
     std::uint32_t m_fragmentationWeight = 50;
 
-    /** A job that has waited this long gets workers set aside for it. */
+    /**
+     * A job that has waited as long as it is expected to run gets workers set aside for it; but
+     * not before this time...
+     */
     Millis m_starvationBound{30 * 60'000};
+    /** ...and at the latest after this one, whatever run time was declared. */
+    Millis m_maxStarvationBound{12 * 3'600'000};
 
     /** How long workers set aside drain before younger borrowed work on them is preempted. */
     Millis m_claimPatience{10 * 60'000};
--- a/libs/policy/src/Occupancy.cpp
+++ b/libs/policy/src/Occupancy.cpp
@@ -14,12 +14,16 @@
 }  // namespace
 
 void forEachWorker(const Job& job, const WorkerVisitor& visit) {
-    std::map<WorkerIndex, std::uint32_t> counts;
-    for (const Member& member : job.m_members) {
-        counts[member.m_worker] += job.m_shape.m_accelerators;
-    }
-    for (const auto& [worker, count] : counts) {
-        visit(worker, count);
+    // Members of one worker stand next to each other: CellFinder chooses worker by worker.
+    const std::vector<Member>& members = job.m_members;
+    for (std::size_t i = 0; i < members.size();) {
+        std::size_t end = i;
+        while (end < members.size() && members[end].m_worker == members[i].m_worker) {
+            ++end;
+        }
+        visit(members[i].m_worker,
+              static_cast<std::uint32_t>(end - i) * job.m_shape.m_accelerators);
+        i = end;
     }
 }
 
--- a/libs/policy/src/Occupancy.h
+++ b/libs/policy/src/Occupancy.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <set>
 #include <vector>
 
--- a/libs/policy/src/PlanPass.cpp
+++ b/libs/policy/src/PlanPass.cpp
@@ -24,7 +24,26 @@
           m_now(now),
           m_finder(state.m_workers),
           m_packer(state, m_finder),
-          m_occupancy(state) {}
+          m_occupancy(state) {
+    indexPlaced();
+}
+
+void PlanPass::indexPlaced() {
+    m_placed.clear();
+    m_starvedClaims = 0;
+    for (auto& [name, job] : m_state.m_jobs) {
+        if (!job.isPlaced()) {
+            continue;
+        }
+        m_placed.push_back(&job);
+        const bool isStarvedClaim = job.m_state == JobState::CLAIMING && !isFirmClaim(job);
+        m_starvedClaims += isStarvedClaim ? 1 : 0;
+    }
+}
+
+PlanPass::ShapeKey PlanPass::makeKey(const Shape& shape) {
+    return {shape.m_members, shape.m_accelerators, shape.m_adjacency};
+}
 
 Plan PlanPass::run() {
     repackUnits();
@@ -49,6 +68,7 @@
         });
         if (isFree) {
             m_occupancy.removeClaim(*job);
+            m_starvedClaims -= isFirmClaim(*job) ? 0 : 1;
             assign(*job);
             Explanation why = job->m_why;
             why.m_verdict = Verdict::PLACED;
@@ -73,8 +93,7 @@
 }
 
 bool PlanPass::placeOnOpen(Job& job) {
-    const Shape& shape = job.m_shape;
-    const ShapeKey key(shape.m_members, shape.m_accelerators, shape.m_adjacency);
+    const ShapeKey key = makeKey(job.m_shape);
     if (m_failedShapes.count(key) != 0) {
         return false;
     }
@@ -93,9 +112,14 @@
     if (claimTime == Millis::max() || m_now + getExpectedRemaining(m_state, job) > claimTime) {
         return false;
     }
+    const ShapeKey key = makeKey(job.m_shape);
+    if (m_failedBackfill.count(key) != 0) {
+        return false;
+    }
     const auto free = collect([this](WorkerIndex i) { return m_occupancy.getFreeOfFirmClaims(i); });
     const auto choice = findAvoiding(job, free, {});
     if (!choice.has_value()) {
+        m_failedBackfill.insert(key);
         return false;
     }
     place(job, *choice, makeWhy(Verdict::PLACED, Constraint::BORROWED, job, choice->m_candidates));
@@ -149,6 +173,10 @@
             member.m_accelerators |= lowestFree;
         }
     }
+    if (job.m_state == JobState::QUEUED) {
+        m_placed.push_back(&job);
+    }
+    m_openTotal.reset();
     job.m_state = JobState::PREPARING;
     job.m_attempt = m_state.m_nextAttempt++;
     if (job.m_unit.has_value()) {
@@ -163,6 +191,9 @@
     }
     job.m_state = JobState::CLAIMING;
     job.m_claimedAt = m_now;
+    m_placed.push_back(&job);
+    m_openTotal.reset();
+    m_starvedClaims += isFirmClaim(job) ? 0 : 1;
     m_occupancy.addClaim(job);
     if (job.m_unit.has_value()) {
         m_occupancy.m_busyUnits.insert(*job.m_unit);
@@ -185,7 +216,11 @@
 }
 
 bool PlanPass::isStarved(const Job& job) const {
-    return m_now - job.m_queuedAt >= m_settings.m_starvationBound;
+    const Millis bound = std::clamp(getExpectedRemaining(m_state, job),
+                                    m_settings.m_starvationBound,
+                                    std::max(m_settings.m_starvationBound,
+                                             m_settings.m_maxStarvationBound));
+    return m_now - job.m_queuedAt >= bound;
 }
 
 double PlanPass::getQueueKey(const Job& job) const {
@@ -222,11 +257,8 @@
 
 std::vector<Job*> PlanPass::getClaims() {
     std::vector<Job*> claims;
-    for (auto& [name, job] : m_state.m_jobs) {
-        if (job.m_state == JobState::CLAIMING) {
-            claims.push_back(&job);
-        }
-    }
+    std::copy_if(m_placed.begin(), m_placed.end(), std::back_inserter(claims),
+                 [](const Job* job) { return job->m_state == JobState::CLAIMING; });
     const auto rank = [](const Job* job) {
         return std::make_tuple(!job->m_unit.has_value(), !job->m_isUrgent, job->m_claimedAt);
     };
@@ -267,9 +299,13 @@
     why.m_constraint = constraint;
     why.m_candidates = candidates;
     why.m_needed = job.m_shape.getTotal();
-    for (WorkerIndex i = 0; i < m_state.m_workers.size(); ++i) {
-        why.m_free += m_occupancy.getOpen(i);
+    if (!m_openTotal.has_value()) {
+        m_openTotal = 0;
+        for (WorkerIndex i = 0; i < m_state.m_workers.size(); ++i) {
+            *m_openTotal += m_occupancy.getOpen(i);
+        }
     }
+    why.m_free = *m_openTotal;
     why.m_decidedAt = m_now;
     return why;
 }
--- a/libs/policy/src/PlanPass.h
+++ b/libs/policy/src/PlanPass.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "Occupancy.h"
@@ -25,6 +26,7 @@
 
 private:
     using ShapeKey = std::tuple<std::uint32_t, std::uint32_t, Adjacency>;
+    using OrganisationShapeKey = std::pair<std::string, ShapeKey>;
     using CountOf = std::function<std::uint32_t(WorkerIndex)>;
     using IsVictim = std::function<bool(const Job&)>;
 
@@ -58,6 +60,9 @@
     bool takeByRebinding(Job& job, const GuaranteeUnit& unit);
     std::optional<UnitPlace> findInIdleUnit(const Job& job, const GuaranteeUnit& unit) const;
     std::optional<CellChoice> chooseCells(const Job& job, const GuaranteeUnit& unit) const;
+    std::optional<UnitPlace> findByEviction(const Job& job, const GuaranteeUnit& unit) const;
+    std::vector<std::uint32_t> countRoom(const GuaranteeUnit& unit, bool isForUrgent) const;
+    std::optional<CellChoice> chooseIn(std::vector<std::uint32_t> room, const Job& job) const;
     std::uint32_t countShortage(const Job& job, const CellChoice& choice) const;
 
     // Changes.
@@ -71,6 +76,10 @@
     void decide(Job& job, const Explanation& why);
 
     // Questions.
+    void indexPlaced();
+    static ShapeKey makeKey(const Shape& shape);
+    /** Whether a job may be preempted for a firm claim. */
+    bool isVictimOfFirm(const Job& other, const Job& job) const;
     bool isBorrowed(const Job& job) const;
     bool isStarved(const Job& job) const;
     double getQueueKey(const Job& job) const;
@@ -92,7 +101,17 @@
     UnitPacker m_packer;
     Occupancy m_occupancy;
     Plan m_plan;
+    /** Jobs that have workers; the many others in the queue are not looked at again. */
+    std::vector<Job*> m_placed;
+    std::uint32_t m_starvedClaims = 0;
+    /** Accelerators that are free and not claimed, over all workers; empty: to be counted. */
+    mutable std::optional<std::uint32_t> m_openTotal;
+    // What found no room in this pass will find none later in it: room only gets less.
     std::set<ShapeKey> m_failedShapes;
+    std::set<ShapeKey> m_failedBackfill;
+    std::set<ShapeKey> m_failedStarved;
+    std::set<ShapeKey> m_failedUrgent;
+    std::set<std::pair<bool, OrganisationShapeKey>> m_failedGuarantees;
     std::uint32_t m_explained = 0;
 };
 
--- a/libs/policy/src/PlanPassClaims.cpp
+++ b/libs/policy/src/PlanPassClaims.cpp
@@ -27,11 +27,11 @@
 std::vector<std::uint32_t> PlanPass::collectWithVictims(const IsVictim& isVictim) const {
     std::vector<std::uint32_t> counts = collect(
             [this](WorkerIndex i) { return m_occupancy.getFree(i) + m_occupancy.m_stopping[i]; });
-    for (const auto& [name, job] : m_state.m_jobs) {
-        if (!isRunningOrPreparing(job) || !isVictim(job)) {
+    for (const Job* const job : m_placed) {
+        if (!isRunningOrPreparing(*job) || !isVictim(*job)) {
             continue;
         }
-        forEachWorker(job,
+        forEachWorker(*job,
                       [&](WorkerIndex worker, std::uint32_t count) { counts[worker] += count; });
     }
     for (WorkerIndex i = 0; i < counts.size(); ++i) {
@@ -45,13 +45,13 @@
     // A worker whose borrowed jobs are large gangs disturbs many accelerators for few.
     std::vector<double> held(m_state.m_workers.size(), 0.0);
     std::vector<double> disturbed(m_state.m_workers.size(), 0.0);
-    for (const auto& [name, job] : m_state.m_jobs) {
-        if (!isRunningOrPreparing(job) || !isVictim(job)) {
+    for (const Job* const job : m_placed) {
+        if (!isRunningOrPreparing(*job) || !isVictim(*job)) {
             continue;
         }
-        forEachWorker(job, [&](WorkerIndex worker, std::uint32_t count) {
+        forEachWorker(*job, [&](WorkerIndex worker, std::uint32_t count) {
             held[worker] += count;
-            disturbed[worker] += job.m_shape.getTotal();
+            disturbed[worker] += job->m_shape.getTotal();
         });
     }
     for (WorkerIndex i = 0; i < held.size(); ++i) {
@@ -60,15 +60,27 @@
     return disturbed;
 }
 
+bool PlanPass::isVictimOfFirm(const Job& other, const Job& job) const {
+    if (isBorrowed(job)) {
+        return isBorrowed(other) && !other.m_isUrgent;
+    }
+    // Urgent work takes over its organisation's own guarantee from work that is not.
+    const bool isOwnPlace = other.m_unit == job.m_unit && job.m_isUrgent && !other.m_isUrgent;
+    return isBorrowed(other) || isOwnPlace;
+}
+
 bool PlanPass::claimForUrgent(Job& job) {
     if (!job.m_isUrgent) {
         return false;
     }
-    const auto isVictim = [this](const Job& other) {
-        return isBorrowed(other) && !other.m_isUrgent;
-    };
+    const ShapeKey key = makeKey(job.m_shape);
+    if (m_failedUrgent.count(key) != 0) {
+        return false;
+    }
+    const auto isVictim = [this, &job](const Job& other) { return isVictimOfFirm(other, job); };
     const auto choice = findAvoiding(job, collectWithVictims(isVictim), getDisturbance(isVictim));
     if (!choice.has_value()) {
+        m_failedUrgent.insert(key);
         return false;
     }
     claim(job, *choice, makeWhy(Verdict::CLAIMED, Constraint::BORROWED, job, choice->m_candidates));
@@ -77,12 +89,9 @@
 }
 
 bool PlanPass::claimForStarved(Job& job) {
-    const auto isStarvedClaim = [](const Job* claim) {
-        return !isFirmClaim(*claim);
-    };
-    const std::vector<Job*> claims = getClaims();
-    const auto count = std::count_if(claims.begin(), claims.end(), isStarvedClaim);
-    if (!isStarved(job) || count >= m_settings.m_maxStarvedClaims) {
+    const bool isAllowed = isStarved(job) && m_starvedClaims < m_settings.m_maxStarvedClaims;
+    const ShapeKey key = makeKey(job.m_shape);
+    if (!isAllowed || m_failedStarved.count(key) != 0) {
         return false;
     }
     const auto isVictim = [this](const Job& other) {
@@ -94,6 +103,7 @@
     }
     const auto choice = findAvoiding(job, available, getDisturbance(isVictim));
     if (!choice.has_value()) {
+        m_failedStarved.insert(key);
         return false;
     }
     claim(job, *choice, makeWhy(Verdict::CLAIMED, Constraint::BORROWED, job, choice->m_candidates));
@@ -111,7 +121,7 @@
             // Work that was started on these accelerators before the claim reached its turn.
             const bool isGuaranteed = !isBorrowed(*job);
             const auto isFirmVictim = [&](const Job& other) {
-                return isBorrowed(other) && (isGuaranteed || !other.m_isUrgent);
+                return isVictimOfFirm(other, *job);
             };
             preemptFor(*job, isFirmVictim,
                        isGuaranteed ? Constraint::RECLAIMED : Constraint::URGENT_WORK);
@@ -121,10 +131,7 @@
 
 void PlanPass::revertHopelessClaims() {
     for (Job* const job : getClaims()) {
-        const bool isGuaranteed = !isBorrowed(*job);
-        const auto isVictim = [&](const Job& other) {
-            return isBorrowed(other) && (isGuaranteed || !other.m_isUrgent);
-        };
+        const auto isVictim = [&](const Job& other) { return isVictimOfFirm(other, *job); };
         m_occupancy.removeClaim(*job);
         const auto reachable = collectWithVictims(isVictim);
         bool isHopeless = false;
@@ -140,6 +147,7 @@
         job->m_unit.reset();
         m_occupancy = Occupancy(m_state);
     }
+    indexPlaced();
 }
 
 std::vector<std::string> PlanPass::preemptFor(const Job& job, const IsVictim& isVictim,
@@ -155,16 +163,16 @@
     forEachWorker(job, [&](WorkerIndex worker, std::uint32_t count) {
         while (getShortage(worker, count) > 0) {
             Job* best = nullptr;
-            for (auto& [name, other] : m_state.m_jobs) {
-                const bool isThere = isRunningOrPreparing(other) && countOn(other, worker) > 0;
-                if (!isThere || !isVictim(other)) {
+            for (Job* const other : m_placed) {
+                const bool isThere = isRunningOrPreparing(*other) && countOn(*other, worker) > 0;
+                if (!isThere || !isVictim(*other)) {
                     continue;
                 }
                 const auto cost = [](const Job& j) {
                     return std::make_pair(j.m_shape.getTotal(), -j.m_startedAt.count());
                 };
-                if (best == nullptr || cost(other) < cost(*best)) {
-                    best = &other;
+                if (best == nullptr || cost(*other) < cost(*best)) {
+                    best = other;
                 }
             }
             if (best == nullptr) {
@@ -191,9 +199,12 @@
 
 Millis PlanPass::getEarliestClaimTime() const {
     Millis earliest = Millis::max();
-    for (const auto& [name, job] : m_state.m_jobs) {
-        if (job.m_state == JobState::CLAIMING && !isFirmClaim(job)) {
-            earliest = std::min(earliest, job.m_claimedAt + m_settings.m_claimPatience);
+    if (m_starvedClaims == 0) {
+        return earliest;
+    }
+    for (const Job* const job : m_placed) {
+        if (job->m_state == JobState::CLAIMING && !isFirmClaim(*job)) {
+            earliest = std::min(earliest, job->m_claimedAt + m_settings.m_claimPatience);
         }
     }
     return earliest;
--- a/libs/policy/src/PlanPassGuarantees.cpp
+++ b/libs/policy/src/PlanPassGuarantees.cpp
@@ -18,21 +18,28 @@
 
 }  // namespace
 
-std::optional<CellChoice> PlanPass::chooseCells(const Job& job, const GuaranteeUnit& unit) const {
+std::vector<std::uint32_t> PlanPass::countRoom(const GuaranteeUnit& unit,
+                                               bool isForUrgent) const {
     std::vector<std::uint32_t> room(m_state.m_workers.size(), 0);
     for (const UnitCell& cell : unit.m_cells) {
         room[cell.m_worker] += cell.m_accelerators;
     }
-    for (const auto& [name, other] : m_state.m_jobs) {
-        if (!other.isPlaced() || other.m_unit != unit.m_id) {
+    for (const Job* const other : m_placed) {
+        const bool isInside = other->isPlaced() && other->m_unit == unit.m_id;
+        if (!isInside || (isForUrgent && !other->m_isUrgent)) {
             continue;
         }
-        forEachWorker(other, [&](WorkerIndex worker, std::uint32_t count) {
+        forEachWorker(*other, [&](WorkerIndex worker, std::uint32_t count) {
             room[worker] -= std::min(room[worker], count);
         });
     }
+    return room;
+}
+
+std::optional<CellChoice> PlanPass::chooseIn(std::vector<std::uint32_t> room,
+                                             const Job& job) const {
     std::vector<std::uint32_t> free(room.size(), 0);
-    std::vector<double> disturbance(room.size(), 1.0);
+    const std::vector<double> disturbance(room.size(), 1.0);
     for (WorkerIndex i = 0; i < room.size(); ++i) {
         const bool isLive = m_state.m_workers[i].m_state == WorkerState::LIVE;
         room[i] = isLive ? room[i] : 0;
@@ -44,6 +51,20 @@
     return m_finder.find(anywhere, {room, free, disturbance});
 }
 
+std::optional<CellChoice> PlanPass::chooseCells(const Job& job, const GuaranteeUnit& unit) const {
+    return chooseIn(countRoom(unit, false), job);
+}
+
+std::optional<PlanPass::UnitPlace> PlanPass::findByEviction(const Job& job,
+                                                            const GuaranteeUnit& unit) const {
+    auto choice = chooseIn(countRoom(unit, true), job);
+    if (!choice.has_value()) {
+        return std::nullopt;
+    }
+    // All of it counts as disturbed: any other way that is found comes first.
+    return UnitPlace{unit.m_id, *std::move(choice), job.m_shape.getTotal()};
+}
+
 std::uint32_t PlanPass::countShortage(const Job& job, const CellChoice& choice) const {
     std::vector<std::uint32_t> needed(m_state.m_workers.size(), 0);
     for (const WorkerIndex worker : choice.m_workers) {
@@ -106,6 +127,11 @@
 }
 
 bool PlanPass::placeWithinGuarantee(Job& job) {
+    const auto key = std::make_pair(job.m_isUrgent, OrganisationShapeKey{job.m_organisation,
+                                                                         makeKey(job.m_shape)});
+    if (m_failedGuarantees.count(key) != 0) {
+        return false;
+    }
     std::vector<const GuaranteeUnit*> fitting;
     for (const GuaranteeUnit& unit : m_state.m_units) {
         const bool isOwn = unit.m_organisation == job.m_organisation;
@@ -134,7 +160,13 @@
     for (const GuaranteeUnit* unit : fitting) {
         consider(findInIdleUnit(job, *unit));
     }
+    for (const GuaranteeUnit* unit : fitting) {
+        if (!best.has_value() && job.m_isUrgent) {
+            consider(findByEviction(job, *unit));
+        }
+    }
     if (!best.has_value()) {
+        m_failedGuarantees.insert(key);
         return false;
     }
     job.m_unit = best->m_unit;
@@ -154,10 +186,11 @@
 }
 
 void PlanPass::adoptIntoUnits() {
-    for (auto& [name, job] : m_state.m_jobs) {
-        const bool holds = job.m_state == JobState::RUNNING || job.m_state == JobState::PREPARING;
-        if (holds && isBorrowed(job)) {
-            adopt(job);
+    for (Job* const job : m_placed) {
+        const bool holds =
+                job->m_state == JobState::RUNNING || job->m_state == JobState::PREPARING;
+        if (holds && isBorrowed(*job)) {
+            adopt(*job);
         }
     }
 }
