Planner properties over random clusters; guaranteed claims go first; exact search

Found and mended: (1) urgent work could share its unit's cells with work that it should have evicted (the cheaper borrowed victim was taken instead); (2) claims that were reverted after the repack left units on workers out of service; (3) a guaranteed claim was reverted because an urgent borrowed claim stood on the same accelerators; guaranteed claims now come first; (4) about 1 state in 800 had a packing that the greedy orders missed; a bounded search is the last resort. Ruled out: a fault of the checker (each case was read from its shrunk state).

--- a/bench/replay/Baselines.cpp
+++ b/bench/replay/Baselines.cpp
@@ -84,8 +84,7 @@
             case Adjacency::WORKER:
                 return a == b;
             case Adjacency::RACK:
-                return left.m_rack == right.m_rack &&
-                       left.m_failureDomain == right.m_failureDomain;
+                return left.m_rack == right.m_rack && left.m_failureDomain == right.m_failureDomain;
             case Adjacency::FAILURE_DOMAIN:
                 return left.m_failureDomain == right.m_failureDomain;
             case Adjacency::REGION:
@@ -96,10 +95,8 @@
     for (WorkerIndex first = 0; first < free.size(); ++first) {
         CellChoice choice;
         for (WorkerIndex i = first; i < free.size(); ++i) {
-            const std::uint32_t slots =
-                    isSamePart(first, i) ? free[i] / shape.m_accelerators : 0;
-            for (std::uint32_t s = 0; s < slots && choice.m_workers.size() < shape.m_members;
-                 ++s) {
+            const std::uint32_t slots = isSamePart(first, i) ? free[i] / shape.m_accelerators : 0;
+            for (std::uint32_t s = 0; s < slots && choice.m_workers.size() < shape.m_members; ++s) {
                 choice.m_workers.push_back(i);
             }
         }
@@ -143,7 +140,8 @@
         double sum = 0;
         std::size_t owner = 0;
         for (std::size_t i = 0; i < state.m_workers.size(); ++i) {
-            const double part = static_cast<double>(i) / static_cast<double>(state.m_workers.size());
+            const double part =
+                    static_cast<double>(i) / static_cast<double>(state.m_workers.size());
             while (owner + 1 < shares.size() && part >= (sum + shares[owner]) / total) {
                 sum += shares[owner++];
             }
--- a/bench/replay/Baselines.h
+++ b/bench/replay/Baselines.h
@@ -4,8 +4,8 @@
 
 #include <map>
 
-#include "Replay.h"
 #include "pierbank/policy/Planner.h"
+#include "Replay.h"
 
 namespace pierbank::replay {
 
--- a/bench/replay/Replay.cpp
+++ b/bench/replay/Replay.cpp
@@ -80,8 +80,7 @@
             m_events.pop();
             integrateTo(event.m_at);
             handle(event);
-            const bool isLastOfInstant =
-                    m_events.empty() || m_events.top().m_at != event.m_at;
+            const bool isLastOfInstant = m_events.empty() || m_events.top().m_at != event.m_at;
             if (isLastOfInstant) {
                 pass();
             }
@@ -179,13 +178,11 @@
         markRunning(job, m_now);
         const Arrival& arrival = *m_arrivals.at(job.m_name);
         const Millis again = RESTART_COST * job.m_preemptions;
-        const Millis left =
-                std::max(arrival.m_trueRunTime + again - job.m_progress, Millis(1000));
+        const Millis left = std::max(arrival.m_trueRunTime + again - job.m_progress, Millis(1000));
         const auto isOnFailing = [this](const Member& m) {
             return m.m_worker == m_workload.m_failingWorker;
         };
-        const bool fails =
-                std::any_of(job.m_members.begin(), job.m_members.end(), isOnFailing);
+        const bool fails = std::any_of(job.m_members.begin(), job.m_members.end(), isOnFailing);
         m_events.push({m_now + (fails ? std::min(FAILS_AFTER, left) : left),
                        fails ? EventKind::FAILURE : EventKind::END, job.m_name, job.m_attempt});
         noteStart(job);
@@ -272,8 +269,7 @@
         m_measures.m_meanSlowdown = mean(m_slowdowns);
         m_measures.m_95thSlowdown = quantile(m_slowdowns, 0.95);
         m_measures.m_lowerBound = mean(m_bounds);
-        m_measures.m_fragmentation =
-                m_consideredTime > 0 ? m_fragmentedTime / m_consideredTime : 0;
+        m_measures.m_fragmentation = m_consideredTime > 0 ? m_fragmentedTime / m_consideredTime : 0;
         m_measures.m_lostWork = m_work > 0 ? m_lost / m_work : 0;
         m_measures.m_unfinished += static_cast<std::uint32_t>(m_state.m_jobs.size());
         double sum = 0;
--- a/bench/replay/Replay.h
+++ b/bench/replay/Replay.h
@@ -5,8 +5,8 @@
 #include <map>
 #include <string>
 
-#include "Workload.h"
 #include "pierbank/policy/PolicySettings.h"
+#include "Workload.h"
 
 namespace pierbank::replay {
 
--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -16,18 +16,20 @@
 namespace po = boost::program_options;
 
 void printHead() {
-    std::puts("workload\tseed\tpolicy\tmean_h\tp95_h\tslowdown\tslowdown95\tlarge_wait_h\tfrag\t"
-              "urgent_s\tlost\tjain\tfinished\tunfinished\tpreempted\tbound_h");
+    std::puts(
+            "workload\tseed\tpolicy\tmean_h\tp95_h\tslowdown\tslowdown95\tlarge_wait_h\tfrag\t"
+            "urgent_s\tlost\tjain\tfinished\tunfinished\tpreempted\tbound_h");
 }
 
 void printLine(const Workload& workload, std::uint64_t seed, const char* policy,
                const Measures& m) {
-    std::printf("%s\t%llu\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.4f\t%.1f\t%.4f\t%.3f\t%u\t%u\t%u\t"
-                "%.3f\n",
-                workload.m_name.c_str(), static_cast<unsigned long long>(seed), policy,
-                m.m_meanCompletion, m.m_95thCompletion, m.m_meanSlowdown, m.m_95thSlowdown,
-                m.m_longestLargeWait, m.m_fragmentation, m.m_longestUrgentSeconds, m.m_lostWork,
-                m.m_jain, m.m_finished, m.m_unfinished, m.m_preemptions, m.m_lowerBound);
+    std::printf(
+            "%s\t%llu\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.4f\t%.1f\t%.4f\t%.3f\t%u\t%u\t%u\t"
+            "%.3f\n",
+            workload.m_name.c_str(), static_cast<unsigned long long>(seed), policy,
+            m.m_meanCompletion, m.m_95thCompletion, m.m_meanSlowdown, m.m_95thSlowdown,
+            m.m_longestLargeWait, m.m_fragmentation, m.m_longestUrgentSeconds, m.m_lostWork,
+            m.m_jain, m.m_finished, m.m_unfinished, m.m_preemptions, m.m_lowerBound);
     std::fflush(stdout);
 }
 
--- a/libs/policy/include/pierbank/policy/CellFinder.h
+++ b/libs/policy/include/pierbank/policy/CellFinder.h
@@ -46,13 +46,15 @@
     /** Whether the shape fits when nothing runs and every worker that is not GONE is in service. */
     bool couldEverFit(const Shape& shape) const;
 
-    std::size_t getWorkerCount() const noexcept { return m_workers.size(); }
+    /** Workers that belong together. */
+    using Group = std::vector<WorkerIndex>;
+
+    /** The parts of the topology that may hold a shape of this adjacency. */
+    const std::vector<Group>& getGroups(Adjacency adjacency) const;
 
 private:
     struct Score;
-    using Group = std::vector<WorkerIndex>;
 
-    const std::vector<Group>& getGroups(Adjacency adjacency) const;
     std::optional<CellChoice> findAt(Adjacency adjacency, const Shape& shape,
                                      const CellSupply& supply) const;
     std::uint64_t countSlots(const Group& group, const Shape& shape,
--- a/libs/policy/include/pierbank/policy/Explanation.h
+++ b/libs/policy/include/pierbank/policy/Explanation.h
@@ -39,6 +39,8 @@
     RECLAIMED,
     /** An urgent job took the borrowed accelerators. */
     URGENT_WORK,
+    /** It was moved, to make whole the place that a larger job needs. */
+    MOVED,
     /** A job that waited past the bound took the borrowed accelerators. */
     STARVED_JOB,
     WITHDRAWN_BY_OPERATOR,
--- a/libs/policy/include/pierbank/policy/PolicySettings.h
+++ b/libs/policy/include/pierbank/policy/PolicySettings.h
@@ -30,6 +30,11 @@
     /** How many starved jobs may have workers set aside at a time. */
     std::uint32_t m_maxStarvedClaims = 2;
 
+    /** A job that has waited this long may have smaller borrowed work moved out of its way. */
+    Millis m_moveAfter{5 * 60'000};
+    /** Work that was started less than this ago is not moved. */
+    Millis m_moveRest{30 * 60'000};
+
     /** How long a preempted task may take for its checkpoint before it is stopped. */
     Millis m_checkpointGrace{3000};
 
--- a/libs/policy/include/pierbank/policy/UnitPacker.h
+++ b/libs/policy/include/pierbank/policy/UnitPacker.h
@@ -45,6 +45,7 @@
     bool placeAll(std::span<GuaranteeUnit* const> units, std::vector<std::uint32_t>& room);
     bool packKeepingCells(const std::set<std::uint64_t>& busyUnits);
     bool packAnew(const std::set<std::uint64_t>& busyUnits);
+    bool packBySearch(const std::set<std::uint64_t>& busyUnits);
     std::vector<std::uint64_t> packWhatFits(const std::set<std::uint64_t>& busyUnits);
 
     ClusterState& m_state;
--- a/libs/policy/src/Explanation.cpp
+++ b/libs/policy/src/Explanation.cpp
@@ -10,7 +10,7 @@
 constexpr std::array<std::string_view, 7> VERDICTS = {
         "undecided", "placed", "claimed", "waiting", "refused", "preempted", "stopped"};
 
-constexpr std::array<std::string_view, 17> CONSTRAINTS = {
+constexpr std::array<std::string_view, 18> CONSTRAINTS = {
         "no decision yet",
         "too few accelerators are free",
         "enough accelerators are free, but scattered: no allowed part of the topology holds the "
@@ -22,6 +22,7 @@
         "it borrows accelerators that a guarantee may take back",
         "an organisation took back its guaranteed shape",
         "an urgent job took the borrowed accelerators",
+        "it was moved to make room for a larger job",
         "a job that had waited past the bound took the borrowed accelerators",
         "an operator withdrew it",
         "a member's worker was lost or refused",
--- a/libs/policy/src/Occupancy.cpp
+++ b/libs/policy/src/Occupancy.cpp
@@ -35,7 +35,8 @@
         : m_capacity(state.m_workers.size(), 0),
           m_held(state.m_workers.size(), 0),
           m_stopping(state.m_workers.size(), 0),
-          m_firmClaims(state.m_workers.size(), 0),
+          m_guaranteedClaims(state.m_workers.size(), 0),
+          m_urgentClaims(state.m_workers.size(), 0),
           m_starvedClaims(state.m_workers.size(), 0) {
     for (WorkerIndex i = 0; i < state.m_workers.size(); ++i) {
         const Worker& worker = state.m_workers[i];
@@ -64,13 +65,20 @@
     }
 }
 
+std::vector<std::uint32_t>& Occupancy::getClaims(const Job& job) {
+    if (job.m_unit.has_value()) {
+        return m_guaranteedClaims;
+    }
+    return job.m_isUrgent ? m_urgentClaims : m_starvedClaims;
+}
+
 void Occupancy::addClaim(const Job& job) {
-    auto& claims = isFirmClaim(job) ? m_firmClaims : m_starvedClaims;
+    auto& claims = getClaims(job);
     forEachWorker(job, [&](WorkerIndex worker, std::uint32_t count) { claims[worker] += count; });
 }
 
 void Occupancy::removeClaim(const Job& job) {
-    auto& claims = isFirmClaim(job) ? m_firmClaims : m_starvedClaims;
+    auto& claims = getClaims(job);
     forEachWorker(job, [&](WorkerIndex worker, std::uint32_t count) {
         claims[worker] = subtract(claims[worker], count);
     });
@@ -81,8 +89,16 @@
     return subtract(m_capacity[worker], held);
 }
 
+std::uint32_t Occupancy::getClaimsBefore(WorkerIndex worker, bool isGuaranteed) const {
+    return m_guaranteedClaims[worker] + (isGuaranteed ? 0 : m_urgentClaims[worker]);
+}
+
+std::uint32_t Occupancy::getFreeOfGuarantees(WorkerIndex worker) const {
+    return subtract(getFree(worker), getClaimsBefore(worker, true));
+}
+
 std::uint32_t Occupancy::getFreeOfFirmClaims(WorkerIndex worker) const {
-    return subtract(getFree(worker), m_firmClaims[worker]);
+    return subtract(getFree(worker), getClaimsBefore(worker, false));
 }
 
 std::uint32_t Occupancy::getOpen(WorkerIndex worker) const {
--- a/libs/policy/src/Occupancy.h
+++ b/libs/policy/src/Occupancy.h
@@ -28,8 +28,10 @@
     std::vector<AcceleratorMask> m_held;
     /** Of those held, what STOPPING jobs will give back. */
     std::vector<std::uint32_t> m_stopping;
-    /** Accelerators that CLAIMING jobs wait for: of guarantees and urgent work... */
-    std::vector<std::uint32_t> m_firmClaims;
+    /** Accelerators that CLAIMING jobs wait for: inside guarantees, which come first... */
+    std::vector<std::uint32_t> m_guaranteedClaims;
+    /** ...of urgent work beyond them... */
+    std::vector<std::uint32_t> m_urgentClaims;
     /** ...and of starved jobs. */
     std::vector<std::uint32_t> m_starvedClaims;
     /** Units with at least one job. */
@@ -39,12 +41,19 @@
     std::uint32_t getFree(WorkerIndex worker) const;
     /** Free and not claimed. */
     std::uint32_t getOpen(WorkerIndex worker) const;
+    /** Free and not claimed inside guarantees. */
+    std::uint32_t getFreeOfGuarantees(WorkerIndex worker) const;
     /** Free and not claimed by guarantees or urgent work. */
     std::uint32_t getFreeOfFirmClaims(WorkerIndex worker) const;
+    /** Claims that go before those of a job of this kind. */
+    std::uint32_t getClaimsBefore(WorkerIndex worker, bool isGuaranteed) const;
 
     void addClaim(const Job& job);
     void removeClaim(const Job& job);
     void addHeld(const Job& job);
+
+private:
+    std::vector<std::uint32_t>& getClaims(const Job& job);
 };
 
 /** Whether a claim may preempt at once, in contrast to one of a starved job, which drains. */
--- a/libs/policy/src/PlanPass.cpp
+++ b/libs/policy/src/PlanPass.cpp
@@ -46,9 +46,9 @@
 }
 
 Plan PlanPass::run() {
+    revertHopelessClaims();
     repackUnits();
     adoptIntoUnits();
-    revertHopelessClaims();
     assignClaims();
     preemptForPatientClaims();
     placeQueue();
@@ -83,7 +83,7 @@
 void PlanPass::placeQueue() {
     for (Job* const job : getQueue()) {
         if (placeWithinGuarantee(*job) || placeOnOpen(*job) || placeBackfill(*job) ||
-            claimForUrgent(*job) || claimForStarved(*job)) {
+            claimForUrgent(*job) || claimByMoving(*job) || claimForStarved(*job)) {
             continue;
         }
         const bool inFull = m_explained < m_settings.m_maxExplained;
@@ -216,10 +216,9 @@
 }
 
 bool PlanPass::isStarved(const Job& job) const {
-    const Millis bound = std::clamp(getExpectedRemaining(m_state, job),
-                                    m_settings.m_starvationBound,
-                                    std::max(m_settings.m_starvationBound,
-                                             m_settings.m_maxStarvationBound));
+    const Millis bound =
+            std::clamp(getExpectedRemaining(m_state, job), m_settings.m_starvationBound,
+                       std::max(m_settings.m_starvationBound, m_settings.m_maxStarvationBound));
     return m_now - job.m_queuedAt >= bound;
 }
 
--- a/libs/policy/src/PlanPass.h
+++ b/libs/policy/src/PlanPass.h
@@ -52,6 +52,7 @@
     bool placeBackfill(Job& job);
     bool claimForUrgent(Job& job);
     bool claimForStarved(Job& job);
+    bool claimByMoving(Job& job);
     void explainWaiting(Job& job, bool inFull);
 
     // Guarantees.
@@ -62,6 +63,8 @@
     std::optional<CellChoice> chooseCells(const Job& job, const GuaranteeUnit& unit) const;
     std::optional<UnitPlace> findByEviction(const Job& job, const GuaranteeUnit& unit) const;
     std::vector<std::uint32_t> countRoom(const GuaranteeUnit& unit, bool isForUrgent) const;
+    /** Preempts what is over the unit's room now that `job` has its place in it. */
+    std::vector<std::string> evictFrom(const GuaranteeUnit& unit, const Job& job);
     std::optional<CellChoice> chooseIn(std::vector<std::uint32_t> room, const Job& job) const;
     std::uint32_t countShortage(const Job& job, const CellChoice& choice) const;
 
@@ -70,6 +73,7 @@
     void claim(Job& job, const CellChoice& choice, const Explanation& why);
     void assign(Job& job);
     bool canAssign(const Job& job, bool useStarvedClaims) const;
+    bool canMove(const Job& job, const CellChoice& choice, const IsVictim& isVictim) const;
     std::vector<std::string> preemptFor(const Job& job, const IsVictim& isVictim,
                                         Constraint constraint);
     void preempt(Job& victim, const Job& forJob, Constraint constraint);
@@ -86,7 +90,8 @@
     std::vector<Job*> getQueue();
     std::vector<Job*> getClaims();
     std::vector<std::uint32_t> collect(const CountOf& count) const;
-    std::vector<std::uint32_t> collectWithVictims(const IsVictim& isVictim) const;
+    std::vector<std::uint32_t> collectWithVictims(const IsVictim& isVictim,
+                                                  bool isGuaranteed) const;
     std::vector<double> getDisturbance(const IsVictim& isVictim) const;
     std::optional<CellChoice> findAvoiding(const Job& job, std::vector<std::uint32_t> available,
                                            const std::vector<double>& disturbance) const;
@@ -110,6 +115,7 @@
     std::set<ShapeKey> m_failedShapes;
     std::set<ShapeKey> m_failedBackfill;
     std::set<ShapeKey> m_failedStarved;
+    std::set<ShapeKey> m_failedMoves;
     std::set<ShapeKey> m_failedUrgent;
     std::set<std::pair<bool, OrganisationShapeKey>> m_failedGuarantees;
     std::uint32_t m_explained = 0;
--- a/libs/policy/src/PlanPassClaims.cpp
+++ b/libs/policy/src/PlanPassClaims.cpp
@@ -24,7 +24,8 @@
 
 }  // namespace
 
-std::vector<std::uint32_t> PlanPass::collectWithVictims(const IsVictim& isVictim) const {
+std::vector<std::uint32_t> PlanPass::collectWithVictims(const IsVictim& isVictim,
+                                                        bool isGuaranteed) const {
     std::vector<std::uint32_t> counts = collect(
             [this](WorkerIndex i) { return m_occupancy.getFree(i) + m_occupancy.m_stopping[i]; });
     for (const Job* const job : m_placed) {
@@ -36,7 +37,7 @@
     }
     for (WorkerIndex i = 0; i < counts.size(); ++i) {
         counts[i] = std::min(counts[i], m_occupancy.m_capacity[i]);
-        counts[i] -= std::min(counts[i], m_occupancy.m_firmClaims[i]);
+        counts[i] -= std::min(counts[i], m_occupancy.getClaimsBefore(i, isGuaranteed));
     }
     return counts;
 }
@@ -77,8 +78,11 @@
     if (m_failedUrgent.count(key) != 0) {
         return false;
     }
-    const auto isVictim = [this, &job](const Job& other) { return isVictimOfFirm(other, job); };
-    const auto choice = findAvoiding(job, collectWithVictims(isVictim), getDisturbance(isVictim));
+    const auto isVictim = [this, &job](const Job& other) {
+        return isVictimOfFirm(other, job);
+    };
+    const auto choice =
+            findAvoiding(job, collectWithVictims(isVictim, false), getDisturbance(isVictim));
     if (!choice.has_value()) {
         m_failedUrgent.insert(key);
         return false;
@@ -97,7 +101,7 @@
     const auto isVictim = [this](const Job& other) {
         return isBorrowed(other) && !other.m_isUrgent;
     };
-    std::vector<std::uint32_t> available = collectWithVictims(isVictim);
+    std::vector<std::uint32_t> available = collectWithVictims(isVictim, false);
     for (WorkerIndex i = 0; i < available.size(); ++i) {
         available[i] -= std::min(available[i], m_occupancy.m_starvedClaims[i]);
     }
@@ -110,6 +114,67 @@
     return true;
 }
 
+bool PlanPass::claimByMoving(Job& job) {
+    const ShapeKey key = makeKey(job.m_shape);
+    const bool isAllowed = m_now - job.m_queuedAt >= m_settings.m_moveAfter &&
+                           m_starvedClaims < m_settings.m_maxStarvedClaims &&
+                           m_failedMoves.count(key) == 0;
+    if (!isAllowed) {
+        return false;
+    }
+    const auto isVictim = [this, &job](const Job& other) {
+        const bool isSmall = other.m_shape.getTotal() * 2 <= job.m_shape.getTotal();
+        const bool hasRested = m_now - other.m_startedAt >= m_settings.m_moveRest;
+        return isBorrowed(other) && !other.m_isUrgent && isSmall && hasRested &&
+               other.m_state == JobState::RUNNING;
+    };
+    std::vector<std::uint32_t> available = collectWithVictims(isVictim, false);
+    for (WorkerIndex i = 0; i < available.size(); ++i) {
+        const std::uint32_t taken = m_occupancy.m_starvedClaims[i] + m_occupancy.m_stopping[i];
+        available[i] -= std::min(available[i], taken);
+    }
+    const auto choice = findAvoiding(job, available, getDisturbance(isVictim));
+    if (!choice.has_value() || !canMove(job, *choice, isVictim)) {
+        m_failedMoves.insert(key);
+        return false;
+    }
+    claim(job, *choice, makeWhy(Verdict::CLAIMED, Constraint::BORROWED, job, choice->m_candidates));
+    job.m_why.m_preempted = preemptFor(job, isVictim, Constraint::MOVED);
+    return true;
+}
+
+bool PlanPass::canMove(const Job& job, const CellChoice& choice, const IsVictim& isVictim) const {
+    std::vector<std::uint32_t> open =
+            collect([this](WorkerIndex i) { return m_occupancy.getOpen(i); });
+    std::vector<std::uint32_t> missing(open.size(), 0);
+    for (const WorkerIndex worker : choice.m_workers) {
+        const std::uint32_t fromOpen = std::min(open[worker], job.m_shape.m_accelerators);
+        open[worker] -= fromOpen;
+        missing[worker] += job.m_shape.m_accelerators - fromOpen;
+    }
+    for (const Job* const other : m_placed) {
+        bool isInTheWay = false;
+        forEachWorker(*other, [&](WorkerIndex worker, std::uint32_t) {
+            isInTheWay = isInTheWay || missing[worker] > 0;
+        });
+        if (!isInTheWay || !isRunningOrPreparing(*other) || !isVictim(*other)) {
+            continue;
+        }
+        forEachWorker(*other, [&](WorkerIndex worker, std::uint32_t count) {
+            const std::uint32_t used = std::min(missing[worker], count);
+            missing[worker] -= used;
+        });
+        const auto elsewhere = m_finder.find(other->m_shape, {open, open, {}});
+        if (!elsewhere.has_value()) {
+            return false;
+        }
+        for (const WorkerIndex worker : elsewhere->m_workers) {
+            open[worker] -= other->m_shape.m_accelerators;
+        }
+    }
+    return true;
+}
+
 void PlanPass::preemptForPatientClaims() {
     const auto isVictim = [this](const Job& other) {
         return isBorrowed(other) && !other.m_isUrgent;
@@ -131,9 +196,11 @@
 
 void PlanPass::revertHopelessClaims() {
     for (Job* const job : getClaims()) {
-        const auto isVictim = [&](const Job& other) { return isVictimOfFirm(other, *job); };
+        const auto isVictim = [&](const Job& other) {
+            return isVictimOfFirm(other, *job);
+        };
         m_occupancy.removeClaim(*job);
-        const auto reachable = collectWithVictims(isVictim);
+        const auto reachable = collectWithVictims(isVictim, !isBorrowed(*job));
         bool isHopeless = false;
         forEachWorker(*job, [&](WorkerIndex worker, std::uint32_t count) {
             isHopeless = isHopeless || reachable[worker] < count;
@@ -155,7 +222,8 @@
     std::vector<std::string> preempted;
     const auto getShortage = [&](WorkerIndex worker, std::uint32_t count) {
         const std::uint32_t own = isFirmClaim(job) ? count : 0;
-        const std::uint32_t others = m_occupancy.m_firmClaims[worker] - own;
+        const std::uint32_t before = m_occupancy.getClaimsBefore(worker, !isBorrowed(job));
+        const std::uint32_t others = before > own ? before - own : 0;
         const std::uint32_t coming = m_occupancy.getFree(worker) + m_occupancy.m_stopping[worker];
         const std::uint32_t reachable = coming > others ? coming - others : 0;
         return count > reachable ? count - reachable : 0;
--- a/libs/policy/src/PlanPassGuarantees.cpp
+++ b/libs/policy/src/PlanPassGuarantees.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // The part of PlanPass that serves organisations inside their guarantees.
 #include <algorithm>
+#include <map>
 
 #include "PlanPass.h"
 
@@ -18,8 +19,7 @@
 
 }  // namespace
 
-std::vector<std::uint32_t> PlanPass::countRoom(const GuaranteeUnit& unit,
-                                               bool isForUrgent) const {
+std::vector<std::uint32_t> PlanPass::countRoom(const GuaranteeUnit& unit, bool isForUrgent) const {
     std::vector<std::uint32_t> room(m_state.m_workers.size(), 0);
     for (const UnitCell& cell : unit.m_cells) {
         room[cell.m_worker] += cell.m_accelerators;
@@ -43,7 +43,7 @@
     for (WorkerIndex i = 0; i < room.size(); ++i) {
         const bool isLive = m_state.m_workers[i].m_state == WorkerState::LIVE;
         room[i] = isLive ? room[i] : 0;
-        free[i] = std::min(room[i], m_occupancy.getFreeOfFirmClaims(i));
+        free[i] = std::min(room[i], m_occupancy.getFreeOfGuarantees(i));
     }
     // The unit's cells already keep to the job's adjacency (Shape::fitsInto()).
     Shape anywhere = job.m_shape;
@@ -72,7 +72,7 @@
     }
     std::uint32_t shortage = 0;
     for (WorkerIndex i = 0; i < needed.size(); ++i) {
-        const std::uint32_t free = m_occupancy.getFreeOfFirmClaims(i);
+        const std::uint32_t free = m_occupancy.getFreeOfGuarantees(i);
         shortage += needed[i] > free ? needed[i] - free : 0;
     }
     return shortage;
@@ -108,7 +108,7 @@
     if (m_occupancy.m_busyUnits.count(unit.m_id) != 0) {
         return false;
     }
-    const auto open = collect([this](WorkerIndex i) { return m_occupancy.getFreeOfFirmClaims(i); });
+    const auto open = collect([this](WorkerIndex i) { return m_occupancy.getFreeOfGuarantees(i); });
     const auto choice = m_finder.find(unit.m_shape, {open, open, {}});
     const bool isMoved =
             choice.has_value() &&
@@ -127,8 +127,8 @@
 }
 
 bool PlanPass::placeWithinGuarantee(Job& job) {
-    const auto key = std::make_pair(job.m_isUrgent, OrganisationShapeKey{job.m_organisation,
-                                                                         makeKey(job.m_shape)});
+    const auto key = std::make_pair(job.m_isUrgent,
+                                    OrganisationShapeKey{job.m_organisation, makeKey(job.m_shape)});
     if (m_failedGuarantees.count(key) != 0) {
         return false;
     }
@@ -178,17 +178,52 @@
     }
     claim(job, best->m_choice,
           makeWhy(Verdict::CLAIMED, Constraint::WITHIN_GUARANTEE, job, candidates));
-    const auto isVictim = [this](const Job& other) {
-        return isBorrowed(other);
+    std::vector<std::string> evicted = evictFrom(*m_state.findUnit(*job.m_unit), job);
+    const auto isVictim = [&](const Job& other) {
+        return isVictimOfFirm(other, job);
     };
     job.m_why.m_preempted = preemptFor(job, isVictim, Constraint::RECLAIMED);
+    job.m_why.m_preempted.insert(job.m_why.m_preempted.end(), evicted.begin(), evicted.end());
     return true;
 }
 
+std::vector<std::string> PlanPass::evictFrom(const GuaranteeUnit& unit, const Job& job) {
+    std::map<WorkerIndex, std::int64_t> room;
+    for (const UnitCell& cell : unit.m_cells) {
+        room[cell.m_worker] += cell.m_accelerators;
+    }
+    std::vector<Job*> others;
+    for (Job* const other : m_placed) {
+        const bool isInside = other->m_unit == unit.m_id && other->m_state != JobState::STOPPING;
+        if (!isInside) {
+            continue;
+        }
+        forEachWorker(*other,
+                      [&](WorkerIndex worker, std::uint32_t count) { room[worker] -= count; });
+        if (other != &job && !other->m_isUrgent) {
+            others.push_back(other);
+        }
+    }
+    std::vector<std::string> evicted;
+    for (Job* const other : others) {
+        bool isInTheWay = false;
+        forEachWorker(*other, [&](WorkerIndex worker, std::uint32_t) {
+            isInTheWay = isInTheWay || room[worker] < 0;
+        });
+        if (!isInTheWay) {
+            continue;
+        }
+        forEachWorker(*other,
+                      [&](WorkerIndex worker, std::uint32_t count) { room[worker] += count; });
+        evicted.push_back(other->m_name);
+        preempt(*other, job, Constraint::URGENT_WORK);
+    }
+    return evicted;
+}
+
 void PlanPass::adoptIntoUnits() {
     for (Job* const job : m_placed) {
-        const bool holds =
-                job->m_state == JobState::RUNNING || job->m_state == JobState::PREPARING;
+        const bool holds = job->m_state == JobState::RUNNING || job->m_state == JobState::PREPARING;
         if (holds && isBorrowed(*job)) {
             adopt(*job);
         }
--- a/libs/policy/src/UnitPacker.cpp
+++ b/libs/policy/src/UnitPacker.cpp
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "pierbank/base/Random.h"
+#include "UnitSearch.h"
 
 namespace pierbank {
 
@@ -134,6 +135,12 @@
     return false;
 }
 
+bool UnitPacker::packBySearch(const std::set<std::uint64_t>& busyUnits) {
+    std::vector<GuaranteeUnit*> idle = getIdle(busyUnits);
+    std::stable_sort(idle.begin(), idle.end(), &isHarder);
+    return UnitSearch(m_finder, std::move(idle), countRoom(busyUnits)).run();
+}
+
 std::vector<std::uint64_t> UnitPacker::packWhatFits(const std::set<std::uint64_t>& busyUnits) {
     std::vector<std::uint32_t> room = countRoom(busyUnits);
     std::map<std::string, double> total;
@@ -175,6 +182,10 @@
         return {};
     }
     restoreCells(m_state, saved);
+    if (packBySearch(busyUnits)) {
+        return {};
+    }
+    restoreCells(m_state, saved);
     return packWhatFits(busyUnits);
 }
 
