--- a/libs/gateway/src/OperatorServer.cpp
+++ b/libs/gateway/src/OperatorServer.cpp
@@ -170,7 +170,7 @@
     forwarded.m_target = request.m_target;
     forwarded.m_body = request.m_body;
     forwarded.m_timeout = FORWARD_TIMEOUT;
-    forwarded.m_newConnection = true;
+    forwarded.m_mayRepeat = false;
     forwarded.m_headers = {{"Authorization", std::string(request.getHeader("Authorization"))},
                            {std::string(FORWARDED), "1"}};
     const std::string_view seen = request.getHeader("Pierbank-Seen-Version");
--- a/libs/platform/include/pierbank/platform/HttpClient.h
+++ b/libs/platform/include/pierbank/platform/HttpClient.h
@@ -23,8 +23,12 @@
     std::vector<HttpHeader> m_headers;
     std::string m_body;
     Millis m_timeout{1000};
-    /** libsoup silently resends a GET when a kept-alive connection drops; this prevents it. */
-    bool m_newConnection = false;
+    /**
+     * Whether the request may reach the server twice. libsoup silently sends such a request again
+     * when a kept-alive connection drops. Others get a connection of their own, which is closed
+     * after the answer.
+     */
+    bool m_mayRepeat = true;
 };
 
 /** Outcome of an HttpCall; a status of zero means that no whole answer came. */
--- a/libs/platform/src/HttpClient.cpp
+++ b/libs/platform/src/HttpClient.cpp
@@ -113,8 +113,13 @@
     }
     SoupMessage* message = pending->m_message;
     soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-    if (call.m_newConnection) {
+    if (call.m_mayRepeat) {
+        // Without this flag libsoup opens a new connection for each POST and keeps the old ones.
+        soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
+    } else {
         soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+        soup_message_headers_append(soup_message_get_request_headers(message), "Connection",
+                                    "close");
     }
     for (const HttpHeader& header : call.m_headers) {
         soup_message_headers_append(soup_message_get_request_headers(message),
--- a/libs/platform/src/HttpEndpoint.cpp
+++ b/libs/platform/src/HttpEndpoint.cpp
@@ -16,7 +16,7 @@
     call.m_headers = request.m_headers;
     call.m_body = request.m_body;
     call.m_timeout = request.m_timeout;
-    call.m_newConnection = request.m_neverRepeat;
+    call.m_mayRepeat = !request.m_neverRepeat;
     m_client.send(call, [done = std::move(done)](const HttpResult& result) {
         EndpointReply reply;
         reply.m_status = result.m_status;
--- a/libs/platform/src/HttpKeyValueService.cpp
+++ b/libs/platform/src/HttpKeyValueService.cpp
@@ -57,8 +57,8 @@
 
 HttpCall HttpKeyValueService::makeCall(std::string method, std::string target) const {
     HttpCall call;
-    // A write that libsoup sent twice would conflict with itself; only reads may be resent.
-    call.m_newConnection = false;
+    // A write that libsoup sends twice conflicts with itself; CertainWriter finds its own mark.
+    call.m_mayRepeat = true;
     call.m_method = std::move(method);
     call.m_address = m_address;
     call.m_target = std::move(target);
--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -3,7 +3,6 @@
 
 BIN=${BIN:?the build folder}
 WORK=$(mktemp -d)
-PIDS=()
 BASE_PORT=${BASE_PORT:-7000}
 
 readonly KEY_VALUE=127.0.0.1:$((BASE_PORT + 1))
@@ -13,7 +12,7 @@
 
 cleanup() {
     local status=$?
-    for pid in "${PIDS[@]}"; do
+    for pid in $(cat "$WORK/pids" 2>/dev/null); do
         kill -CONT "$pid" 2>/dev/null || true
         kill -KILL "$pid" 2>/dev/null || true
     done
@@ -33,7 +32,8 @@
     shift
     "$@" >>"$WORK/$name.log" 2>&1 &
     STARTED=$!
-    PIDS+=("$STARTED")
+    # In a file: processes that a subshell starts are ended too.
+    echo "$STARTED" >>"$WORK/pids"
     echo "$STARTED" >"$WORK/$name.pid"
 }
 
