--- a/libs/gateway/include/pierbank/gateway/GatewayCore.h
+++ b/libs/gateway/include/pierbank/gateway/GatewayCore.h
@@ -12,6 +12,7 @@
 #include "pierbank/gateway/GatewaySettings.h"
 #include "pierbank/gateway/Metrics.h"
 #include "pierbank/gateway/SidecarPool.h"
+#include "pierbank/request/RepeatFilter.h"
 
 namespace pierbank {
 
@@ -73,6 +74,7 @@
     OrganisationFilter m_organisationFilter;
     DeadlineFilter m_deadlineFilter;
     AdmissionFilter m_admissionFilter;
+    RepeatFilter m_repeatFilter;
     FilterChain m_filters;
     LeaderElection m_election;
     ScheduleController m_schedule;
--- a/libs/gateway/include/pierbank/gateway/GatewaySettings.h
+++ b/libs/gateway/include/pierbank/gateway/GatewaySettings.h
@@ -7,6 +7,7 @@
 #include "pierbank/request/EndpointTable.h"
 #include "pierbank/request/Filters.h"
 #include "pierbank/request/Forwarder.h"
+#include "pierbank/request/RepeatFilter.h"
 #include "pierbank/schedule/LeaderElection.h"
 #include "pierbank/schedule/ScheduleController.h"
 
@@ -28,6 +29,7 @@
     RequestLimits m_limits;
     RoutingSettings m_routing;
     ForwarderSettings m_forwarder;
+    RepeatSettings m_repeat;
     LeaderElectionSettings m_election;
     ScheduleSettings m_schedule;
 };
--- a/libs/gateway/src/GatewayCore.cpp
+++ b/libs/gateway/src/GatewayCore.cpp
@@ -42,6 +42,7 @@
                                [this](std::string_view name) { return isKnownOrganisation(name); }),
           m_deadlineFilter(m_settings.m_limits),
           m_admissionFilter(m_settings.m_limits),
+          m_repeatFilter(loop, service, m_settings.m_repeat),
           m_election(service, loop, m_settings.m_election),
           m_schedule(service, loop, random, m_configuration, m_pool, m_settings.m_schedule) {
     setUpLinks();
@@ -71,6 +72,7 @@
     m_filters.add(m_organisationFilter);
     m_filters.add(m_deadlineFilter);
     m_filters.add(m_admissionFilter);
+    m_filters.add(m_repeatFilter);
     m_filters.add(m_forwarder);
 }
 
@@ -300,6 +302,8 @@
                     counts.m_shed);
     page.addCounter("pierbank_cancelled_total", "Requests given up by callers or deadlines.",
                     counts.m_cancelled);
+    page.addCounter("pierbank_repeat_claims_total", "Repeat keys claimed in the service.",
+                    m_repeatFilter.getClaimCount());
     page.addGauge("pierbank_requests_waiting", "Requests that wait for a slot.",
                   static_cast<double>(m_forwarder.countWaiting()));
     page.addGauge("pierbank_leading", "1 on the gateway that schedules its region.",
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -68,6 +68,11 @@
                      static_cast<std::uint32_t>(limits.m_maxPerOrganisation), 1, 100'000);
     limits.m_maxRequests = getCount(file, {"requests", "max-in-gateway"},
                                     static_cast<std::uint32_t>(limits.m_maxRequests), 1, 100'000);
+    settings.m_repeat.m_window = file.getDuration({"requests", "repeat-window"},
+                                                  settings.m_repeat.m_window, SECOND, 24 * HOUR);
+    settings.m_repeat.m_claimsPerSecond =
+            getCount(file, {"requests", "repeat-claims-per-second"},
+                     static_cast<std::uint32_t>(settings.m_repeat.m_claimsPerSecond), 1, 10'000);
     ForwarderSettings& forwarder = settings.m_forwarder;
     forwarder.m_maxWaiting =
             getCount(file, {"requests", "max-waiting"},
--- /dev/null
+++ b/libs/gateway/test/HttpServerTest.cpp
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/gateway/HttpServer.h"
+
+#include <gio/gio.h>
+
+#include "GlibFixture.h"
+#include "pierbank/gateway/CallerServer.h"
+#include "pierbank/platform/HttpClient.h"
+
+namespace pierbank::testing {
+namespace {
+
+struct HostileRequest {
+    const char* m_name;
+    std::string m_bytes;
+};
+
+class HttpServerTest : public GlibFixture, public ::testing::WithParamInterface<HostileRequest> {
+protected:
+    /** Sends raw bytes, then closes; what comes back does not matter. */
+    void sendRaw(const Address& address, const std::string& bytes) {
+        GSocketClient* client = g_socket_client_new();
+        GSocketConnection* connection = g_socket_client_connect_to_host(
+                client, address.m_host.c_str(), address.m_port, nullptr, nullptr);
+        ASSERT_NE(connection, nullptr);
+        GOutputStream* stream = g_io_stream_get_output_stream(G_IO_STREAM(connection));
+        g_output_stream_write_all(stream, bytes.data(), bytes.size(), nullptr, nullptr, nullptr);
+        g_io_stream_close(G_IO_STREAM(connection), nullptr, nullptr);
+        g_object_unref(connection);
+        g_object_unref(client);
+    }
+
+    HttpResult ask(const Address& address) {
+        HttpCall call;
+        call.m_address = address;
+        call.m_target = "/good";
+        HttpResult answer;
+        m_client.send(call, [&](const HttpResult& result) {
+            answer = result;
+            m_loop.quit();
+        });
+        run();
+        return answer;
+    }
+
+    HttpClient m_client;
+    HttpServer m_server{
+            [](const HttpServerRequest& request, const std::shared_ptr<HttpServerCall>& call) {
+                call->answer({200, {}, request.m_target});
+            }};
+};
+
+TEST_P(HttpServerTest, GoesOnAnsweringAfterHostileBytes) {
+    const Address address = listen(m_server);
+    sendRaw(address, GetParam().m_bytes);
+    const HttpResult answer = ask(address);
+    EXPECT_EQ(answer.m_status, 200U);
+    EXPECT_EQ(answer.m_body, "/good");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Table, HttpServerTest,
+        ::testing::Values(
+                HostileRequest{"Nothing", ""}, HostileRequest{"Zeros", std::string(4096, '\0')},
+                HostileRequest{"HalfARequestLine", "POST /assess"},
+                HostileRequest{"HalfABody",
+                               "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab"},
+                HostileRequest{"NegativeLength",
+                               "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n"},
+                HostileRequest{"TwoLengths",
+                               "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                               "Content-Length: 2\r\n\r\nab"},
+                HostileRequest{"EndlessHeader",
+                               "GET / HTTP/1.1\r\nX: " + std::string(200'000, 'x')},
+                HostileRequest{
+                        "BadChunk",
+                        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"},
+                HostileRequest{"BadPath", "GET /%zz\xff\xfe HTTP/1.1\r\nHost: x\r\n\r\n"},
+                HostileRequest{"Frame", std::string("\x82\x01\x81\x01", 4)}),
+        [](const auto& info) { return info.param.m_name; });
+
+TEST(CallerRequestTest, SplitsServiceAndPath) {
+    struct Case {
+        const char* m_target;
+        const char* m_service;
+        const char* m_path;
+    };
+    for (const Case& c :
+         {Case{"/assess/a/b?x=1", "assess", "/a/b?x=1"}, Case{"/assess", "assess", "/"},
+          Case{"/assess?x=1", "assess", "/?x=1"}, Case{"/", "", "/"}, Case{"//x", "", "/x"}}) {
+        HttpServerRequest request;
+        request.m_target = c.m_target;
+        EXPECT_EQ(makeCallerRequest(request).m_service, c.m_service) << c.m_target;
+        EXPECT_EQ(makeCallerRequest(request).m_path, c.m_path) << c.m_target;
+    }
+}
+
+}  // namespace
+}  // namespace pierbank::testing
--- a/test/failures/RequestFailuresTest.cpp
+++ b/test/failures/RequestFailuresTest.cpp
@@ -265,6 +265,48 @@
     EXPECT_LE(cluster().loop().now() - asked, Millis(500));
 }
 
+TEST_F(RequestFailuresTest, ARepeatKeyRunsOnceWhateverGatewaysItsRepeatsComeTo) {
+    setUp(2, 2);
+    const HttpHeader key{"Idempotency-Key", "receivable-17"};
+    std::vector<AnswerPtr> answers;
+    for (int i = 0; i < 6; ++i) {
+        answers.push_back(cluster().send(1 + i % 2, "/buy", {key}));
+    }
+    cluster().loop().advance(Millis(2000));
+    int ran = 0;
+    for (const AnswerPtr& answer : answers) {
+        ASSERT_TRUE(answer->has_value());
+        const bool hasRun = (*answer)->m_outcome == CallerOutcome::RAN;
+        EXPECT_TRUE(hasRun || (*answer)->m_status == 409U);
+        ran += hasRun ? 1 : 0;
+    }
+    EXPECT_EQ(ran, 1);
+    EXPECT_EQ(countRan("/buy", 2), 1);
+}
+
+TEST_F(RequestFailuresTest, ARepeatKeyIsFreeAgainWhenItsRequestDidNotRun) {
+    setUp(1, 1);
+    const HttpHeader key{"Idempotency-Key", "receivable-18"};
+    cluster().endpoint(1).m_refuses = true;
+    EXPECT_EQ(sendAndWait("/buy", {key}).m_outcome, CallerOutcome::NOT_RUN);
+    cluster().endpoint(1).m_refuses = false;
+    cluster().loop().advance(Millis(500));
+    EXPECT_EQ(sendAndWait("/buy", {key}).m_outcome, CallerOutcome::RAN);
+    EXPECT_EQ(sendAndWait("/buy", {key}).m_status, 409U);
+}
+
+TEST_F(RequestFailuresTest, ARepeatKeyThatCannotBeClaimedDoesNotRun) {
+    setUp(1, 1);
+    for (const Fault fault : {Fault::DOWN, Fault::CALL_LOST, Fault::ANSWER_LOST}) {
+        cluster().gateway(1).m_service->setFault(fault);
+        const std::string path = "/buy/" + std::to_string(static_cast<int>(fault));
+        const CallerAnswer answer = sendAndWait(path, {{"Idempotency-Key", path}});
+        EXPECT_EQ(answer.m_outcome, CallerOutcome::NOT_RUN);
+        EXPECT_GT(answer.m_retryAfter, Millis(0));
+        EXPECT_EQ(countRan(path, 1), 0);
+    }
+}
+
 /** Random kills, cuts and freezes under load; the brief's promises are counted at the end. */
 class RequestChaosTest : public RequestFailuresTest,
                          public ::testing::WithParamInterface<std::uint64_t> {};
--- /dev/null
+++ b/test/support/GlibFixture.h
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_TEST_SUPPORT_GLIBFIXTURE_H
+#define PIERBANK_TEST_SUPPORT_GLIBFIXTURE_H
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "pierbank/base/Address.h"
+#include "pierbank/base/GlibEventLoop.h"
+
+namespace pierbank::testing {
+
+/** For tests with real sockets on the loopback: one GLib loop, run until something happened. */
+class GlibFixture : public ::testing::Test {
+protected:
+    /** Runs the loop until quit() is called; fails the test when that takes far too long. */
+    void run() {
+        const TimerId limit = m_loop.callLater(Millis(20'000), [this] {
+            ADD_FAILURE() << "nothing happened";
+            m_loop.quit();
+        });
+        m_loop.run();
+        m_loop.cancel(limit);
+    }
+
+    /** Lets a server listen on a free port: the first that works from one of this process's own. */
+    template <typename Server>
+    Address listen(Server& server) {
+        constexpr int FIRST_PORT = 30'000;
+        constexpr int PORTS = 25'000;
+        constexpr int TRIES = 200;
+        Address address{"127.0.0.1", 0};
+        for (int i = 0; i < TRIES; ++i) {
+            const int port = FIRST_PORT + (static_cast<int>(getpid()) * 7 + i) % PORTS;
+            address.m_port = static_cast<std::uint16_t>(port);
+            Reason reason;
+            if (server.listen(address, reason)) {
+                return address;
+            }
+        }
+        ADD_FAILURE() << "no free port";
+        return address;
+    }
+
+    GlibEventLoop m_loop;
+};
+
+}  // namespace pierbank::testing
+
+#endif  // PIERBANK_TEST_SUPPORT_GLIBFIXTURE_H
