--- a/test/support/GlibFixture.h
+++ b/test/support/GlibFixture.h
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "pierbank/base/Address.h"
+#include "pierbank/base/Findings.h"
 #include "pierbank/base/GlibEventLoop.h"
 
 namespace pierbank::testing {
