Read as a newcomer: shared HTTP status and headers, one daemon main, smaller files

Cause: the same status codes stood in seven files, the header look-up in three, the daemons' main() in two; the parser and the schedule controller were over 400 lines.

--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -55,7 +55,7 @@
         call.m_target = m_options.m_path;
         call.m_timeout = Millis(30'000);
         call.m_body.assign(m_options.m_bodyBytes, 'x');
-        const std::string id = "load-" + std::to_string(m_sent++);
+        const std::string id = m_options.m_label + "-" + std::to_string(m_sent++);
         call.m_headers = {{"Pierbank-Organisation", "factoring"}, {"X-Test-Id", id}};
         call.m_headers.push_back({"Pierbank-Repeat", m_options.m_isNever ? "never" : "allowed"});
         const auto sentAt = SteadyClock::now();
--- a/libs/gateway/src/CallerServer.cpp
+++ b/libs/gateway/src/CallerServer.cpp
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pierbank/gateway/CallerServer.h"
 
-#include <glib.h>
-
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "pierbank/wire/HttpHeaders.h"
+
 namespace pierbank {
 
 namespace {
@@ -28,9 +28,7 @@
 
 bool isOfConnection(const std::string& name) {
     return std::any_of(CONNECTION_HEADERS.begin(), CONNECTION_HEADERS.end(),
-                       [&](std::string_view header) {
-                           return g_ascii_strcasecmp(name.c_str(), header.data()) == 0;
-                       });
+                       [&](std::string_view header) { return isSameHeader(name, header); });
 }
 
 std::vector<HttpHeader> copyHeaders(const std::vector<HttpHeader>& headers) {
--- a/libs/gateway/src/HttpServer.cpp
+++ b/libs/gateway/src/HttpServer.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "pierbank/wire/HttpHeaders.h"
+
 namespace pierbank {
 
 namespace {
@@ -96,13 +98,7 @@
 }  // namespace
 
 std::string_view HttpServerRequest::getHeader(std::string_view name) const {
-    const std::string wanted(name);
-    for (const HttpHeader& header : m_headers) {
-        if (g_ascii_strcasecmp(header.m_name.c_str(), wanted.c_str()) == 0) {
-            return header.m_value;
-        }
-    }
-    return {};
+    return findHeader(m_headers, name);
 }
 
 struct HttpServer::Detail {
--- a/libs/gateway/src/OperatorServer.cpp
+++ b/libs/gateway/src/OperatorServer.cpp
@@ -6,17 +6,12 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "pierbank/platform/HttpStatus.h"
+
 namespace pierbank {
 
 namespace {
 
-constexpr std::uint32_t HTTP_OK = 200;
-constexpr std::uint32_t HTTP_BAD_REQUEST = 400;
-constexpr std::uint32_t HTTP_UNAUTHORIZED = 401;
-constexpr std::uint32_t HTTP_NOT_FOUND = 404;
-constexpr std::uint32_t HTTP_CONFLICT = 409;
-constexpr std::uint32_t HTTP_UNAVAILABLE = 503;
-constexpr std::uint32_t HTTP_TIMEOUT = 504;
 constexpr std::string_view FORWARDED = "Pierbank-Forwarded";
 constexpr Millis RETRY_AFTER{1000};
 /** Longer than a statement's patience at the leader. */
--- /dev/null
+++ b/libs/platform/include/pierbank/platform/HttpStatus.h
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_PLATFORM_HTTPSTATUS_H
+#define PIERBANK_PLATFORM_HTTPSTATUS_H
+
+#include <cstdint>
+
+namespace pierbank {
+
+// Status codes of RFC 9110 and RFC 6585 that the project uses.
+
+inline constexpr std::uint32_t HTTP_OK = 200;
+inline constexpr std::uint32_t HTTP_BAD_REQUEST = 400;
+inline constexpr std::uint32_t HTTP_UNAUTHORIZED = 401;
+inline constexpr std::uint32_t HTTP_FORBIDDEN = 403;
+inline constexpr std::uint32_t HTTP_NOT_FOUND = 404;
+inline constexpr std::uint32_t HTTP_CONFLICT = 409;
+inline constexpr std::uint32_t HTTP_PRECONDITION_FAILED = 412;
+inline constexpr std::uint32_t HTTP_TOO_LARGE = 413;
+inline constexpr std::uint32_t HTTP_TOO_MANY = 429;
+inline constexpr std::uint32_t HTTP_HEADERS_TOO_LARGE = 431;
+inline constexpr std::uint32_t HTTP_BAD_GATEWAY = 502;
+inline constexpr std::uint32_t HTTP_UNAVAILABLE = 503;
+inline constexpr std::uint32_t HTTP_TIMEOUT = 504;
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_PLATFORM_HTTPSTATUS_H
--- a/libs/platform/src/HttpClient.cpp
+++ b/libs/platform/src/HttpClient.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "pierbank/wire/HttpHeaders.h"
+
 namespace pierbank {
 
 namespace {
@@ -72,13 +74,7 @@
 }  // namespace
 
 std::string HttpResult::getHeader(std::string_view name) const {
-    const std::string wanted(name);
-    for (const HttpHeader& header : m_headers) {
-        if (g_ascii_strcasecmp(header.m_name.c_str(), wanted.c_str()) == 0) {
-            return header.m_value;
-        }
-    }
-    return {};
+    return std::string(findHeader(m_headers, name));
 }
 
 struct HttpClient::Detail {
--- a/libs/platform/src/HttpHostList.cpp
+++ b/libs/platform/src/HttpHostList.cpp
@@ -5,13 +5,12 @@
 #include <utility>
 
 #include "pierbank/base/Log.h"
+#include "pierbank/platform/HttpStatus.h"
 
 namespace pierbank {
 
 namespace {
 
-constexpr std::uint32_t HTTP_OK = 200;
-
 /** More accelerators than any worker has; a larger count is a mistake in the list. */
 constexpr std::uint32_t MAX_ACCELERATORS = 64;
 
--- a/libs/platform/src/HttpKeyValueService.cpp
+++ b/libs/platform/src/HttpKeyValueService.cpp
@@ -5,16 +5,12 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "pierbank/platform/HttpStatus.h"
+
 namespace pierbank {
 
 namespace {
 
-constexpr std::uint32_t HTTP_OK = 200;
-constexpr std::uint32_t HTTP_NOT_FOUND = 404;
-constexpr std::uint32_t HTTP_PRECONDITION_FAILED = 412;
-constexpr std::uint32_t HTTP_TOO_LARGE = 413;
-constexpr std::uint32_t HTTP_UNAVAILABLE = 503;
-
 KeyValueStatus toStatus(const HttpResult& result) {
     switch (result.m_status) {
         case HTTP_OK:
--- a/libs/platform/src/HttpWorker.cpp
+++ b/libs/platform/src/HttpWorker.cpp
@@ -5,11 +5,12 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "pierbank/platform/HttpStatus.h"
+
 namespace pierbank {
 
 namespace {
 
-constexpr std::uint32_t HTTP_OK = 200;
 constexpr std::array<std::string_view, 4> STATE_NAMES = {"running", "ended", "failed", "stopped"};
 
 std::optional<TaskStatus> parseTask(const nlohmann::json& object) {
--- a/libs/request/src/CallerExchange.cpp
+++ b/libs/request/src/CallerExchange.cpp
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pierbank/request/CallerExchange.h"
 
-#include <glib.h>
-
 #include <array>
 #include <utility>
 
+#include "pierbank/wire/HttpHeaders.h"
+
 namespace pierbank {
 
 std::string_view toText(CallerOutcome outcome) {
@@ -14,13 +14,7 @@
 }
 
 std::string_view CallerRequest::getHeader(std::string_view name) const {
-    const std::string wanted(name);
-    for (const HttpHeader& header : m_headers) {
-        if (g_ascii_strcasecmp(header.m_name.c_str(), wanted.c_str()) == 0) {
-            return header.m_value;
-        }
-    }
-    return {};
+    return findHeader(m_headers, name);
 }
 
 CallerAnswer makeNotRun(std::uint32_t status, std::string_view detail, Millis retryAfter) {
--- a/libs/request/src/Filters.cpp
+++ b/libs/request/src/Filters.cpp
@@ -6,16 +6,12 @@
 #include <charconv>
 #include <utility>
 
+#include "pierbank/platform/HttpStatus.h"
+
 namespace pierbank {
 
 namespace {
 
-constexpr std::uint32_t HTTP_BAD_REQUEST = 400;
-constexpr std::uint32_t HTTP_FORBIDDEN = 403;
-constexpr std::uint32_t HTTP_TOO_LARGE = 413;
-constexpr std::uint32_t HTTP_TOO_MANY = 429;
-constexpr std::uint32_t HTTP_HEADERS_TOO_LARGE = 431;
-constexpr std::uint32_t HTTP_UNAVAILABLE = 503;
 constexpr Millis COME_BACK{1000};
 
 /** Methods that RFC 9110 defines as idempotent. */
--- a/libs/request/src/Forwarder.cpp
+++ b/libs/request/src/Forwarder.cpp
@@ -5,14 +5,12 @@
 #include <utility>
 #include <vector>
 
+#include "pierbank/platform/HttpStatus.h"
+
 namespace pierbank {
 
 namespace {
 
-constexpr std::uint32_t HTTP_NOT_FOUND = 404;
-constexpr std::uint32_t HTTP_BAD_GATEWAY = 502;
-constexpr std::uint32_t HTTP_UNAVAILABLE = 503;
-constexpr std::uint32_t HTTP_TIMEOUT = 504;
 constexpr Millis COME_BACK{1000};
 /** The sidecar gives a request up this much before the caller's deadline, to say so in time. */
 constexpr Millis DEADLINE_MARGIN{20};
--- a/libs/request/src/RepeatFilter.cpp
+++ b/libs/request/src/RepeatFilter.cpp
@@ -6,12 +6,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "pierbank/platform/HttpStatus.h"
+
 namespace pierbank {
 
 namespace {
 
-constexpr std::uint32_t HTTP_CONFLICT = 409;
-constexpr std::uint32_t HTTP_UNAVAILABLE = 503;
 constexpr Millis COME_BACK{1000};
 constexpr double MILLIS_PER_SECOND = 1000.0;
 
--- a/libs/schedule/src/ScheduleController.cpp
+++ b/libs/schedule/src/ScheduleController.cpp
@@ -4,8 +4,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "pierbank/base/Log.h"
 #include "pierbank/schedule/StateUpdates.h"
+#include "RecordMark.h"
 
 namespace pierbank {
 
@@ -13,20 +13,11 @@
 
 /** How often leases, quarantines and unconfirmed messages are looked at. */
 constexpr Millis TICK{500};
-/** Pause before a write or a take-over is tried again while the service is down. */
-constexpr Millis SERVICE_RETRY{500};
 
 std::string getRecordKey(const std::string& region) {
     return "schedule/" + region;
 }
 
-CertainWriter::IsMine containsMark(const std::string& id) {
-    return [id](std::string_view value) {
-        const auto record = decodeRecord(value);
-        return record.has_value() && record->hasMark(id);
-    };
-}
-
 AuditEntry makeDecisionEntry(const Decision& decision) {
     AuditEntry entry;
     entry.m_at = decision.m_why.m_decidedAt;
@@ -60,104 +51,6 @@
     m_loop.cancel(m_tickTimer);
 }
 
-void ScheduleController::takeOver() {
-    if (m_phase != Phase::FOLLOWING) {
-        return;
-    }
-    m_phase = Phase::TAKING_OVER;
-    loadRecord();
-}
-
-void ScheduleController::loadRecord() {
-    m_writer.read([this](const KeyValueReply& reply) {
-        if (reply.m_status == KeyValueStatus::NOT_FOUND) {
-            raiseEpoch(ScheduleRecord());
-            return;
-        }
-        auto record = decodeRecord(reply.m_value);
-        if (reply.m_status != KeyValueStatus::OK) {
-            retryTakeOver();
-        } else if (!record.has_value()) {
-            // Never overwritten: it holds every placement.
-            logEvent(Severity::ERROR, "schedule", "record-unreadable", {});
-            retryTakeOver();
-        } else {
-            raiseEpoch(*std::move(record));
-        }
-    });
-}
-
-void ScheduleController::retryTakeOver() {
-    m_stepTimer = m_loop.callLater(SERVICE_RETRY, [this] {
-        m_stepTimer = TimerId::NONE;
-        if (m_phase == Phase::TAKING_OVER) {
-            loadRecord();
-        }
-    });
-}
-
-void ScheduleController::raiseEpoch(ScheduleRecord record) {
-    const Millis longestLease = record.m_longestLease;
-    const Millis ownLease = m_settings.m_leases.m_outageGrace + m_settings.m_leases.m_timeToLive;
-    ++record.m_epoch;
-    record.m_longestLease = ownLease;
-    const std::string id = m_random.token();
-    record.mark(id);
-    const auto onWritten = [this, record, longestLease](WriteResult result) {
-        if (result == WriteResult::COMMITTED) {
-            lead(record, longestLease);
-        } else {
-            retryTakeOver();
-        }
-    };
-    m_writer.write(encodeRecord(record), containsMark(id), onWritten);
-}
-
-void ScheduleController::lead(const ScheduleRecord& record, Millis longestLease) {
-    m_phase = Phase::LEADING;
-    m_record = record;
-    m_recordBytes = encodeRecord(m_record);
-    m_isServiceDown = false;
-    m_movedPage = 0;
-    m_leases.takeOver(m_loop.now(), longestLease);
-    m_driver.takeOver(m_record.m_epoch);
-    for (const std::string& worker : m_linked) {
-        m_driver.connect(worker);
-    }
-    logEvent(Severity::INFO, "schedule", "leading",
-             {{"region", m_settings.m_region},
-              {"epoch", std::to_string(m_record.m_epoch)},
-              {"jobs", std::to_string(m_record.m_state.m_jobs.size())}});
-    tick();
-    stepSoon(Millis(0));
-}
-
-void ScheduleController::stepDown() {
-    if (m_phase == Phase::FOLLOWING) {
-        return;
-    }
-    const bool wasUncertain = m_writer.isBusy() || m_configuration.isBusy();
-    m_phase = Phase::FOLLOWING;
-    m_writer.abandon();
-    m_loop.cancel(m_stepTimer);
-    m_loop.cancel(m_tickTimer);
-    m_stepTimer = TimerId::NONE;
-    m_tickTimer = TimerId::NONE;
-    StatementAnswer lost;
-    lost.m_status = wasUncertain ? StatementStatus::UNKNOWN : StatementStatus::NOT_RUN;
-    lost.m_message = "this gateway stopped leading; ask what became of it before repeating it";
-    lost.m_retryAfter = SERVICE_RETRY;
-    for (const PendingPtr& pending : std::exchange(m_carried, {})) {
-        finish(pending, lost);
-    }
-    std::vector<PendingPtr> waiting(m_jobCommands.begin(), m_jobCommands.end());
-    waiting.insert(waiting.end(), m_configurationCommands.begin(), m_configurationCommands.end());
-    m_jobCommands.clear();
-    m_configurationCommands.clear();
-    refuseAll(waiting, "this gateway stopped leading", SERVICE_RETRY);
-    logEvent(Severity::WARNING, "schedule", "stepped-down", {{"region", m_settings.m_region}});
-}
-
 void ScheduleController::setHosts(std::vector<Host> hosts) {
     m_hosts = std::move(hosts);
     stepSoon(Millis(0));
@@ -390,14 +283,14 @@
         case WriteResult::UNAVAILABLE:
             m_isServiceDown = true;
             m_downSince = m_loop.now();
-            refuseAll(carried, "the platform's key-value service is down", SERVICE_RETRY);
-            stepSoon(SERVICE_RETRY);
+            refuseAll(carried, "the platform's key-value service is down", SCHEDULE_RETRY);
+            stepSoon(SCHEDULE_RETRY);
             break;
         case WriteResult::TOO_LARGE:
-            refuseAll(carried, "the schedule record is full", SERVICE_RETRY);
+            refuseAll(carried, "the schedule record is full", SCHEDULE_RETRY);
             break;
         case WriteResult::SUPERSEDED:
-            refuseAll(carried, "another gateway leads now", SERVICE_RETRY);
+            refuseAll(carried, "another gateway leads now", SCHEDULE_RETRY);
             stepDown();
             if (m_onSuperseded) {
                 m_onSuperseded();
--- a/tools/command/AnswerPrinter.cpp
+++ b/tools/command/AnswerPrinter.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "pierbank/platform/HttpStatus.h"
+
 namespace pierbank {
 
 namespace {
@@ -73,7 +75,6 @@
     const Json body = Json::parse(answer.m_body, nullptr, false);
     if (!body.is_object() || !body.contains("status")) {
         std::cerr << answer.m_body;
-        constexpr std::uint32_t HTTP_UNAUTHORIZED = 401;
         return answer.m_status == HTTP_UNAUTHORIZED ? CommandExit::USAGE : CommandExit::UNREACHABLE;
     }
     const auto status = body.value("status", std::string());
--- a/tools/common/DaemonOptions.h
+++ b/tools/common/DaemonMain.h
@@ -1,12 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
-#ifndef PIERBANK_TOOLS_COMMON_DAEMONOPTIONS_H
-#define PIERBANK_TOOLS_COMMON_DAEMONOPTIONS_H
+#ifndef PIERBANK_TOOLS_COMMON_DAEMONMAIN_H
+#define PIERBANK_TOOLS_COMMON_DAEMONMAIN_H
 
 #include <boost/program_options.hpp>
 #include <iostream>
 #include <optional>
 #include <string>
 
+#include "pierbank/base/Log.h"
+#include "pierbank/base/SettingsFile.h"
 #include "pierbank/base/Version.h"
 
 namespace pierbank {
@@ -58,6 +60,36 @@
     return options;
 }
 
+/**
+ * The main() of a daemon: command line, settings with all their findings, log level, then `run`.
+ * @param readSettings reads a `Settings` from a SettingsFile; it has a member `m_logLevel`.
+ */
+template <typename Settings>
+int runDaemon(int argc, char** argv, const std::string& name,
+              Settings (*readSettings)(SettingsFile&), int (*run)(const Settings&)) {
+    int exitStatus = EXIT_DONE;
+    const auto options = readDaemonOptions(argc, argv, name, exitStatus);
+    if (!options.has_value()) {
+        return exitStatus;
+    }
+    Findings findings;
+    auto file = SettingsFile::load(options->m_settingsPath, findings);
+    Settings settings;
+    if (file.has_value()) {
+        settings = readSettings(*file);
+    }
+    if (!findings.isEmpty()) {
+        std::cerr << findings.toText();
+        return EXIT_USAGE;
+    }
+    if (options->m_isCheck) {
+        std::cout << options->m_settingsPath << ": good\n";
+        return EXIT_DONE;
+    }
+    setLogLevel(*parseSeverity(settings.m_logLevel));
+    return run(settings);
+}
+
 }  // namespace pierbank
 
-#endif  // PIERBANK_TOOLS_COMMON_DAEMONOPTIONS_H
+#endif  // PIERBANK_TOOLS_COMMON_DAEMONMAIN_H
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -2,7 +2,7 @@
 // pierbank-gateway: the process on each entry host.
 #include <csignal>
 
-#include "DaemonOptions.h"
+#include "DaemonMain.h"
 #include "pierbank/base/GlibEventLoop.h"
 #include "pierbank/base/Log.h"
 #include "pierbank/gateway/Gateway.h"
@@ -40,25 +40,5 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    int exitStatus = EXIT_DONE;
-    const auto options = readDaemonOptions(argc, argv, "pierbank-gateway", exitStatus);
-    if (!options.has_value()) {
-        return exitStatus;
-    }
-    Findings findings;
-    auto file = SettingsFile::load(options->m_settingsPath, findings);
-    GatewaySettings settings;
-    if (file.has_value()) {
-        settings = readGatewaySettings(*file);
-    }
-    if (!findings.isEmpty()) {
-        std::cerr << findings.toText();
-        return EXIT_USAGE;
-    }
-    if (options->m_isCheck) {
-        std::cout << options->m_settingsPath << ": good\n";
-        return EXIT_DONE;
-    }
-    setLogLevel(*parseSeverity(settings.m_logLevel));
-    return runGateway(settings);
+    return runDaemon(argc, argv, "pierbank-gateway", &readGatewaySettings, &runGateway);
 }
--- a/tools/sidecar/main.cpp
+++ b/tools/sidecar/main.cpp
@@ -2,7 +2,7 @@
 // pierbank-sidecar: the small process beside each endpoint and on each worker.
 #include <csignal>
 
-#include "DaemonOptions.h"
+#include "DaemonMain.h"
 #include "pierbank/base/GlibEventLoop.h"
 #include "pierbank/base/Log.h"
 #include "pierbank/platform/HttpEndpoint.h"
@@ -49,25 +49,5 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    int exitStatus = EXIT_DONE;
-    const auto options = readDaemonOptions(argc, argv, "pierbank-sidecar", exitStatus);
-    if (!options.has_value()) {
-        return exitStatus;
-    }
-    Findings findings;
-    auto file = SettingsFile::load(options->m_settingsPath, findings);
-    SidecarProcessSettings settings;
-    if (file.has_value()) {
-        settings = readSidecarSettings(*file);
-    }
-    if (!findings.isEmpty()) {
-        std::cerr << findings.toText();
-        return EXIT_USAGE;
-    }
-    if (options->m_isCheck) {
-        std::cout << options->m_settingsPath << ": good\n";
-        return EXIT_DONE;
-    }
-    setLogLevel(*parseSeverity(settings.m_logLevel));
-    return runSidecar(settings);
+    return runDaemon(argc, argv, "pierbank-sidecar", &readSidecarSettings, &runSidecar);
 }
