Addresses in use are findings; every answer has its request id; a script race mended

Ruled out: a fault of the product (the other gateway led and served meanwhile). Change: the script waits until a killed process is gone; listen addresses are tried before a start and reported with file, section and key; the id is given on arrival instead of when a request is sent.

--- a/libs/base/include/pierbank/base/SettingsFile.h
+++ b/libs/base/include/pierbank/base/SettingsFile.h
@@ -55,6 +55,8 @@
 
     /** A required `IP:PORT`. */
     Address getAddress(SettingKey key);
+    /** A required `IP:PORT` at which this process will listen; see reportAddressesInUse(). */
+    Address getListenAddress(SettingKey key);
     /** A list of `IP:PORT` separated by `;`; may be left out. */
     std::vector<Address> getAddresses(SettingKey key);
 
@@ -71,6 +73,12 @@
     /** Adds a finding for every key that no getter has asked for. Call it last. */
     void reportUnknownKeys();
 
+    /**
+     * Adds a finding for each listen address at which another process listens already, or which
+     * is not an address of this host. For a start, not for a mere check.
+     */
+    void reportAddressesInUse();
+
     /** Adds a finding at a key of this file. */
     void report(SettingKey key, std::string_view message);
 
--- a/libs/base/src/SettingsFile.cpp
+++ b/libs/base/src/SettingsFile.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pierbank/base/SettingsFile.h"
 
-#include <glib.h>
+#include <gio/gio.h>
 
 #include <charconv>
 
@@ -18,6 +18,22 @@
     return std::string(text.substr(first, last - first + 1));
 }
 
+/** Why nobody can listen at an address now; empty when one can. */
+std::string tryToListen(const Address& address) {
+    GSocketListener* listener = g_socket_listener_new();
+    GSocketAddress* socketAddress =
+            g_inet_socket_address_new_from_string(address.m_host.c_str(), address.m_port);
+    GError* error = nullptr;
+    g_socket_listener_add_address(listener, socketAddress, G_SOCKET_TYPE_STREAM,
+                                  G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &error);
+    std::string problem = error == nullptr ? "" : error->message;
+    g_clear_error(&error);
+    g_socket_listener_close(listener);
+    g_object_unref(socketAddress);
+    g_object_unref(listener);
+    return problem;
+}
+
 std::vector<std::string> split(std::string_view text, char separator) {
     std::vector<std::string> parts;
     while (!text.empty()) {
@@ -30,11 +46,19 @@
 
 }  // namespace
 
+/** A listen address with its place. */
+struct ListenSetting {
+    std::string m_section;
+    std::string m_key;
+    Address m_address;
+};
+
 struct SettingsFile::Detail {
     GKeyFile* m_file = g_key_file_new();
     std::string m_name;
     Findings* m_findings = nullptr;
     std::set<std::string> m_asked;
+    std::vector<ListenSetting> m_listen;
 
     Detail() = default;
     Detail(const Detail&) = delete;
@@ -129,6 +153,24 @@
     return *address;
 }
 
+Address SettingsFile::getListenAddress(SettingKey key) {
+    Address address = getAddress(key);
+    if (address.m_port != 0) {
+        m_detail->m_listen.push_back({std::string(key.m_section), std::string(key.m_key), address});
+    }
+    return address;
+}
+
+void SettingsFile::reportAddressesInUse() {
+    for (const ListenSetting& setting : m_detail->m_listen) {
+        const std::string problem = tryToListen(setting.m_address);
+        if (!problem.empty()) {
+            report({setting.m_section, setting.m_key},
+                   setting.m_address.toText() + " cannot be listened at: " + problem);
+        }
+    }
+}
+
 std::vector<Address> SettingsFile::getAddresses(SettingKey key) {
     std::vector<Address> addresses;
     const auto value = find(key);
--- a/libs/gateway/include/pierbank/gateway/GatewayCore.h
+++ b/libs/gateway/include/pierbank/gateway/GatewayCore.h
@@ -78,6 +78,7 @@
     FilterChain m_filters;
     LeaderElection m_election;
     ScheduleController m_schedule;
+    std::uint64_t m_nextRequest = 1;
     LatencySummary m_latency;
     std::array<std::uint64_t, 4> m_outcomes{};
     std::vector<Host> m_hosts;
--- a/libs/gateway/src/GatewayCore.cpp
+++ b/libs/gateway/src/GatewayCore.cpp
@@ -96,6 +96,7 @@
             m_latency.add(m_loop.now() - arrivedAt);
         }
     });
+    exchange->setId(RequestId{m_instance, m_nextRequest++}.toText());
     m_filters.run(exchange);
 }
 
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -22,8 +22,8 @@
     if (!parseSeverity(settings.m_logLevel).has_value()) {
         file.report({"gateway", "log-level"}, "is not debug, info, warning or error");
     }
-    settings.m_callers = file.getAddress({"gateway", "callers"});
-    settings.m_operators = file.getAddress({"gateway", "operators"});
+    settings.m_callers = file.getListenAddress({"gateway", "callers"});
+    settings.m_operators = file.getListenAddress({"gateway", "operators"});
     if (settings.m_operators.m_port != 0 && settings.m_operators == settings.m_callers) {
         file.report({"gateway", "operators"},
                     "is the callers' address: they need one of their own");
--- a/libs/gateway/test/GatewaySettingsTest.cpp
+++ b/libs/gateway/test/GatewaySettingsTest.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include "GlibFixture.h"
+#include "pierbank/gateway/HttpServer.h"
+
 namespace pierbank {
 namespace {
 
@@ -64,6 +67,22 @@
               std::string::npos);
 }
 
+class AddressInUseTest : public testing::GlibFixture {};
+
+TEST_F(AddressInUseTest, AnAddressInUseIsAFindingWithItsPlace) {
+    HttpServer other([](const HttpServerRequest&, const std::shared_ptr<HttpServerCall>&) {});
+    const Address used = listen(other);
+    std::string text = GOOD;
+    text.replace(text.find("127.0.0.1:7201"), 14, used.toText());
+    Findings findings;
+    auto file = SettingsFile::parse(text, "g.ini", findings);
+    readGatewaySettings(*file);
+    EXPECT_TRUE(findings.isEmpty());
+    file->reportAddressesInUse();
+    EXPECT_NE(findings.toText().find("g.ini [gateway] callers: " + used.toText()),
+              std::string::npos);
+}
+
 TEST(GatewaySettingsTest, WhatIsNoIniIsRefused) {
     for (const char* text : {"no section", "[gateway", "\x01\x02\x03=1"}) {
         EXPECT_NE(getFindings(text), "") << text;
--- a/libs/request/include/pierbank/request/CallerExchange.h
+++ b/libs/request/include/pierbank/request/CallerExchange.h
@@ -79,6 +79,10 @@
     const CallerRequest& getRequest() const noexcept { return m_request; }
     CallerRequest& getRequest() noexcept { return m_request; }
 
+    /** Name of the request in its answer and in the log. */
+    const std::string& getId() const noexcept { return m_id; }
+    void setId(std::string id) { m_id = std::move(id); }
+
     /** Loop times. */
     Millis getArrivedAt() const noexcept { return m_arrivedAt; }
     Millis getDeadline() const noexcept { return m_deadline; }
@@ -102,6 +106,7 @@
     void finish(const CallerAnswer* answer);
 
     CallerRequest m_request;
+    std::string m_id;
     Millis m_arrivedAt;
     Millis m_deadline{0};
     AnswerCallback m_answer;
--- a/libs/request/src/CallerExchange.cpp
+++ b/libs/request/src/CallerExchange.cpp
@@ -42,9 +42,11 @@
         return;
     }
     m_isDone = true;
+    CallerAnswer named = answer;
+    named.m_requestId = m_id;
     const AnswerCallback callback = std::exchange(m_answer, nullptr);
-    callback(answer);
-    finish(&answer);
+    callback(named);
+    finish(&named);
 }
 
 void CallerExchange::abandon() {
--- a/libs/request/src/Forwarder.cpp
+++ b/libs/request/src/Forwarder.cpp
@@ -223,7 +223,6 @@
     final.m_outcome = CallerOutcome::RAN;
     final.m_headers = answer.m_headers;
     final.m_body = answer.m_body;
-    final.m_requestId = answer.m_id.toText();
     flight->m_exchange->answer(final);
 }
 
@@ -251,7 +250,6 @@
         return;
     }
     CallerAnswer answer = makeUnknown(HTTP_BAD_GATEWAY, report.m_reason);
-    answer.m_requestId = report.m_id.toText();
     if (report.m_fate == RequestFate::FAILED) {
         answer.m_outcome = CallerOutcome::FAILED;
     }
@@ -354,7 +352,6 @@
         return;
     }
     CallerAnswer answer = makeUnknown(HTTP_TIMEOUT, "the endpoint did not answer in time");
-    answer.m_requestId = getId(*flight).toText();
     flight->m_exchange->answer(answer);
 }
 
--- a/libs/sidecar/src/SidecarProcessSettings.cpp
+++ b/libs/sidecar/src/SidecarProcessSettings.cpp
@@ -10,7 +10,7 @@
     constexpr std::int64_t MAX_SLOTS = 10'000;
     SidecarProcessSettings settings;
     settings.m_server.m_name = file.getText({"sidecar", "name"});
-    settings.m_server.m_listen = file.getAddress({"sidecar", "listen"});
+    settings.m_server.m_listen = file.getListenAddress({"sidecar", "listen"});
     settings.m_logLevel = file.getText({"sidecar", "log-level"}, "info");
     if (!parseSeverity(settings.m_logLevel).has_value()) {
         file.report({"sidecar", "log-level"}, "is not debug, info, warning or error");
--- a/test/failures/RequestFailuresTest.cpp
+++ b/test/failures/RequestFailuresTest.cpp
@@ -54,6 +54,7 @@
         ASSERT_TRUE(answer->has_value()) << path;
         EXPECT_EQ((*answer)->m_outcome, CallerOutcome::RAN);
         EXPECT_EQ((*answer)->m_body, "answer to " + path);
+        EXPECT_FALSE((*answer)->m_requestId.empty());
     }
 }
 
--- a/test/process/failures.sh
+++ b/test/process/failures.sh
@@ -42,6 +42,12 @@
 }
 other() { echo $((3 - $1)); }
 signal() { kill "-$1" "$(pid_of "$2")"; }
+is_gone() { ! kill -0 "$(pid_of "$1")"; }
+# Kills a process and waits until its addresses are free again.
+kill_now() {
+    signal KILL "$1"
+    until_true 20 is_gone "$1"
+}
 fault() { curl -fsS -X POST "http://$KEY_VALUE/fault?$1" >/dev/null; }
 service_answers() { curl -fsS -m 2 "http://$KEY_VALUE/keys?prefix=x" >/dev/null; }
 journal() { curl -fsS "http://$(worker_of "$1")/journal"; }
@@ -120,7 +126,7 @@
     until_true 15 job_is "$lead" adopted running
     local attempt
     attempt=$(job_attempt "$lead" adopted)
-    signal KILL "gateway$lead"
+    kill_now "gateway$lead"
     local next
     next=$(other "$lead")
     until_true 20 health_has "$next" '"leading":true'
@@ -158,7 +164,7 @@
     until_true 15 job_is "$lead" kept running
     local attempt
     attempt=$(job_attempt "$lead" kept)
-    signal KILL worker-sidecar1
+    kill_now worker-sidecar1
     start_worker_sidecar 1
     until_true 20 all_live "$lead"
     job_is "$lead" kept running
@@ -196,7 +202,7 @@
     until_true 10 sees_id kill-1
     local at=1
     ran 2 | grep -q kill-1 && at=2
-    signal KILL "endpoint-sidecar$at"
+    kill_now "endpoint-sidecar$at"
     wait "$caller"
     grep -qi 'Pierbank-Outcome: unknown' "$WORK/headers"
     start_endpoint_sidecar "$at"
@@ -233,8 +239,7 @@
         grep -qi 'Pierbank-Outcome: ran' "$WORK/stop$i"
         [ "$(count_ran "stop-$i")" = 1 ]
     done
-    gone() { ! kill -0 "$(pid_of endpoint-sidecar1)"; }
-    until_true 20 gone
+    until_true 20 is_gone endpoint-sidecar1
     start_endpoint_sidecar 1
     until_true 20 health_has 1 '"sidecars_linked":6'
 }
@@ -250,8 +255,7 @@
     wait "$caller"
     grep -qi 'Pierbank-Outcome: ran' "$WORK/stop"
     until_true 20 health_has "$(other "$lead")" '"leading":true'
-    stopped() { ! kill -0 "$(pid_of "gateway$lead")"; }
-    until_true 20 stopped
+    until_true 20 is_gone "gateway$lead"
     start_gateway "$lead"
     until_true 30 ready
 }
@@ -345,8 +349,8 @@
     local lead
     lead=$(leader)
     pb "$lead" "weights fragmentation 77"
-    signal KILL gateway1
-    signal KILL gateway2
+    kill_now gateway1
+    kill_now gateway2
     start_gateway 1
     start_gateway 2
     until_true 30 ready
--- a/tools/common/DaemonMain.h
+++ b/tools/common/DaemonMain.h
@@ -86,6 +86,11 @@
         std::cout << options->m_settingsPath << ": good\n";
         return EXIT_DONE;
     }
+    file->reportAddressesInUse();
+    if (!findings.isEmpty()) {
+        std::cerr << findings.toText();
+        return EXIT_USAGE;
+    }
     setLogLevel(*parseSeverity(settings.m_logLevel));
     return run(settings);
 }
