--- a/build.sh
+++ b/build.sh
@@ -83,6 +83,7 @@
     ctest --test-dir "$OUT/build" --output-on-failure --no-tests=error -j "$(nproc)" \
         "${pass_over[@]}" | grep -v -E '^ *Start |Passed'
 }
+check_pages() { test/check_pages.sh "$OUT/build"; }
 check_model() { model/check.sh; }
 check_processes() { test/process/failures.sh "$OUT/build"; }
 check_demo() { test/process/demo.sh "$OUT/build" >"$OUT/demo.log" 2>&1 || { cat "$OUT/demo.log"; return 1; }; }
@@ -92,6 +93,7 @@
     step check_format
     step check_tidy
     step check_units
+    step check_pages
     step check_demo
     step check_processes
     step check_model
