One look into a guarantee unit instead of two alike

Cause: findInBusyUnit and findInIdleUnit were the same but for their first check. Change: findInUnit and isBusy. Conclusion: behaviour unchanged.

--- a/libs/policy/src/PlanPass.h
+++ b/libs/policy/src/PlanPass.h
@@ -57,9 +57,9 @@
 
     // Guarantees.
     void adopt(Job& job);
-    std::optional<UnitPlace> findInBusyUnit(const Job& job, const GuaranteeUnit& unit) const;
+    std::optional<UnitPlace> findInUnit(const Job& job, const GuaranteeUnit& unit) const;
+    bool isBusy(const GuaranteeUnit& unit) const;
     bool takeByRebinding(Job& job, const GuaranteeUnit& unit);
-    std::optional<UnitPlace> findInIdleUnit(const Job& job, const GuaranteeUnit& unit) const;
     std::optional<CellChoice> chooseCells(const Job& job, const GuaranteeUnit& unit) const;
     std::optional<UnitPlace> findByEviction(const Job& job, const GuaranteeUnit& unit) const;
     std::vector<std::uint32_t> countRoom(const GuaranteeUnit& unit, bool isForUrgent) const;
--- a/libs/policy/src/PlanPassGuarantees.cpp
+++ b/libs/policy/src/PlanPassGuarantees.cpp
@@ -78,11 +78,8 @@
     return shortage;
 }
 
-std::optional<PlanPass::UnitPlace> PlanPass::findInBusyUnit(const Job& job,
-                                                            const GuaranteeUnit& unit) const {
-    if (m_occupancy.m_busyUnits.count(unit.m_id) == 0) {
-        return std::nullopt;
-    }
+std::optional<PlanPass::UnitPlace> PlanPass::findInUnit(const Job& job,
+                                                        const GuaranteeUnit& unit) const {
     auto choice = chooseCells(job, unit);
     if (!choice.has_value()) {
         return std::nullopt;
@@ -91,17 +88,8 @@
     return UnitPlace{unit.m_id, *std::move(choice), shortage};
 }
 
-std::optional<PlanPass::UnitPlace> PlanPass::findInIdleUnit(const Job& job,
-                                                            const GuaranteeUnit& unit) const {
-    if (m_occupancy.m_busyUnits.count(unit.m_id) != 0) {
-        return std::nullopt;
-    }
-    auto choice = chooseCells(job, unit);
-    if (!choice.has_value()) {
-        return std::nullopt;
-    }
-    const std::uint32_t shortage = countShortage(job, *choice);
-    return UnitPlace{unit.m_id, *std::move(choice), shortage};
+bool PlanPass::isBusy(const GuaranteeUnit& unit) const {
+    return m_occupancy.m_busyUnits.count(unit.m_id) != 0;
 }
 
 bool PlanPass::takeByRebinding(Job& job, const GuaranteeUnit& unit) {
@@ -149,7 +137,7 @@
         }
     };
     for (const GuaranteeUnit* unit : fitting) {
-        consider(findInBusyUnit(job, *unit));
+        consider(isBusy(*unit) ? findInUnit(job, *unit) : std::nullopt);
     }
     const bool isReady = best.has_value() && best->m_shortage == 0;
     for (const GuaranteeUnit* unit : fitting) {
@@ -158,7 +146,7 @@
         }
     }
     for (const GuaranteeUnit* unit : fitting) {
-        consider(findInIdleUnit(job, *unit));
+        consider(isBusy(*unit) ? std::nullopt : findInUnit(job, *unit));
     }
     for (const GuaranteeUnit* unit : fitting) {
         if (!best.has_value() && job.m_isUrgent) {
