--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -24,7 +24,14 @@
             FateQuery{{"g", 1}},
             CancelRequest{{"g", 1}},
             LoadReport{8, 1, 2, true, 5},
-            ConfigurationPush{3, "bytes"}};
+            ConfigurationPush{3, "bytes"},
+            LeaderHello{5, "n"},
+            WorkerNotice{"l", true, "s", "d", "r", {"a", "r"}, 1, 2, 3, true, 4},
+            RunReport{"l", {{"j.0.0.0", 1, "c", 50}}, {{7, "j.0.0.1", 1, 2, "c"}}},
+            RunOrder{5, "l", "j.0.0.0", 1, "p", "c"},
+            RunStop{5, "l", "j.0.0.0", 1},
+            RunAbsent{"l", "j.0.0.0", 1, "why"},
+            EndsKept{"l", 7}};
     return frames;
 }
 
