Urgent work evicts where the least work is thrown away

Change: each place is costed by what its victims lose (a gang's loss is all members', work that saves progress loses a restart), needless victims are taken out again, racks compared.

--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -53,6 +53,7 @@
     }
     findGuaranteed();
     takeRooms();
+    addGangLosses();
 }
 
 TaskPlan PlanningPass::run() {
@@ -119,10 +120,10 @@
     occupant.m_isGuaranteed = m_guaranteed.count(key.m_job) != 0;
     occupant.m_key = std::move(key);
     const double elapsed = static_cast<double>((m_wallNow - task.m_placedAt).count());
-    // Even saved work costs a stop and a start.
-    constexpr double SAVED_SHARE = 0.1;
-    occupant.m_loss = getCores(spec.m_need) * (spec.m_savesProgress ? SAVED_SHARE : 1.0) *
-                      std::max(0.0, elapsed);
+    // A stop saves all progress of a task that saves any; but each stop costs a stop and a start.
+    constexpr double RESTART_MS = 300.0;
+    const double lost = spec.m_savesProgress ? 0.0 : std::max(0.0, elapsed);
+    occupant.m_loss = getCores(spec.m_need) * (lost + RESTART_MS);
     m_occupants.push_back(std::move(occupant));
 }
 
@@ -145,9 +146,8 @@
                                unit.m_isLate, unit.m_objective, std::cref(unit.m_record->m_id),
                                unit.m_occurrence, unit.m_step);
     };
-    std::stable_sort(units.begin(), units.end(), [&](const WorkUnit& a, const WorkUnit& b) {
-        return getRank(a) < getRank(b);
-    });
+    std::stable_sort(units.begin(), units.end(),
+                     [&](const WorkUnit& a, const WorkUnit& b) { return getRank(a) < getRank(b); });
     return units;
 }
 
@@ -384,61 +384,176 @@
     return isLower || (unit.m_isGuaranteed && !occupant.m_isGuaranteed);
 }
 
-/**
- * Makes everything that may give way disappear, places the unit in that, and stops only what is
- * in its way on the workers that were chosen, cheapest first.
- */
+/** Finds the place where the least work is thrown away, and stops what is in the way there. */
 bool PlanningPass::preemptFor(const WorkUnit& unit) {
-    std::vector<Resources> rooms = getRooms(unit, true);
-    for (const Occupant& occupant : m_occupants) {
-        if (mayPreempt(unit, occupant) && isAllowed(unit, occupant.m_slot) &&
-            !m_rooms[occupant.m_slot].m_isReserved) {
-            rooms[occupant.m_slot] += occupant.m_spec->m_need;
+    std::set<std::string> racks;
+    const bool needsOneRack = unit.getSpec().m_wantsOneRack && unit.m_indexes.size() > 1;
+    if (!unit.getSpec().m_dataRack.empty()) {
+        racks.insert(unit.getSpec().m_dataRack);
+    } else if (needsOneRack) {
+        for (const Room& room : m_rooms) {
+            racks.insert(room.m_view->m_rack);
+        }
+    } else {
+        racks.insert("");
+    }
+    std::optional<Eviction> best;
+    for (const std::string& rack : racks) {
+        auto eviction = findEviction(unit, rack);
+        if (eviction.has_value() && (!best.has_value() || eviction->m_loss < best->m_loss)) {
+            best = std::move(eviction);
         }
     }
-    const auto assignment = assign(unit, rooms);
-    if (!assignment.has_value()) {
+    if (!best.has_value()) {
         return false;
     }
-    std::vector<Occupant*> victims;
-    for (Occupant& occupant : m_occupants) {
-        if (mayPreempt(unit, occupant)) {
-            victims.push_back(&occupant);
+    for (const std::size_t victim : best->m_victims) {
+        preempt(m_occupants[victim], unit);
+    }
+    reserveLeaving(unit, best->m_assignment);
+    note(unit, "waits until work that gives way to it has ended");
+    return true;
+}
+
+std::optional<PlanningPass::Eviction> PlanningPass::findEviction(const WorkUnit& unit,
+                                                                 const std::string& rack) const {
+    Eviction eviction;
+    std::map<WorkerSlot, std::uint32_t> used = countOfStep(unit);
+    std::map<WorkerSlot, Resources> needed;
+    for (std::size_t i = 0; i < unit.m_indexes.size(); ++i) {
+        if (!addMember(unit, rack, used, needed, eviction)) {
+            return std::nullopt;
+        }
+    }
+    return eviction;
+}
+
+/** Puts one more task of the unit where that costs least. */
+bool PlanningPass::addMember(const WorkUnit& unit, const std::string& rack,
+                             std::map<WorkerSlot, std::uint32_t>& used,
+                             std::map<WorkerSlot, Resources>& needed, Eviction& eviction) const {
+    const StepSpec& spec = unit.getSpec();
+    std::optional<WorkerSlot> best;
+    std::vector<std::size_t> bestVictims;
+    std::pair<double, std::uint32_t> bestRate(std::numeric_limits<double>::max(), 0);
+    for (WorkerSlot slot = 0; slot < m_rooms.size(); ++slot) {
+        const Room& room = m_rooms[slot];
+        const bool isInRack = rack.empty() || room.m_view->m_rack == rack;
+        const bool isFull = spec.m_maxPerWorker > 0 && used[slot] >= spec.m_maxPerWorker;
+        if (!isInRack || isFull || room.m_isReserved || !isAllowed(unit, slot)) {
+            continue;
+        }
+        Resources need = needed[slot];
+        need += spec.m_need;
+        const auto victims = chooseVictims(unit, slot, need);
+        if (!victims.has_value()) {
+            continue;
+        }
+        const std::pair<double, std::uint32_t> rate(getLoss(*victims, eviction),
+                                                    room.m_free.m_accelerators);
+        if (rate < bestRate) {
+            bestRate = rate;
+            best = slot;
+            bestVictims = *victims;
         }
     }
-    std::stable_sort(victims.begin(), victims.end(), [](const Occupant* a, const Occupant* b) {
-        const auto rankOf = [](const Occupant* o) {
-            return std::make_tuple(o->m_record->m_policy.m_priority == 0, o->m_loss);
+    if (!best.has_value()) {
+        return false;
+    }
+    eviction.m_loss += bestRate.first;
+    eviction.m_victims.insert(bestVictims.begin(), bestVictims.end());
+    eviction.m_assignment.push_back(*best);
+    needed[*best] += spec.m_need;
+    ++used[*best];
+    return true;
+}
+
+/** What gives way on a worker so that it holds a need, cheapest first; empty for nothing to do. */
+std::optional<std::vector<std::size_t>> PlanningPass::chooseVictims(const WorkUnit& unit,
+                                                                    WorkerSlot slot,
+                                                                    const Resources& need) const {
+    std::vector<std::size_t> candidates;
+    for (std::size_t i = 0; i < m_occupants.size(); ++i) {
+        if (m_occupants[i].m_slot == slot && mayPreempt(unit, m_occupants[i])) {
+            candidates.push_back(i);
+        }
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [this](std::size_t a, std::size_t b) {
+        const auto rankOf = [this](std::size_t i) {
+            const Occupant& occupant = m_occupants[i];
+            return std::make_tuple(occupant.m_record->m_policy.m_priority == 0, occupant.m_loss);
         };
         return rankOf(a) < rankOf(b);
     });
-    std::map<WorkerSlot, Resources> needed;
-    for (const WorkerSlot slot : *assignment) {
-        needed[slot] += unit.getSpec().m_need;
+    Resources room = m_rooms[slot].m_free;
+    room += m_rooms[slot].m_leaving;
+    std::vector<std::size_t> victims;
+    for (const std::size_t candidate : candidates) {
+        if (need.fitsInto(room)) {
+            break;
+        }
+        room += m_occupants[candidate].m_spec->m_need;
+        victims.push_back(candidate);
+    }
+    if (!need.fitsInto(room)) {
+        return std::nullopt;
+    }
+    // The dearest first: what later ones made needless stays.
+    for (std::size_t i = victims.size(); i-- > 0;) {
+        Resources without = room;
+        without -= m_occupants[victims[i]].m_spec->m_need;
+        if (need.fitsInto(without)) {
+            room = without;
+            victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(i));
+        }
     }
-    for (Occupant* victim : victims) {
-        const auto need = needed.find(victim->m_slot);
-        if (need == needed.end()) {
-            continue;
+    return victims;
+}
+
+/** A gang that gives way already costs nothing more. */
+double PlanningPass::getLoss(const std::vector<std::size_t>& victims,
+                             const Eviction& eviction) const {
+    double loss = 0;
+    for (std::size_t i = 0; i < victims.size(); ++i) {
+        const Occupant& victim = m_occupants[victims[i]];
+        const auto isCounted = [&](std::size_t other) {
+            return other == victims[i] ||
+                   (victim.m_spec->m_isGang && isSameRun(m_occupants[other], victim));
+        };
+        const auto end = victims.begin() + static_cast<std::ptrdiff_t>(i);
+        if (std::none_of(eviction.m_victims.begin(), eviction.m_victims.end(), isCounted) &&
+            std::none_of(victims.begin(), end, isCounted)) {
+            loss += victim.m_loss;
         }
-        Resources room = m_rooms[victim->m_slot].m_free;
-        room += m_rooms[victim->m_slot].m_leaving;
-        if (!need->second.fitsInto(room)) {
-            preempt(*victim, unit);
+    }
+    return loss;
+}
+
+bool PlanningPass::isSameRun(const Occupant& a, const Occupant& b) {
+    return a.m_key.m_job == b.m_key.m_job && a.m_key.m_occurrence == b.m_key.m_occurrence &&
+           a.m_key.m_step == b.m_key.m_step;
+}
+
+void PlanningPass::addGangLosses() {
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, double> losses;
+    const auto groupOf = [](const Occupant& o) {
+        return std::make_tuple(o.m_key.m_job, o.m_key.m_occurrence, o.m_key.m_step);
+    };
+    for (const Occupant& occupant : m_occupants) {
+        losses[groupOf(occupant)] += occupant.m_loss;
+    }
+    for (Occupant& occupant : m_occupants) {
+        if (occupant.m_spec->m_isGang) {
+            occupant.m_loss = losses[groupOf(occupant)];
         }
     }
-    reserveLeaving(unit, *assignment);
-    note(unit, "waits until work that gives way to it has ended");
-    return true;
 }
 
 /** Stopping one member of a gang stops them all. */
 void PlanningPass::preempt(Occupant& victim, const WorkUnit& unit) {
     for (Occupant& occupant : m_occupants) {
-        const bool isSameRun = occupant.m_key.m_job == victim.m_key.m_job &&
-                               occupant.m_key.m_occurrence == victim.m_key.m_occurrence &&
-                               occupant.m_key.m_step == victim.m_key.m_step;
-        const bool isHit = &occupant == &victim || (isSameRun && victim.m_spec->m_isGang);
+        const bool isHit =
+                &occupant == &victim || (victim.m_spec->m_isGang && isSameRun(occupant, victim));
         if (!isHit || occupant.m_isPreempted) {
             continue;
         }
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -62,10 +62,16 @@
         WorkerSlot m_slot = 0;
         bool m_isGuaranteed = false;
         bool m_isPreempted = false;
-        /** Core-milliseconds of work that a stop throws away. */
+        /** Core-milliseconds of work that a stop throws away; of all members for a gang's. */
         double m_loss = 0;
     };
     using Assignment = std::vector<WorkerSlot>;
+    /** A place for a unit, and what has to give way there. */
+    struct Eviction {
+        Assignment m_assignment;
+        std::set<std::size_t> m_victims;
+        double m_loss = 0;
+    };
 
     void findGuaranteed();
     void takeRooms();
@@ -94,6 +100,15 @@
 
     void commit(const WorkUnit& unit, const Assignment& assignment);
     bool preemptFor(const WorkUnit& unit);
+    std::optional<Eviction> findEviction(const WorkUnit& unit, const std::string& rack) const;
+    bool addMember(const WorkUnit& unit, const std::string& rack,
+                   std::map<WorkerSlot, std::uint32_t>& used,
+                   std::map<WorkerSlot, Resources>& needed, Eviction& eviction) const;
+    std::optional<std::vector<std::size_t>> chooseVictims(const WorkUnit& unit, WorkerSlot slot,
+                                                          const Resources& need) const;
+    double getLoss(const std::vector<std::size_t>& victims, const Eviction& eviction) const;
+    static bool isSameRun(const Occupant& a, const Occupant& b);
+    void addGangLosses();
     bool mayPreempt(const WorkUnit& unit, const Occupant& occupant) const;
     void preempt(Occupant& occupant, const WorkUnit& unit);
     void reserve(const WorkUnit& unit);
