A watch waits 0.8 s at most: one that was cut stays silent

Ruled out: the store (its reads answered all the while), the planner (six jobs known at one instant, up to 5.9 s old).

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -27,8 +27,11 @@
     WorkerHealthSettings m_health;
     /** What happens within this time is decided and committed together. */
     Millis m_commitDelay{3};
-    /** Time of one waiting watch. */
-    Millis m_watchWait{5000};
+    /**
+     * Time of one waiting watch. A watch that was cut may just stay silent, so this, and not the
+     * price of a call, bounds how long the leader can be deaf.
+     */
+    Millis m_watchWait{800};
     /** How long the state of a job that is over is kept (users' bound, and more). */
     Millis m_keepOver{180'000};
 };
--- a/libs/control/include/pierbank/control/LeaderLock.h
+++ b/libs/control/include/pierbank/control/LeaderLock.h
@@ -19,8 +19,8 @@
     Millis m_timeToLive{1500};
     /** Time between two renewals. */
     Millis m_renewInterval{300};
-    /** Time of one waiting watch of a follower. */
-    Millis m_watchWait{5000};
+    /** Time of one waiting watch of a follower; a watch that was cut may just stay silent. */
+    Millis m_watchWait{800};
 };
 
 /**
