Gateways tell the leader at once what they wrote; a gateway without the store refuses at once

Change: the leader links to gateways as to sidecars and reads a key it is told of; a gateway whose last confirming read failed answers 503 without another try.

--- a/libs/control/include/pierbank/control/ConfigurationFeed.h
+++ b/libs/control/include/pierbank/control/ConfigurationFeed.h
@@ -48,6 +48,9 @@
     /** The store's revision of it. */
     StoreRevision getRevision() const noexcept { return m_revision; }
 
+    /** The last confirming read failed. */
+    bool isLost() const noexcept { return m_isLost; }
+
     /** Time since the last confirming read was sent; empty before the first. */
     std::optional<Millis> getAge() const;
 
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -70,6 +70,7 @@
     void handleRunReport(const std::string& host, const RunReport& report) override;
     void handleRunAbsent(const std::string& host, const RunAbsent& absent) override;
     void handleHostLost(const std::string& host) override;
+    void handleInputNotice(const std::string& key) override;
 
 private:
     // Loading and watching what lies in the store.
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -5,6 +5,7 @@
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/JobController.h"
 #include "pierbank/control/JobIntake.h"
+#include "pierbank/control/LeaderLink.h"
 #include "pierbank/control/LeaderLock.h"
 
 namespace pierbank {
@@ -15,6 +16,8 @@
     LeaderLockSettings m_leader;
     WorkerPoolSettings m_workers;
     JobControllerSettings m_jobs;
+    /** Where the leader connects to this gateway. */
+    Address m_links;
 };
 
 /** All of a gateway but its listening sockets: configuration, intake, leadership, jobs. */
@@ -26,7 +29,8 @@
     JobCore(const JobCore&) = delete;
     JobCore& operator=(const JobCore&) = delete;
 
-    void start();
+    /** @return false with `reason` when the address for links is not free. */
+    bool start(Reason& reason);
     /** Hands the leadership over and does not take it again. */
     void release() { m_lock.release(); }
 
@@ -36,10 +40,16 @@
     const JobController& getJobs() const noexcept { return m_jobs; }
 
 private:
+    RecordStore& m_store;
+    EventLoop& m_loop;
+    Transport& m_transport;
+    const Address m_links;
     ConfigurationFeed m_configuration;
     JobIntake m_intake;
     LeaderLock m_lock;
     JobController m_jobs;
+    LeaderLink m_leaderLink;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 }  // namespace pierbank
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -69,6 +69,11 @@
     JobIntake(const JobIntake&) = delete;
     JobIntake& operator=(const JobIntake&) = delete;
 
+    /** Called with each key under input/ that was surely written. */
+    void onWritten(std::function<void(std::string_view key)> callback) {
+        m_onWritten = std::move(callback);
+    }
+
     /** `done` is called once. */
     void handle(IntakeRequest request, AnswerCallback done);
 
@@ -102,6 +107,8 @@
     ConfigurationFeed& m_configuration;
     const DocumentCodec& m_codec;
     const IntakeSettings m_settings;
+    std::function<void(std::string_view)> m_onWritten = [](std::string_view) {
+    };
     /** Pending jobs by queue, and when they were counted. */
     std::map<std::string, std::size_t> m_pending;
     Millis m_pendingAt{0};
--- a/libs/control/include/pierbank/control/JobSidecar.h
+++ b/libs/control/include/pierbank/control/JobSidecar.h
@@ -38,7 +38,6 @@
 
 private:
     void handleBeat(const HttpServerRequest& request, const std::shared_ptr<HttpServerCall>& call);
-    void registerHost();
 
     RecordStore& m_store;
     EventLoop& m_loop;
@@ -47,6 +46,7 @@
     const JobSidecarSettings m_settings;
     WorkerAgent m_agent;
     HttpServer m_beats;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 }  // namespace pierbank
--- a/libs/control/include/pierbank/control/StoreKeys.h
+++ b/libs/control/include/pierbank/control/StoreKeys.h
@@ -22,6 +22,8 @@
 inline constexpr std::string_view CANCEL_PREFIX = "input/cancel/";
 /** Address of a sidecar. */
 inline constexpr std::string_view HOST_PREFIX = "input/host/";
+/** Address at which a gateway takes the leader's link. */
+inline constexpr std::string_view GATEWAY_PREFIX = "input/gateway/";
 /** What the leader decided about a job (JobRun). */
 inline constexpr std::string_view RUN_PREFIX = "run/";
 
@@ -37,6 +39,10 @@
     return std::string(HOST_PREFIX).append(address);
 }
 
+inline std::string getGatewayKey(std::string_view address) {
+    return std::string(GATEWAY_PREFIX).append(address);
+}
+
 inline std::string getRunKey(std::string_view id) {
     return std::string(RUN_PREFIX).append(id);
 }
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -37,6 +37,8 @@
     virtual void handleWorkerChanged(const std::string& host) = 0;
     virtual void handleRunReport(const std::string& host, const RunReport& report) = 0;
     virtual void handleRunAbsent(const std::string& host, const RunAbsent& absent) = 0;
+    /** A gateway wrote this key under input/. */
+    virtual void handleInputNotice(const std::string& key) = 0;
     /** Whatever ran there under an earlier grant has surely stopped. */
     virtual void handleHostLost(const std::string& host) = 0;
 };
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -192,10 +192,25 @@
         askCancel(std::string(key.substr(CANCEL_PREFIX.size())));
     } else if (key.starts_with(HOST_PREFIX)) {
         m_workers.addHost(std::string(key.substr(HOST_PREFIX.size())));
+    } else if (key.starts_with(GATEWAY_PREFIX)) {
+        m_workers.addHost(std::string(key.substr(GATEWAY_PREFIX.size())));
     }
     stepSoon();
 }
 
+void JobController::handleInputNotice(const std::string& key) {
+    const bool isKnownJob = key.starts_with(JOB_PREFIX) &&
+                            m_jobs.count(std::string_view(key).substr(JOB_PREFIX.size())) != 0;
+    if (!m_isLoaded || isKnownJob) {
+        return;
+    }
+    m_store.read(key, [this, term = std::weak_ptr(m_term)](const StoreRead& read) {
+        if (!term.expired() && read.m_status == StoreStatus::OK) {
+            handleInput(read.m_item);
+        }
+    });
+}
+
 void JobController::addJob(const StoreItem& item) {
     const std::string id = item.m_key.substr(JOB_PREFIX.size());
     if (m_jobs.count(id) != 0) {
--- a/libs/control/src/JobGateway.cpp
+++ b/libs/control/src/JobGateway.cpp
@@ -67,8 +67,7 @@
               {"front", m_settings.m_front.toText()},
               {"operators", m_settings.m_operators.toText()},
               {"store", m_settings.m_store.toText()}});
-    m_core.start();
-    return true;
+    return m_core.start(reason);
 }
 
 void JobGateway::handleCaller(const HttpServerRequest& request,
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -30,8 +30,8 @@
 
 bool isJobId(std::string_view text) {
     constexpr std::size_t DIGITS = 16;
-    return text.size() == DIGITS && text.find_first_not_of("0123456789abcdefABCDEF") ==
-                                            std::string_view::npos;
+    return text.size() == DIGITS &&
+           text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
 const StoreItem* findItem(const std::vector<StoreItem>& items, std::string_view key) {
@@ -76,6 +76,10 @@
         route(call);
         return;
     }
+    if (m_configuration.isLost()) {
+        answerUnavailable(call, "the store does not answer this gateway");
+        return;
+    }
     m_configuration.confirm([this, call](bool isGood) {
         call->m_isConfirmed = isGood;
         if (!isGood || m_configuration.get() == nullptr) {
@@ -162,10 +166,9 @@
     record.m_acceptedAt = m_loop.wallNow();
     record.m_spec = std::move(*spec);
     StoreTransaction transaction;
-    transaction.m_conditions = {
-            {std::string(CONFIGURATION_KEY), call->m_configurationRevision},
-            {getJobKey(call->m_id), 0},
-            {getRunKey(call->m_id), 0}};
+    transaction.m_conditions = {{std::string(CONFIGURATION_KEY), call->m_configurationRevision},
+                                {getJobKey(call->m_id), 0},
+                                {getRunKey(call->m_id), 0}};
     transaction.m_puts = {{getJobKey(call->m_id), encodeJobRecord(record), 0}};
     CommitPatience patience;
     patience.m_limit = std::max(getTimeLeft(*call), Millis(1));
@@ -176,6 +179,7 @@
 void JobIntake::handleSubmitted(const CallPtr& call, const StoreCommit& commit) {
     switch (commit.m_status) {
         case StoreStatus::OK:
+            m_onWritten(getJobKey(call->m_id));
             answer(call, OK, "", "accepted at revision " + std::to_string(commit.m_revision));
             return;
         case StoreStatus::CONFLICT:
@@ -189,7 +193,8 @@
     }
     const StoreItem* const record = findItem(commit.m_items, getJobKey(call->m_id));
     const StoreItem* const run = findItem(commit.m_items, getRunKey(call->m_id));
-    if ((record != nullptr && record->m_revision != 0) || (run != nullptr && run->m_revision != 0)) {
+    if ((record != nullptr && record->m_revision != 0) ||
+        (run != nullptr && run->m_revision != 0)) {
         answer(call, OK, "", "accepted earlier");
         return;
     }
@@ -208,52 +213,51 @@
 }
 
 void JobIntake::readState(const CallPtr& call) {
-    m_store.read(getRunKey(call->m_id),
-                 [this, call, alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
-                     if (alive.expired()) {
-                         return;
-                     }
-                     if (read.m_status == StoreStatus::NOT_FOUND) {
-                         readRecord(call, false);
-                         return;
-                     }
-                     const auto run = read.m_status == StoreStatus::OK
-                                              ? decodeJobRun(read.m_item.m_value)
-                                              : std::nullopt;
-                     if (!run.has_value()) {
-                         answerUnavailable(call, "the job's state can't be read");
-                         return;
-                     }
-                     answer(call, OK, m_codec.writePhase(run->m_phase), run->m_why);
-                 });
-}
-
-/** A record goes as its job ends; so an absent one is looked for twice, with the run between. */
-void JobIntake::readRecord(const CallPtr& call, bool isSecond) {
-    const std::string key = isSecond ? getRunKey(call->m_id) : getJobKey(call->m_id);
-    m_store.read(key, [this, call, isSecond,
-                       alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
+    m_store.read(getRunKey(call->m_id), [this, call,
+                                         alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
         if (alive.expired()) {
             return;
         }
         if (read.m_status == StoreStatus::NOT_FOUND) {
-            if (isSecond) {
-                answer(call, GONE, "", "there is no such job");
-            } else {
-                readRecord(call, true);
-            }
+            readRecord(call, false);
             return;
         }
-        if (read.m_status != StoreStatus::OK) {
+        const auto run =
+                read.m_status == StoreStatus::OK ? decodeJobRun(read.m_item.m_value) : std::nullopt;
+        if (!run.has_value()) {
             answerUnavailable(call, "the job's state can't be read");
             return;
         }
-        const auto run = isSecond ? decodeJobRun(read.m_item.m_value) : std::nullopt;
-        const JobPhase phase = run.has_value() ? run->m_phase : JobPhase::PENDING;
-        answer(call, OK, m_codec.writePhase(phase), "read from the store");
+        answer(call, OK, m_codec.writePhase(run->m_phase), run->m_why);
     });
 }
 
+/** A record goes as its job ends; so an absent one is looked for twice, with the run between. */
+void JobIntake::readRecord(const CallPtr& call, bool isSecond) {
+    const std::string key = isSecond ? getRunKey(call->m_id) : getJobKey(call->m_id);
+    m_store.read(key,
+                 [this, call, isSecond, alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
+                     if (alive.expired()) {
+                         return;
+                     }
+                     if (read.m_status == StoreStatus::NOT_FOUND) {
+                         if (isSecond) {
+                             answer(call, GONE, "", "there is no such job");
+                         } else {
+                             readRecord(call, true);
+                         }
+                         return;
+                     }
+                     if (read.m_status != StoreStatus::OK) {
+                         answerUnavailable(call, "the job's state can't be read");
+                         return;
+                     }
+                     const auto run = isSecond ? decodeJobRun(read.m_item.m_value) : std::nullopt;
+                     const JobPhase phase = run.has_value() ? run->m_phase : JobPhase::PENDING;
+                     answer(call, OK, m_codec.writePhase(phase), "read from the store");
+                 });
+}
+
 void JobIntake::cancel(const CallPtr& call) {
     m_store.read(getRunKey(call->m_id),
                  [this, call, alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
@@ -275,22 +279,22 @@
 }
 
 void JobIntake::cancelRecord(const CallPtr& call, bool isSecond) {
-    m_store.read(getJobKey(call->m_id), [this, call, isSecond, alive = std::weak_ptr(m_isAlive)](
-                                                const StoreRead& read) {
-        if (alive.expired()) {
-            return;
-        }
-        if (read.m_status == StoreStatus::OK) {
-            putCancel(call, read.m_item);
-        } else if (read.m_status != StoreStatus::NOT_FOUND) {
-            answerUnavailable(call, "the job can't be read");
-        } else if (isSecond) {
-            // It was there a moment ago: it has just ended.
-            answer(call, OK, "", "the job is over");
-        } else {
-            answer(call, GONE, "", "there is no such job");
-        }
-    });
+    m_store.read(getJobKey(call->m_id),
+                 [this, call, isSecond, alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
+                     if (alive.expired()) {
+                         return;
+                     }
+                     if (read.m_status == StoreStatus::OK) {
+                         putCancel(call, read.m_item);
+                     } else if (read.m_status != StoreStatus::NOT_FOUND) {
+                         answerUnavailable(call, "the job can't be read");
+                     } else if (isSecond) {
+                         // It was there a moment ago: it has just ended.
+                         answer(call, OK, "", "the job is over");
+                     } else {
+                         answer(call, GONE, "", "there is no such job");
+                     }
+                 });
 }
 
 void JobIntake::putCancel(const CallPtr& call, const StoreItem& record) {
@@ -302,6 +306,7 @@
     CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_isAlive,
                        [this, call](const StoreCommit& commit) {
                            if (commit.m_status == StoreStatus::OK) {
+                               m_onWritten(getCancelKey(call->m_id));
                                answer(call, OK, "", "withdrawn");
                            } else if (commit.m_status == StoreStatus::CONFLICT) {
                                answer(call, OK, "", "the job has just ended");
@@ -342,25 +347,25 @@
                 queues[record->m_id] = record->m_policy.m_queue;
             }
         }
-        m_store.list(RUN_PREFIX, [this, at, queues = std::move(queues),
-                                  alive](const StoreList& runs) mutable {
-            if (alive.expired()) {
-                return;
-            }
-            for (const StoreItem& item : runs.m_items) {
-                const auto run = decodeJobRun(item.m_value);
-                if (run.has_value() && (run->m_hasBegun || run->isOver())) {
-                    queues.erase(item.m_key.substr(RUN_PREFIX.size()));
-                }
-            }
-            m_pending.clear();
-            for (const auto& [id, queue] : queues) {
-                ++m_pending[queue];
-            }
-            m_pendingAt = at;
-            m_hasPending = runs.m_status == StoreStatus::OK;
-            finishPending(m_hasPending);
-        });
+        m_store.list(RUN_PREFIX,
+                     [this, at, queues = std::move(queues), alive](const StoreList& runs) mutable {
+                         if (alive.expired()) {
+                             return;
+                         }
+                         for (const StoreItem& item : runs.m_items) {
+                             const auto run = decodeJobRun(item.m_value);
+                             if (run.has_value() && (run->m_hasBegun || run->isOver())) {
+                                 queues.erase(item.m_key.substr(RUN_PREFIX.size()));
+                             }
+                         }
+                         m_pending.clear();
+                         for (const auto& [id, queue] : queues) {
+                             ++m_pending[queue];
+                         }
+                         m_pendingAt = at;
+                         m_hasPending = runs.m_status == StoreStatus::OK;
+                         finishPending(m_hasPending);
+                     });
     });
 }
 
--- a/libs/control/src/JobSidecar.cpp
+++ b/libs/control/src/JobSidecar.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pierbank/base/Log.h"
+#include "pierbank/control/Registration.h"
 #include "pierbank/control/StoreKeys.h"
 
 namespace pierbank {
@@ -11,9 +12,6 @@
 namespace {
 
 constexpr std::uint32_t BAD_REQUEST = 400;
-/** Pause before the address is written again. */
-constexpr Millis REGISTER_PAUSE{300};
-constexpr Millis REGISTER_PATIENCE{1000};
 
 }  // namespace
 
@@ -42,25 +40,10 @@
              {{"name", m_settings.m_name},
               {"links", m_settings.m_links.toText()},
               {"worker", m_settings.m_worker.toText()}});
-    registerHost();
+    registerAddress(m_store, m_loop, getHostKey(m_settings.m_links.toText()), m_isAlive);
     return true;
 }
 
-/** Leaders find the sidecar by this key; it stays when the process ends. */
-void JobSidecar::registerHost() {
-    StoreTransaction transaction;
-    transaction.m_puts = {{getHostKey(m_settings.m_links.toText()), m_settings.m_name, 0}};
-    m_store.commit(transaction, REGISTER_PATIENCE, [this](const StoreCommit& commit) {
-        if (commit.m_status == StoreStatus::OK) {
-            logEvent(Severity::INFO, "sidecar", "registered",
-                     {{"revision", std::to_string(commit.m_revision)}});
-            return;
-        }
-        logEvent(Severity::WARNING, "sidecar", "register-failed", {{"reason", commit.m_reason}});
-        m_loop.callLater(REGISTER_PAUSE, [this] { registerHost(); });
-    });
-}
-
 void JobSidecar::handleBeat(const HttpServerRequest& request,
                             const std::shared_ptr<HttpServerCall>& call) {
     const std::string life = request.m_target.substr(request.m_target.rfind('/') + 1);
--- /dev/null
+++ b/libs/control/src/LeaderLink.cpp
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/control/LeaderLink.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pierbank {
+
+namespace {
+
+/** The leader gives a link up over which nothing came for 2 s (WorkerPoolSettings::m_silence). */
+constexpr Millis KEEP_ALIVE{500};
+
+}  // namespace
+
+LeaderLink::LeaderLink(EventLoop& loop) : m_loop(loop) {
+    keepAlive();
+}
+
+void LeaderLink::keepAlive() {
+    if (m_leader != nullptr) {
+        m_leader->send(LeaseAsk{++m_sequence});
+    }
+    m_loop.callLater(KEEP_ALIVE, [this, alive = std::weak_ptr(m_isAlive)] {
+        if (!alive.expired()) {
+            keepAlive();
+        }
+    });
+}
+
+void LeaderLink::handleLink(std::shared_ptr<Link> link) {
+    const std::weak_ptr<Link> weak = link;
+    link->setCallbacks(
+            [this, weak, alive = std::weak_ptr(m_isAlive)](const Frame& frame) {
+                if (!alive.expired()) {
+                    handleFrame(weak, frame);
+                }
+            },
+            [this, weak, alive = std::weak_ptr(m_isAlive)] {
+                if (!alive.expired()) {
+                    handleClosed(weak);
+                }
+            });
+    m_newLinks.push_back(std::move(link));
+}
+
+void LeaderLink::handleFrame(const std::weak_ptr<Link>& from, const Frame& frame) {
+    const auto link = from.lock();
+    const auto* const hello = std::get_if<LeaderHello>(&frame);
+    if (link == nullptr || hello == nullptr) {
+        return;
+    }
+    std::erase(m_newLinks, link);
+    if (hello->m_epoch < m_epoch) {
+        link->close();
+        return;
+    }
+    if (m_leader != nullptr && m_leader != link) {
+        m_leader->close();
+    }
+    m_epoch = hello->m_epoch;
+    m_leader = link;
+}
+
+void LeaderLink::handleClosed(const std::weak_ptr<Link>& closed) {
+    const auto link = closed.lock();
+    std::erase(m_newLinks, link);
+    if (link == m_leader) {
+        m_leader.reset();
+    }
+}
+
+void LeaderLink::notify(std::string_view key) {
+    if (m_leader != nullptr) {
+        m_leader->send(InputNotice{std::string(key)});
+    }
+}
+
+}  // namespace pierbank
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -80,18 +80,18 @@
         return;
     }
     found->second.m_isConnecting = true;
-    m_transport.connect(*target, [this, address, term = std::weak_ptr(m_term)](
-                                         std::shared_ptr<Link> link) {
-        if (term.expired()) {
-            return;
-        }
-        m_hosts[address].m_isConnecting = false;
-        if (link == nullptr) {
-            connectLater(address);
-            return;
-        }
-        handleLink(address, std::move(link));
-    });
+    m_transport.connect(*target,
+                        [this, address, term = std::weak_ptr(m_term)](std::shared_ptr<Link> link) {
+                            if (term.expired()) {
+                                return;
+                            }
+                            m_hosts[address].m_isConnecting = false;
+                            if (link == nullptr) {
+                                connectLater(address);
+                                return;
+                            }
+                            handleLink(address, std::move(link));
+                        });
 }
 
 void WorkerPool::connectLater(const std::string& address) {
@@ -153,6 +153,8 @@
         }
     } else if (const auto* const absent = std::get_if<RunAbsent>(&frame)) {
         m_listener.handleRunAbsent(address, *absent);
+    } else if (const auto* const input = std::get_if<InputNotice>(&frame)) {
+        m_listener.handleInputNotice(input->m_key);
     }
 }
 
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -276,12 +276,18 @@
     bool operator==(const EndsKept&) const = default;
 };
 
+/** Gateway to leader: this key under input/ was written. A hint: the leader reads it. */
+struct InputNotice {
+    std::string m_key;
+    bool operator==(const InputNotice&) const = default;
+};
+
 /** Any message between processes of the system. The order is the wire's type number. */
 using Frame =
         std::variant<Hello, LeaseAsk, LeaseRenewal, GangPrepare, GangStart, GangStop, MemberReport,
                      MemberQuery, MemberReportEnd, ForwardRequest, ForwardAnswer, FateReport,
-                     FateQuery, CancelRequest, LoadReport, ConfigurationPush, LeaderHello, WorkerNotice,
-                     RunReport, RunOrder, RunStop, RunAbsent, EndsKept>;
+                     FateQuery, CancelRequest, LoadReport, ConfigurationPush, LeaderHello,
+                     WorkerNotice, RunReport, RunOrder, RunStop, RunAbsent, EndsKept, InputNotice>;
 
 }  // namespace pierbank
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -122,9 +122,9 @@
 
 template <typename Archive>
 void describe(Archive& archive, WorkerNotice& frame) {
-    archive(frame.m_life, frame.m_isGone, frame.m_service, frame.m_failureDomain, frame.m_rack, frame.m_labels,
-            frame.m_cpuMillis, frame.m_memoryMb, frame.m_accelerators, frame.m_isDraining,
-            frame.m_remainingMs);
+    archive(frame.m_life, frame.m_isGone, frame.m_service, frame.m_failureDomain, frame.m_rack,
+            frame.m_labels, frame.m_cpuMillis, frame.m_memoryMb, frame.m_accelerators,
+            frame.m_isDraining, frame.m_remainingMs);
 }
 
 template <typename Archive>
@@ -163,6 +163,11 @@
     archive(frame.m_life, frame.m_number);
 }
 
+template <typename Archive>
+void describe(Archive& archive, InputNotice& frame) {
+    archive(frame.m_key);
+}
+
 namespace {
 
 template <std::size_t... Types>
--- a/tools/job-gateway/main.cpp
+++ b/tools/job-gateway/main.cpp
@@ -23,6 +23,7 @@
     settings.m_front = file.getListenAddress({"gateway", "front"});
     settings.m_ready = file.getListenAddress({"gateway", "ready"});
     settings.m_operators = file.getListenAddress({"gateway", "operators"});
+    settings.m_core.m_links = file.getListenAddress({"gateway", "links"});
     settings.m_store = file.getAddress({"store", "address"});
     settings.m_core.m_leader.m_node = settings.m_name;
     settings.m_core.m_workers.m_node = settings.m_name;
