Orders that never arrived are sent again, also while their job changes; stalled runs are moved

Test AnOrderThatADeadLeaderNeverSentIsSentByTheNext failed first. Also: progress of runs as workers report it (percent): a host on which nothing advances gets no work and its urgent or cheap runs begin elsewhere (ARunThatStandsStillBeginsElsewhere); urgent work waits for runs about to end before it preempts.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -15,6 +15,7 @@
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EndLedger.h"
 #include "pierbank/control/JobTable.h"
+#include "pierbank/control/ProgressTracker.h"
 #include "pierbank/control/WorkerHealth.h"
 #include "pierbank/control/WorkerPool.h"
 #include "pierbank/job/TaskPlanner.h"
@@ -32,6 +33,12 @@
      * price of a call, bounds how long the leader can be deaf.
      */
     Millis m_watchWait{800};
+    /**
+     * On a host where nothing advances, a run is stopped to begin elsewhere at once if it is urgent
+     * or loses less than this, and else after `m_stallPatience`: what stands still may go on.
+     */
+    Millis m_cheapLoss{2500};
+    Millis m_stallPatience{8000};
     /** How long the state of a job that is over is kept (users' bound, and more). */
     Millis m_keepOver{180'000};
 };
@@ -98,12 +105,16 @@
                     const RunReport& report);
     RunOrder makeOrder(const JobEntry& entry, const TaskKey& key, const TaskRun& task) const;
     void loseTasks(const std::string& host, const std::string& exceptLife, std::string_view why);
+    void noteProgress(const std::string& host, const RunReport& report);
+    void moveStalled();
+    std::map<TaskKey, Millis> estimateRemaining() const;
     void applyRunEnd(const WorkerId& worker, const EndedEntry& end);
     void takeEffect(JobEntry& entry, const EndEffect& effect);
 
     // Committing.
     void commitDirty();
     bool addToTransaction(const std::string& id, JobEntry& entry, StoreTransaction& transaction);
+    void handleCommitted(const std::vector<std::string>& ids, const StoreCommit& commit);
     void sendKept(const WorkerId& worker);
     void forgetOver();
     void tick();
@@ -117,6 +128,7 @@
     WorkerPool m_workers;
     TaskPlanner m_planner;
     WorkerHealth m_health;
+    ProgressTracker m_progress;
     std::function<void()> m_onDisowned;
 
     bool m_isLeading = false;
--- a/libs/control/include/pierbank/control/JobTable.h
+++ b/libs/control/include/pierbank/control/JobTable.h
@@ -37,6 +37,12 @@
     std::vector<PendingMessage> m_messages;
     /** Ends of runs that the next commit of this job keeps. */
     std::vector<std::pair<WorkerId, std::uint64_t>> m_ends;
+    /** The same, of the transaction that is under way. */
+    std::vector<PendingMessage> m_messagesUnderWay;
+    std::vector<std::pair<WorkerId, std::uint64_t>> m_endsUnderWay;
+
+    /** A start of this run, or a stop, waits for a commit. */
+    bool hasPendingMessage(const std::string& task, std::uint32_t run) const;
 };
 
 using JobTable = std::map<std::string, JobEntry, std::less<>>;
--- /dev/null
+++ b/libs/control/include/pierbank/control/ProgressTracker.h
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_CONTROL_PROGRESSTRACKER_H
+#define PIERBANK_CONTROL_PROGRESSTRACKER_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pierbank/base/Clock.h"
+#include "pierbank/job/JobRun.h"
+
+namespace pierbank {
+
+/** What a worker reported of one run. */
+struct ProgressReport {
+    TaskKey m_task;
+    std::uint32_t m_run = 0;
+    std::uint32_t m_percent = 0;
+    bool m_isGang = false;
+};
+
+/**
+ * What runs advance, as their workers report it. A worker may hold its leases and look well while
+ * its runs stand still or crawl; how runs advance is the only sign of that.
+ */
+class ProgressTracker {
+public:
+    /** A run that did not advance between reports this far apart stands still. */
+    static constexpr Millis STALLED_AFTER{1400};
+    /** Advance over less than this tells nothing. */
+    static constexpr Millis LEAST_SPAN{500};
+
+    /** Takes a host's whole report; runs that it does not list are forgotten. */
+    void note(const std::string& host, const std::vector<ProgressReport>& runs, Millis now);
+    /** The host said nothing for a while: what was seen before is no base to judge by. */
+    void forgetHost(const std::string& host) { m_hosts.erase(host); }
+    void clear() { m_hosts.clear(); }
+
+    /** Runs stand still on the host, and none advances. */
+    bool isStalled(const std::string& host) const;
+    /** How long a run has stood still; zero when it advances or nothing is known. */
+    Millis getStalledTime(const std::string& host, const TaskKey& task) const;
+    /** Time until the run ends, if it goes on as it did; empty when nothing tells. */
+    std::optional<Millis> getRemaining(const std::string& host, const TaskKey& task,
+                                       Millis now) const;
+    /** Percent a second at which a run advanced; empty when nothing tells. */
+    std::optional<double> getRate(const std::string& host, const TaskKey& task) const;
+
+private:
+    struct Track {
+        std::uint32_t m_run = 0;
+        bool m_isGang = false;
+        std::uint32_t m_firstPercent = 0;
+        Millis m_firstAt{0};
+        std::uint32_t m_percent = 0;
+        Millis m_changedAt{0};
+        Millis m_seenAt{0};
+
+        Millis getStalledTime() const { return m_seenAt - m_changedAt; }
+        bool isStalled() const;
+        std::optional<double> getRate() const;
+    };
+    using Host = std::map<TaskKey, Track>;
+
+    const Track* find(const std::string& host, const TaskKey& task) const;
+
+    std::map<std::string, Host> m_hosts;
+};
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_CONTROL_PROGRESSTRACKER_H
--- a/libs/control/include/pierbank/control/WorkerHealth.h
+++ b/libs/control/include/pierbank/control/WorkerHealth.h
@@ -12,7 +12,8 @@
 namespace pierbank {
 
 struct WorkerHealthSettings {
-    /** A host where runs of so many different jobs failed, and none did well since, is avoided... */
+    /** A host where runs of so many different jobs failed, and none did well since, is avoided...
+     */
     std::size_t m_failedJobs = 2;
     /** ...for this long; each further time for twice as long. */
     Millis m_pause{5000};
--- a/libs/control/src/CertainCommit.cpp
+++ b/libs/control/src/CertainCommit.cpp
@@ -27,8 +27,7 @@
     bool m_isUncertain = false;
 
     bool isPatient() const {
-        return m_patience.m_limit == Millis(0) ||
-               m_loop->now() - m_startedAt < m_patience.m_limit;
+        return m_patience.m_limit == Millis(0) || m_loop->now() - m_startedAt < m_patience.m_limit;
     }
 
     void run() {
@@ -40,10 +39,9 @@
             const Millis left = m_patience.m_limit - (m_loop->now() - m_startedAt);
             tryTime = std::clamp(left, Millis(1), m_tryTime);
         }
-        m_store->commit(m_transaction, tryTime,
-                        [self = shared_from_this()](const StoreCommit& commit) {
-                            self->handle(commit);
-                        });
+        m_store->commit(
+                m_transaction, tryTime,
+                [self = shared_from_this()](const StoreCommit& commit) { self->handle(commit); });
     }
 
     void handle(const StoreCommit& commit) {
@@ -97,8 +95,7 @@
             return false;
         }
         return std::all_of(
-                m_transaction.m_puts.begin(), m_transaction.m_puts.end(),
-                [&](const StorePut& put) {
+                m_transaction.m_puts.begin(), m_transaction.m_puts.end(), [&](const StorePut& put) {
                     const auto found = std::find_if(
                             commit.m_items.begin(), commit.m_items.end(),
                             [&](const StoreItem& item) { return item.m_key == put.m_key; });
--- a/libs/control/src/ConfigurationFeed.cpp
+++ b/libs/control/src/ConfigurationFeed.cpp
@@ -16,8 +16,7 @@
 }  // namespace
 
 ConfigurationFeed::ConfigurationFeed(RecordStore& store, EventLoop& loop,
-                                     const DocumentCodec& codec,
-                                     ConfigurationFeedSettings settings)
+                                     const DocumentCodec& codec, ConfigurationFeedSettings settings)
         : m_store(store), m_loop(loop), m_codec(codec), m_settings(settings) {}
 
 ConfigurationFeed::~ConfigurationFeed() = default;
@@ -96,8 +95,7 @@
                       {"findings", findings.toText()}});
             return;
         }
-        if (m_configuration.has_value() &&
-            configuration->m_version < m_configuration->m_version) {
+        if (m_configuration.has_value() && configuration->m_version < m_configuration->m_version) {
             return;
         }
         m_configuration = std::move(configuration);
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -83,6 +83,7 @@
     m_notes.clear();
     m_earlyCancels.clear();
     m_health.clear();
+    m_progress.clear();
 }
 
 void JobController::disown(std::string_view why) {
@@ -286,6 +287,7 @@
     }
     applyCancels();
     addOccurrences();
+    moveStalled();
     plan();
     commitDirty();
 }
@@ -325,7 +327,8 @@
         view.m_labels.insert(notice.m_labels.begin(), notice.m_labels.end());
         view.m_capacity = {notice.m_cpuMillis, notice.m_memoryMb, notice.m_accelerators};
         view.m_acceptsWork = host.isLinked() && host.m_hasReport && !notice.m_isGone &&
-                             !notice.m_isDraining && !m_health.isAvoided(address, m_loop.now());
+                             !notice.m_isDraining && !m_health.isAvoided(address, m_loop.now()) &&
+                             !m_progress.isStalled(address);
         views.push_back(std::move(view));
     }
     return views;
@@ -341,8 +344,8 @@
     const QueueConfiguration* const configuration = m_configuration.get();
     const std::map<std::string, std::uint32_t> none;
     const TaskPlan plan = m_planner.plan(
-            viewWorkers(), jobs, configuration != nullptr ? configuration->m_guarantees : none,
-            m_loop.wallNow());
+            viewWorkers(), jobs, estimateRemaining(),
+            configuration != nullptr ? configuration->m_guarantees : none, m_loop.wallNow());
     m_notes.clear();
     for (const PlanNote& note : plan.m_notes) {
         m_notes[note.m_job] = note.m_text;
@@ -435,6 +438,9 @@
 
 void JobController::handleWorkerChanged(const std::string& host) {
     const WorkerPool::Host* const known = m_workers.findHost(host);
+    if (known == nullptr || !known->isLinked()) {
+        m_progress.forgetHost(host);
+    }
     if (known != nullptr && known->isLinked() && known->m_notice.has_value() &&
         !known->m_notice->m_life.empty()) {
         const bool isGone = known->m_notice->m_isGone;
@@ -455,10 +461,76 @@
         }
     }
     m_reports[host] = report;
+    noteProgress(host, report);
     sendKept(worker);
     stepSoon();
 }
 
+void JobController::noteProgress(const std::string& host, const RunReport& report) {
+    std::vector<ProgressReport> runs;
+    for (const RunningEntry& entry : report.m_running) {
+        const auto key = TaskKey::parse(entry.m_task);
+        const auto found = key.has_value() ? m_jobs.find(key->m_job) : m_jobs.end();
+        if (found == m_jobs.end() || !found->second.m_hasInput) {
+            continue;
+        }
+        const auto& steps = found->second.m_record.m_spec.m_steps;
+        const bool isLasting = key->m_step >= steps.size() || steps[key->m_step].m_isLasting;
+        if (!isLasting) {
+            runs.push_back({*key, entry.m_run, entry.m_percent, steps[key->m_step].m_isGang});
+        }
+    }
+    m_progress.note(host, runs, m_loop.now());
+}
+
+/** Runs on hosts where nothing advances are stopped, so that they begin elsewhere. */
+void JobController::moveStalled() {
+    for (auto& [id, entry] : m_jobs) {
+        std::vector<TaskKey> stalled;
+        forEachTask(id, entry.m_run, [&](const TaskKey& key, TaskRun& task) {
+            const std::string& host = task.m_worker.m_host;
+            if (task.m_state != TaskState::PLACED || !m_progress.isStalled(host)) {
+                return;
+            }
+            const Millis still = m_progress.getStalledTime(host, key);
+            const Millis ran = m_loop.wallNow() - task.m_placedAt - still;
+            const bool isCheap = entry.m_record.m_policy.m_priority == 0 ||
+                                 entry.m_record.m_spec.m_steps[key.m_step].m_savesProgress ||
+                                 ran < m_settings.m_cheapLoss;
+            if (still >= ProgressTracker::STALLED_AFTER &&
+                (isCheap || still >= m_settings.m_stallPatience)) {
+                stalled.push_back(key);
+            }
+        });
+        for (const TaskKey& key : stalled) {
+            TaskRun& task = *entry.m_run.findTask(key);
+            task.m_state = TaskState::STOPPING;
+            task.m_failedHost = task.m_worker.m_host;
+            entry.m_run.m_why = "stopped: nothing advances on " + task.m_worker.m_host;
+            logEvent(Severity::WARNING, "jobs", "stalled",
+                     {{"task", key.toText()},
+                      {"run", std::to_string(task.m_run)},
+                      {"host", task.m_worker.m_host}});
+        }
+        stopTasks(entry, stalled);
+    }
+}
+
+std::map<TaskKey, Millis> JobController::estimateRemaining() const {
+    std::map<TaskKey, Millis> remaining;
+    for (const auto& [host, report] : m_reports) {
+        for (const RunningEntry& entry : report.m_running) {
+            const auto key = TaskKey::parse(entry.m_task);
+            const auto left = key.has_value() ? m_progress.getRemaining(host, *key, m_loop.now())
+                                              : std::nullopt;
+            if (left.has_value()) {
+                remaining[*key] = *left;
+            }
+        }
+    }
+    return remaining;
+}
+
 void JobController::applyRunEnd(const WorkerId& worker, const EndedEntry& end) {
     const auto key = TaskKey::parse(end.m_task);
     const auto found = key.has_value() ? m_jobs.find(key->m_job) : m_jobs.end();
@@ -573,16 +645,16 @@
 
 void JobController::resendTask(const JobEntry& entry, const TaskKey& key, const TaskRun& task,
                                const RunReport& report) {
-    if (entry.m_isDirty || entry.m_isCommitting) {
+    const std::string name = key.toText();
+    if (entry.hasPendingMessage(name, task.m_run)) {
         // Goes out when it is committed.
         return;
     }
     if (task.m_state == TaskState::STOPPING) {
         m_workers.send(task.m_worker.m_host,
-                       RunStop{m_epoch, task.m_worker.m_life, key.toText(), task.m_run});
+                       RunStop{m_epoch, task.m_worker.m_life, name, task.m_run});
         return;
     }
-    const std::string name = key.toText();
     const bool isRunning = std::any_of(
             report.m_running.begin(), report.m_running.end(), [&](const RunningEntry& running) {
                 return running.m_task == name && running.m_run == task.m_run;
@@ -640,36 +712,36 @@
     CommitPatience patience;
     patience.m_retriesRefusals = true;
     // What is decided while the transaction is under way has to wait for the next one.
-    auto messages = std::make_shared<std::map<std::string, std::vector<PendingMessage>>>();
-    auto ends = std::make_shared<
-            std::map<std::string, std::vector<std::pair<WorkerId, std::uint64_t>>>>();
     for (const std::string& id : ids) {
         JobEntry& entry = m_jobs.find(id)->second;
-        (*messages)[id] = std::exchange(entry.m_messages, {});
-        (*ends)[id] = std::exchange(entry.m_ends, {});
+        entry.m_messagesUnderWay = std::exchange(entry.m_messages, {});
+        entry.m_endsUnderWay = std::exchange(entry.m_ends, {});
     }
     CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_term,
-                       [this, ids, messages, ends](const StoreCommit& commit) {
-                           m_isCommitting = false;
-                           if (commit.m_status != StoreStatus::OK) {
-                               disown("the store did not take a decision: " +
-                                      std::string(toText(commit.m_status)) + " " + commit.m_reason);
-                               return;
-                           }
-                           for (const std::string& id : ids) {
-                               JobEntry& entry = m_jobs.find(id)->second;
-                               entry.m_isCommitting = false;
-                               entry.m_runRevision = commit.m_revision;
-                               for (const PendingMessage& message : (*messages)[id]) {
-                                   m_workers.send(message.m_host, message.m_frame);
-                               }
-                               for (const auto& [worker, number] : (*ends)[id]) {
-                                   m_ledger.keep(worker, number);
-                                   sendKept(worker);
-                               }
-                           }
-                           step();
-                       });
+                       [this, ids](const StoreCommit& commit) { handleCommitted(ids, commit); });
+}
+
+void JobController::handleCommitted(const std::vector<std::string>& ids,
+                                    const StoreCommit& commit) {
+    m_isCommitting = false;
+    if (commit.m_status != StoreStatus::OK) {
+        disown("the store did not take a decision: " + std::string(toText(commit.m_status)) + " " +
+               commit.m_reason);
+        return;
+    }
+    for (const std::string& id : ids) {
+        JobEntry& entry = m_jobs.find(id)->second;
+        entry.m_isCommitting = false;
+        entry.m_runRevision = commit.m_revision;
+        for (const PendingMessage& message : std::exchange(entry.m_messagesUnderWay, {})) {
+            m_workers.send(message.m_host, message.m_frame);
+        }
+        for (const auto& [worker, number] : std::exchange(entry.m_endsUnderWay, {})) {
+            m_ledger.keep(worker, number);
+            sendKept(worker);
+        }
+    }
+    step();
 }
 
 void JobController::sendKept(const WorkerId& worker) {
--- a/libs/control/src/LeaderLock.cpp
+++ b/libs/control/src/LeaderLock.cpp
@@ -66,44 +66,42 @@
 
 void LeaderLock::acquire() {
     const Millis sentAt = m_loop.now();
-    m_store.createLease(
-            m_settings.m_timeToLive,
-            [this, sentAt, alive = std::weak_ptr(m_isAlive)](const StoreLeaseReply& reply) {
-                if (alive.expired()) {
-                    return;
-                }
-                if (reply.m_status != StoreStatus::OK || m_isReleased) {
-                    lookLater(RETRY_PAUSE);
-                    return;
-                }
-                take(reply.m_lease, sentAt);
-            });
+    m_store.createLease(m_settings.m_timeToLive, [this, sentAt, alive = std::weak_ptr(m_isAlive)](
+                                                         const StoreLeaseReply& reply) {
+        if (alive.expired()) {
+            return;
+        }
+        if (reply.m_status != StoreStatus::OK || m_isReleased) {
+            lookLater(RETRY_PAUSE);
+            return;
+        }
+        take(reply.m_lease, sentAt);
+    });
 }
 
 void LeaderLock::take(StoreLease lease, Millis sentAt) {
     StoreTransaction transaction;
     transaction.m_conditions = {{std::string(LEADER_KEY), 0}};
-    transaction.m_puts = {{std::string(LEADER_KEY),
-                           m_settings.m_node + "#" + std::to_string(lease), lease}};
+    transaction.m_puts = {
+            {std::string(LEADER_KEY), m_settings.m_node + "#" + std::to_string(lease), lease}};
     CommitPatience patience;
     patience.m_limit = m_settings.m_timeToLive;
-    CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_isAlive,
-                       [this, lease, sentAt](const StoreCommit& commit) {
-                           if (commit.m_status != StoreStatus::OK || m_isReleased) {
-                               m_store.endLease(lease);
-                               lookLater(RETRY_PAUSE);
-                               return;
-                           }
-                           m_epoch = commit.m_revision;
-                           m_lease = lease;
-                           m_confirmedAt = sentAt;
-                           logEvent(Severity::INFO, "leader", "acquired",
-                                    {{"epoch", std::to_string(m_epoch)},
-                                     {"node", m_settings.m_node}});
-                           m_loop.callLater(m_settings.m_renewInterval,
-                                            guarded([this] { renew(); }));
-                           m_onAcquired(m_epoch);
-                       });
+    CertainCommit::run(
+            m_store, m_loop, std::move(transaction), patience, m_isAlive,
+            [this, lease, sentAt](const StoreCommit& commit) {
+                if (commit.m_status != StoreStatus::OK || m_isReleased) {
+                    m_store.endLease(lease);
+                    lookLater(RETRY_PAUSE);
+                    return;
+                }
+                m_epoch = commit.m_revision;
+                m_lease = lease;
+                m_confirmedAt = sentAt;
+                logEvent(Severity::INFO, "leader", "acquired",
+                         {{"epoch", std::to_string(m_epoch)}, {"node", m_settings.m_node}});
+                m_loop.callLater(m_settings.m_renewInterval, guarded([this] { renew(); }));
+                m_onAcquired(m_epoch);
+            });
 }
 
 void LeaderLock::renew() {
--- /dev/null
+++ b/libs/control/src/ProgressTracker.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/control/ProgressTracker.h"
+
+#include <algorithm>
+
+namespace pierbank {
+
+namespace {
+
+constexpr std::uint32_t WHOLE = 100;
+constexpr double MILLIS_PER_SECOND = 1000.0;
+
+}  // namespace
+
+/** A gang's member at zero may still wait for the others, and one at the end does. */
+bool ProgressTracker::Track::isStalled() const {
+    const bool mayWait = m_percent >= WHOLE || (m_isGang && m_percent == 0);
+    return !mayWait && getStalledTime() >= STALLED_AFTER;
+}
+
+std::optional<double> ProgressTracker::Track::getRate() const {
+    const Millis span = m_changedAt - m_firstAt;
+    if (span < LEAST_SPAN || m_percent <= m_firstPercent) {
+        return std::nullopt;
+    }
+    return MILLIS_PER_SECOND * (m_percent - m_firstPercent) / static_cast<double>(span.count());
+}
+
+void ProgressTracker::note(const std::string& host, const std::vector<ProgressReport>& runs,
+                           Millis now) {
+    Host next;
+    Host& known = m_hosts[host];
+    for (const ProgressReport& run : runs) {
+        const auto found = known.find(run.m_task);
+        if (found == known.end() || found->second.m_run != run.m_run) {
+            next[run.m_task] = {run.m_run, run.m_isGang, run.m_percent, now, run.m_percent,
+                                now,       now};
+            continue;
+        }
+        Track track = found->second;
+        track.m_seenAt = now;
+        if (run.m_percent != track.m_percent) {
+            track.m_percent = run.m_percent;
+            track.m_changedAt = now;
+        }
+        next[run.m_task] = track;
+    }
+    known = std::move(next);
+}
+
+const ProgressTracker::Track* ProgressTracker::find(const std::string& host,
+                                                    const TaskKey& task) const {
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end()) {
+        return nullptr;
+    }
+    const auto track = found->second.find(task);
+    return track == found->second.end() ? nullptr : &track->second;
+}
+
+bool ProgressTracker::isStalled(const std::string& host) const {
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end()) {
+        return false;
+    }
+    std::size_t stalled = 0;
+    for (const auto& [task, track] : found->second) {
+        if (track.isStalled()) {
+            ++stalled;
+        } else if (track.m_changedAt > track.m_firstAt && track.getStalledTime() < STALLED_AFTER &&
+                   track.m_percent < WHOLE) {
+            return false;
+        }
+    }
+    return stalled > 0;
+}
+
+Millis ProgressTracker::getStalledTime(const std::string& host, const TaskKey& task) const {
+    const Track* const track = find(host, task);
+    const bool isStill = track != nullptr && track->m_percent < WHOLE;
+    return isStill ? track->getStalledTime() : Millis(0);
+}
+
+std::optional<Millis> ProgressTracker::getRemaining(const std::string& host, const TaskKey& task,
+                                                    Millis now) const {
+    const Track* const track = find(host, task);
+    const auto rate = track == nullptr ? std::nullopt : track->getRate();
+    if (!rate.has_value() || track->isStalled()) {
+        return std::nullopt;
+    }
+    const double left = MILLIS_PER_SECOND * (WHOLE - track->m_percent) / *rate;
+    const Millis end = track->m_changedAt + Millis(static_cast<std::int64_t>(left));
+    return std::max(end - now, Millis(0));
+}
+
+std::optional<double> ProgressTracker::getRate(const std::string& host, const TaskKey& task) const {
+    const Track* const track = find(host, task);
+    return track == nullptr ? std::nullopt : track->getRate();
+}
+
+}  // namespace pierbank
--- a/libs/control/src/QueueConfiguration.cpp
+++ b/libs/control/src/QueueConfiguration.cpp
@@ -8,8 +8,7 @@
     const QueueRoute* best = nullptr;
     for (const QueueRoute& route : m_routes) {
         const bool isMatch = route.m_host == host && path.starts_with(route.m_pathPrefix);
-        if (isMatch &&
-            (best == nullptr || route.m_pathPrefix.size() > best->m_pathPrefix.size())) {
+        if (isMatch && (best == nullptr || route.m_pathPrefix.size() > best->m_pathPrefix.size())) {
             best = &route;
         }
     }
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -119,17 +119,17 @@
 }
 
 void WorkerAgent::askSoon() {
-    m_loop.callLater(m_settings.m_askInterval, guarded([this] {
-                         if (m_leader != nullptr &&
-                             m_loop.now() - m_heardAt > m_settings.m_silence) {
-                             m_leader->close();
-                             m_leader.reset();
-                             logEvent(Severity::WARNING, "agent", "leader-silent",
-                                      {{"epoch", std::to_string(m_epoch)}});
-                         }
-                         ask();
-                         askSoon();
-                     }));
+    m_loop.callLater(
+            m_settings.m_askInterval, guarded([this] {
+                if (m_leader != nullptr && m_loop.now() - m_heardAt > m_settings.m_silence) {
+                    m_leader->close();
+                    m_leader.reset();
+                    logEvent(Severity::WARNING, "agent", "leader-silent",
+                             {{"epoch", std::to_string(m_epoch)}});
+                }
+                ask();
+                askSoon();
+            }));
 }
 
 void WorkerAgent::ask() {
@@ -168,8 +168,8 @@
     if (!isNew && m_beat.has_value() && beat.m_sequence <= m_beat->m_sequence) {
         return;
     }
-    const bool isChanged = isNew || !m_beat.has_value() ||
-                           m_beat->m_isDraining != beat.m_isDraining || m_isGone;
+    const bool isChanged =
+            isNew || !m_beat.has_value() || m_beat->m_isDraining != beat.m_isDraining || m_isGone;
     m_beat = beat;
     if (isNew) {
         beginLife(beat.m_life);
@@ -275,10 +275,9 @@
 
 void WorkerAgent::handleHold(const HoldReply& reply, std::uint64_t number, Millis) {
     if (reply.m_status != WorkerStatus::OK) {
-        logEvent(Severity::WARNING, "agent", "hold-failed",
-                 {{"life", m_life},
-                  {"reason", reply.m_reason},
-                  {"epoch", std::to_string(m_epoch)}});
+        logEvent(
+                Severity::WARNING, "agent", "hold-failed",
+                {{"life", m_life}, {"reason", reply.m_reason}, {"epoch", std::to_string(m_epoch)}});
         holdLater(m_settings.m_pause);
         return;
     }
@@ -289,8 +288,7 @@
         m_holdSeen = number;
         m_running = reply.m_running;
         m_ended = reply.m_ended;
-        std::erase_if(m_ended,
-                      [this](const ListedEnd& end) { return end.m_number <= m_lastKept; });
+        std::erase_if(m_ended, [this](const ListedEnd& end) { return end.m_number <= m_lastKept; });
         checkBarred(number);
         sendReport();
     }
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -38,8 +38,12 @@
     double m_farFactor = 3.0;
     /** A unit that found no room for so long has workers kept free for it. */
     Millis m_reserveAfter{1500};
+    /** Urgent work waits for running work to end before it preempts: up to this share of its own
+     * declared time, and at most `m_maxWait` since it was handed in. */
+    double m_waitShare = 0.35;
+    Millis m_maxWait{1200};
     /** Most workers, in percent of all, that are kept free for units that wait. */
-    std::uint32_t m_maxReservedPercent = 50;
+    std::uint32_t m_maxReservedPercent = 0;
 };
 
 /** One run to be started. Members of a gang come together. */
@@ -80,8 +84,12 @@
 public:
     explicit TaskPlanner(const TaskPlannerSettings& settings) : m_settings(settings) {}
 
-    /** @param guarantees accelerators that belong to each organisation for priority 0. */
+    /**
+     * @param remaining time until running tasks end, as far as it is known.
+     * @param guarantees accelerators that belong to each organisation for priority 0.
+     */
     TaskPlan plan(const std::vector<WorkerView>& workers, const std::vector<PlannedJob>& jobs,
+                  const std::map<TaskKey, Millis>& remaining,
                   const std::map<std::string, std::uint32_t>& guarantees, Millis wallNow) const;
 
 private:
--- a/libs/job/src/JobRun.cpp
+++ b/libs/job/src/JobRun.cpp
@@ -267,8 +267,9 @@
             ++counted.m_failures;
         }
         if (counted.m_failures >= record.m_policy.m_attempts && !run.isOver()) {
-            finish(run, JobPhase::FAILED, "task " + key.toText() + " failed " +
-                                                  std::to_string(counted.m_failures) + " times, at last on " + host,
+            finish(run, JobPhase::FAILED,
+                   "task " + key.toText() + " failed " + std::to_string(counted.m_failures) +
+                           " times, at last on " + host,
                    wallNow);
             effect.m_toStop = stopAll(key.m_job, run);
             return effect;
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -45,8 +45,13 @@
 PlanningPass::PlanningPass(const TaskPlannerSettings& settings,
                            const std::vector<WorkerView>& workers,
                            const std::vector<PlannedJob>& jobs,
+                           const std::map<TaskKey, Millis>& remaining,
                            const std::map<std::string, std::uint32_t>& guarantees, Millis wallNow)
-        : m_settings(settings), m_jobs(jobs), m_guarantees(guarantees), m_wallNow(wallNow) {
+        : m_settings(settings),
+          m_jobs(jobs),
+          m_remaining(remaining),
+          m_guarantees(guarantees),
+          m_wallNow(wallNow) {
     for (const WorkerView& worker : workers) {
         m_slots[worker.m_id] = m_rooms.size();
         m_rooms.push_back({&worker, worker.m_capacity, Resources(), false});
@@ -118,6 +123,10 @@
     occupant.m_spec = &spec;
     occupant.m_slot = found->second;
     occupant.m_isGuaranteed = m_guaranteed.count(key.m_job) != 0;
+    const auto left = m_remaining.find(key);
+    if (left != m_remaining.end()) {
+        occupant.m_remaining = left->second;
+    }
     occupant.m_key = std::move(key);
     const double elapsed = static_cast<double>((m_wallNow - task.m_placedAt).count());
     // A stop saves all progress of a task that saves any; but each stop costs a stop and a start.
@@ -201,7 +210,7 @@
         note(unit, "waits until work that is being stopped has ended");
         return;
     }
-    if (unit.isUrgent() && preemptFor(unit)) {
+    if (unit.isUrgent() && (waitFor(unit) || preemptFor(unit))) {
         return;
     }
     note(unit, "waits: no worker that it may use has room");
@@ -377,13 +386,50 @@
 }
 
 bool PlanningPass::mayPreempt(const WorkUnit& unit, const Occupant& occupant) const {
-    if (occupant.m_isPreempted || occupant.m_key.m_job == unit.m_record->m_id) {
+    if (occupant.m_isPreempted || occupant.m_isAwaited ||
+        occupant.m_key.m_job == unit.m_record->m_id) {
         return false;
     }
     const bool isLower = occupant.m_record->m_policy.m_priority > 0;
     return isLower || (unit.m_isGuaranteed && !occupant.m_isGuaranteed);
 }
 
+/** Work that ends soon by itself need not be stopped, if the unit can wait so long. */
+bool PlanningPass::waitFor(const WorkUnit& unit) {
+    const auto estimate = static_cast<double>(unit.getSpec().m_estimate.count());
+    const Millis share(static_cast<std::int64_t>(m_settings.m_waitShare * estimate));
+    const Millis budget = std::min(share, m_settings.m_maxWait) - (m_wallNow - unit.m_since);
+    if (budget <= Millis(0)) {
+        return false;
+    }
+    std::vector<Resources> rooms = getRooms(unit, true);
+    const auto endsInTime = [&](const Occupant& occupant) {
+        return !occupant.m_isPreempted && !occupant.m_isAwaited &&
+               occupant.m_remaining.has_value() && *occupant.m_remaining <= budget &&
+               isAllowed(unit, occupant.m_slot) && !m_rooms[occupant.m_slot].m_isReserved;
+    };
+    for (const Occupant& occupant : m_occupants) {
+        if (endsInTime(occupant)) {
+            rooms[occupant.m_slot] += occupant.m_spec->m_need;
+        }
+    }
+    const auto assignment = assign(unit, rooms);
+    if (!assignment.has_value()) {
+        return false;
+    }
+    for (Occupant& occupant : m_occupants) {
+        const bool isChosen = std::find(assignment->begin(), assignment->end(), occupant.m_slot) !=
+                              assignment->end();
+        if (isChosen && endsInTime(occupant)) {
+            occupant.m_isAwaited = true;
+            m_rooms[occupant.m_slot].m_leaving += occupant.m_spec->m_need;
+        }
+    }
+    reserveLeaving(unit, *assignment);
+    note(unit, "waits for work that is about to end");
+    return true;
+}
+
 /** Finds the place where the least work is thrown away, and stops what is in the way there. */
 bool PlanningPass::preemptFor(const WorkUnit& unit) {
     std::set<std::string> racks;
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -39,7 +39,7 @@
 class PlanningPass {
 public:
     PlanningPass(const TaskPlannerSettings& settings, const std::vector<WorkerView>& workers,
-                 const std::vector<PlannedJob>& jobs,
+                 const std::vector<PlannedJob>& jobs, const std::map<TaskKey, Millis>& remaining,
                  const std::map<std::string, std::uint32_t>& guarantees, Millis wallNow);
 
     TaskPlan run();
@@ -62,6 +62,10 @@
         WorkerSlot m_slot = 0;
         bool m_isGuaranteed = false;
         bool m_isPreempted = false;
+        /** Its room is promised to a unit that waits for its end. */
+        bool m_isAwaited = false;
+        /** Until it ends by itself; empty when nothing tells. */
+        std::optional<Millis> m_remaining;
         /** Core-milliseconds of work that a stop throws away; of all members for a gang's. */
         double m_loss = 0;
     };
@@ -99,6 +103,7 @@
     std::map<WorkerSlot, std::uint32_t> countOfStep(const WorkUnit& unit) const;
 
     void commit(const WorkUnit& unit, const Assignment& assignment);
+    bool waitFor(const WorkUnit& unit);
     bool preemptFor(const WorkUnit& unit);
     std::optional<Eviction> findEviction(const WorkUnit& unit, const std::string& rack) const;
     bool addMember(const WorkUnit& unit, const std::string& rack,
@@ -117,6 +122,7 @@
 
     const TaskPlannerSettings& m_settings;
     const std::vector<PlannedJob>& m_jobs;
+    const std::map<TaskKey, Millis>& m_remaining;
     const std::map<std::string, std::uint32_t>& m_guarantees;
     const Millis m_wallNow;
     std::vector<Room> m_rooms;
--- a/libs/job/src/TaskPlanner.cpp
+++ b/libs/job/src/TaskPlanner.cpp
@@ -9,9 +9,10 @@
 
 TaskPlan TaskPlanner::plan(const std::vector<WorkerView>& workers,
                            const std::vector<PlannedJob>& jobs,
+                           const std::map<TaskKey, Millis>& remaining,
                            const std::map<std::string, std::uint32_t>& guarantees,
                            Millis wallNow) const {
-    return PlanningPass(m_settings, workers, jobs, guarantees, wallNow).run();
+    return PlanningPass(m_settings, workers, jobs, remaining, guarantees, wallNow).run();
 }
 
 Millis estimateChain(const JobSpec& spec) {
--- a/libs/store/include/pierbank/store/RecordStore.h
+++ b/libs/store/include/pierbank/store/RecordStore.h
@@ -126,7 +126,8 @@
 
     virtual void read(std::string_view key, std::function<void(const StoreRead&)> done) = 0;
     virtual void list(std::string_view prefix, std::function<void(const StoreList&)> done) = 0;
-    /** Answers as soon as something changed after a revision, or about `wait` later with nothing. */
+    /** Answers as soon as something changed after a revision, or about `wait` later with nothing.
+     */
     virtual void watch(std::string_view prefix, StoreRevision after, Millis wait,
                        std::function<void(const StoreChanges&)> done) = 0;
     /** @param patience after this time without an answer the outcome is UNKNOWN. */
--- a/test/failures/JobFailuresTest.cpp
+++ b/test/failures/JobFailuresTest.cpp
@@ -231,6 +231,23 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 1U);
 }
 
+/** Found by a hunt: an order that never arrived was not sent again, for its job was changing. */
+TEST_F(JobFailuresTest, AnOrderThatADeadLeaderNeverSentIsSentByTheNext) {
+    m_fleet.m_network.setTap([](const std::string&, const std::string&, const Frame& frame) {
+        const auto* const order = std::get_if<RunOrder>(&frame);
+        return order == nullptr || order->m_task != taskOf(ID, 1).toText();
+    });
+    const std::string two = R"({"count":2,"cpu":8000,"gpu":8,"est_ms":500})";
+    const std::size_t other = getFollower();
+    EXPECT_EQ(m_fleet.submit(ID, two, "500", "/batch/", other).m_status, 200U);
+    m_fleet.m_loop.advance(Millis(100));
+    EXPECT_TRUE(m_fleet.m_witness.isRunning(taskOf(ID, 0)));
+    m_fleet.killGateway(getLeader());
+    m_fleet.m_network.setTap(nullptr);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(8000), "/batch/", other));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID, 1)), 1U);
+}
+
 TEST_F(JobFailuresTest, ALeaderCutOffFromTheStoreIsReplacedAndCanDecideNothing) {
     m_fleet.submit(ID, SMALL, "4000");
     m_fleet.m_loop.advance(Millis(300));
@@ -320,6 +337,16 @@
             Millis(9000), [&] { return m_fleet.m_witness.countStarts(taskOf(ID)) == 2; }));
 }
 
+TEST_F(JobFailuresTest, ARunThatStandsStillBeginsElsewhere) {
+    m_fleet.submit(ID, SMALL, "1500");
+    m_fleet.m_loop.advance(Millis(300));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_isHanging = sidecar.m_worker->countRunning() > 0;
+    }
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(6000)));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
+}
+
 TEST_F(JobFailuresTest, AStartThatIsCarriedOutLateRunsOnce) {
     for (auto& sidecar : m_fleet.m_sidecars) {
         sidecar.m_worker->m_startsToDelay = 5;
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -102,7 +102,7 @@
     }
     const bool fails = start.m_payload.starts_with("!");
     const Millis length(std::atoi(start.m_payload.c_str() + (fails ? 1 : 0)));
-    m_runs[start.m_task] = {start.m_run, m_loop.now() + length, fails};
+    m_runs[start.m_task] = {start.m_run, m_loop.now(), m_loop.now() + length, fails};
     m_witness.noteStart(start.m_task, start.m_run, m_name);
     return {WorkerStatus::OK, ""};
 }
@@ -152,7 +152,10 @@
     reply.m_status = WorkerStatus::OK;
     reply.m_clock = getClock();
     for (const auto& [task, run] : m_runs) {
-        reply.m_running.push_back({task, run.m_number, "", 0});
+        const auto passed = (m_loop.now() - run.m_startedAt).count();
+        const auto length = std::max<std::int64_t>(1, (run.m_endsAt - run.m_startedAt).count());
+        const auto percent = m_isHanging ? 50 : std::min<std::int64_t>(100, 100 * passed / length);
+        reply.m_running.push_back({task, run.m_number, "", static_cast<std::uint32_t>(percent)});
     }
     reply.m_ended = m_ended;
     return reply;
@@ -195,7 +198,7 @@
     for (const auto& [task, run] : m_runs) {
         if (getClock() >= m_until) {
             ends.emplace_back(task, RunEnd::LAPSED);
-        } else if (m_loop.now() >= run.m_endsAt) {
+        } else if (m_loop.now() >= run.m_endsAt && !m_isHanging) {
             ends.emplace_back(task, run.m_fails ? RunEnd::FAILED : RunEnd::DONE);
         }
     }
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -57,12 +57,15 @@
     Millis m_startDelay{2000};
     /** Every start is refused with this word; empty: none. */
     std::string m_refusal;
+    /** Its runs stand still, while it looks well. */
+    bool m_isHanging = false;
     std::size_t countRunning() const { return m_runs.size(); }
     std::uint64_t getLastKept() const { return m_lastKept; }
 
 private:
     struct Run {
         std::uint32_t m_number = 0;
+        Millis m_startedAt{0};
         Millis m_endsAt{0};
         bool m_fails = false;
     };
--- a/tools/job-sidecar/main.cpp
+++ b/tools/job-sidecar/main.cpp
@@ -43,7 +43,9 @@
         return EXIT_USAGE;
     }
     // The worker's runs go on without the sidecar until the next one comes.
-    const auto leave = [&loop] { loop.quit(); };
+    const auto leave = [&loop] {
+        loop.quit();
+    };
     loop.onSignal(SIGTERM, leave);
     loop.onSignal(SIGINT, leave);
     loop.onSignal(SIGHUP, [] { logEvent(Severity::INFO, "sidecar", "reload", {}); });
