--- a/build.sh
+++ b/build.sh
@@ -44,7 +44,7 @@
 
 # The project's own sources, with the checks of .clang-tidy.
 check_tidy() {
-    git ls-files -z 'libs/*/src/*.cpp' 'tools/*.cpp' | grep -zv WebSocketCodec |
+    git ls-files -z 'libs/*/src/*.cpp' 'platform/src/*.cpp' 'tools/*.cpp' | grep -zv WebSocketCodec |
         xargs -0 -P "$(nproc)" -n 4 clang-tidy -p "$OUT/build" --quiet 2>/dev/null
 }
 
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -106,6 +106,7 @@
     RunOrder makeOrder(const JobEntry& entry, const TaskKey& key, const TaskRun& task) const;
     void loseTasks(const std::string& host, const std::string& exceptLife, std::string_view why);
     void noteProgress(const std::string& host, const RunReport& report);
+    bool mustMove(const JobEntry& entry, const TaskKey& key, const TaskRun& task) const;
     void moveStalled();
     std::map<TaskKey, Millis> estimateRemaining() const;
     void applyRunEnd(const WorkerId& worker, const EndedEntry& end);
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -46,7 +46,7 @@
         : m_store(store),
           m_loop(loop),
           m_configuration(configuration),
-          m_settings(std::move(settings)),
+          m_settings(settings),
           m_workers(transport, loop, *this, std::move(workers)),
           m_planner(m_settings.m_planner),
           m_health(m_settings.m_health) {}
@@ -483,22 +483,27 @@
     m_progress.note(host, runs, m_loop.now());
 }
 
+bool JobController::mustMove(const JobEntry& entry, const TaskKey& key, const TaskRun& task) const {
+    const std::string& host = task.m_worker.m_host;
+    if (task.m_state != TaskState::PLACED || !m_progress.isStalled(host)) {
+        return false;
+    }
+    const Millis still = m_progress.getStalledTime(host, key);
+    const Millis ran = m_loop.wallNow() - task.m_placedAt - still;
+    const bool isCheap = entry.m_record.m_policy.m_priority == 0 ||
+                         entry.m_record.m_spec.m_steps[key.m_step].m_savesProgress ||
+                         ran < m_settings.m_cheapLoss;
+    return still >= ProgressTracker::STALLED_AFTER &&
+           (isCheap || still >= m_settings.m_stallPatience);
+}
+
 /** Runs on hosts where nothing advances are stopped, so that they begin elsewhere. */
 void JobController::moveStalled() {
-    for (auto& [id, entry] : m_jobs) {
+    for (auto& [id, jobEntry] : m_jobs) {
+        JobEntry& entry = jobEntry;
         std::vector<TaskKey> stalled;
-        forEachTask(id, entry.m_run, [&](const TaskKey& key, TaskRun& task) {
-            const std::string& host = task.m_worker.m_host;
-            if (task.m_state != TaskState::PLACED || !m_progress.isStalled(host)) {
-                return;
-            }
-            const Millis still = m_progress.getStalledTime(host, key);
-            const Millis ran = m_loop.wallNow() - task.m_placedAt - still;
-            const bool isCheap = entry.m_record.m_policy.m_priority == 0 ||
-                                 entry.m_record.m_spec.m_steps[key.m_step].m_savesProgress ||
-                                 ran < m_settings.m_cheapLoss;
-            if (still >= ProgressTracker::STALLED_AFTER &&
-                (isCheap || still >= m_settings.m_stallPatience)) {
+        forEachTask(id, entry.m_run, [&](const TaskKey& key, const TaskRun& task) {
+            if (mustMove(entry, key, task)) {
                 stalled.push_back(key);
             }
         });
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -38,6 +38,8 @@
     double m_farFactor = 3.0;
     /** A unit that found no room for so long has workers kept free for it. */
     Millis m_reserveAfter{1500};
+    /** Work that misses its objective by so many times its length earns nothing (users' rule). */
+    std::int64_t m_hopelessAfter = 2;
     /** Urgent work waits for running work to end before it preempts: up to this share of its own
      * declared time, and at most `m_maxWait` since it was handed in. */
     double m_waitShare = 0.35;
@@ -96,6 +98,9 @@
     const TaskPlannerSettings m_settings;
 };
 
+/** Longest chain of declared work of what is not done yet. */
+Millis estimateRemainingChain(const JobSpec& spec, const OccurrenceRun& occurrence);
+
 /** Longest chain of declared work of a job. */
 Millis estimateChain(const JobSpec& spec);
 
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -151,9 +151,8 @@
         }
     }
     const auto getRank = [](const WorkUnit& unit) {
-        return std::make_tuple(unit.m_record->m_policy.m_priority, !unit.m_isGuaranteed,
-                               unit.m_isLate, unit.m_objective, std::cref(unit.m_record->m_id),
-                               unit.m_occurrence, unit.m_step);
+        return std::make_tuple(unit.m_band, unit.m_record->m_policy.m_priority, unit.m_objective,
+                               std::cref(unit.m_record->m_id), unit.m_occurrence, unit.m_step);
     };
     std::stable_sort(units.begin(), units.end(),
                      [&](const WorkUnit& a, const WorkUnit& b) { return getRank(a) < getRank(b); });
@@ -195,10 +194,30 @@
     const auto chain = static_cast<double>(estimateChain(spec).count());
     const auto objective = static_cast<std::int64_t>(record.m_policy.m_stretch * chain);
     unit.m_objective = unit.m_since + Millis(objective) + record.m_policy.m_slack;
-    unit.m_isLate = m_wallNow > unit.m_objective;
+    unit.m_band = chooseBand(unit, occurrence);
     return unit;
 }
 
+/**
+ * Urgent work goes first, that of guarantees before all; then by priority, and in one priority
+ * what can still meet its objective before what cannot. What is so late that nobody counts on it
+ * any more comes after the rest of its priority, urgent or not.
+ */
+std::uint32_t PlanningPass::chooseBand(const WorkUnit& unit,
+                                       const OccurrenceRun& occurrence) const {
+    enum Band : std::uint32_t { GUARANTEED, ON_TIME, LATE, HOPELESS, BANDS };
+    const Millis remaining = estimateRemainingChain(unit.m_record->m_spec, occurrence);
+    const Millis spare = unit.m_objective - m_wallNow - remaining;
+    const Millis span = unit.m_objective - unit.m_since;
+    Band band = spare < Millis(0) ? LATE : ON_TIME;
+    if (spare < -span * m_settings.m_hopelessAfter) {
+        band = HOPELESS;
+    } else if (unit.isUrgent() && unit.m_isGuaranteed) {
+        band = GUARANTEED;
+    }
+    return unit.m_record->m_policy.m_priority * BANDS + band;
+}
+
 void PlanningPass::placeUnit(const WorkUnit& unit) {
     if (const auto assignment = assign(unit, getRooms(unit, false))) {
         commit(unit, *assignment);
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -27,7 +27,8 @@
     /** Wall time since which it could have run, and by which its job should be done. */
     Millis m_since{0};
     Millis m_objective{0};
-    bool m_isLate = false;
+    /** Place in the order of units; lower ones are tried first. */
+    std::uint32_t m_band = 0;
 
     const StepSpec& getSpec() const { return m_record->m_spec.m_steps[m_step]; }
     const TaskRun& getTask(std::uint32_t index) const;
@@ -83,6 +84,7 @@
     std::vector<WorkUnit> collectUnits() const;
     void collectStep(const PlannedJob& job, const OccurrenceRun& occurrence, std::uint32_t step,
                      std::vector<WorkUnit>& units) const;
+    std::uint32_t chooseBand(const WorkUnit& unit, const OccurrenceRun& occurrence) const;
     WorkUnit makeUnit(const PlannedJob& job, const OccurrenceRun& occurrence,
                       std::uint32_t step) const;
 
--- a/libs/job/src/TaskPlanner.cpp
+++ b/libs/job/src/TaskPlanner.cpp
@@ -2,6 +2,7 @@
 #include "pierbank/job/TaskPlanner.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "PlanningPass.h"
 
@@ -15,20 +16,36 @@
     return PlanningPass(m_settings, workers, jobs, remaining, guarantees, wallNow).run();
 }
 
-Millis estimateChain(const JobSpec& spec) {
+namespace {
+
+/** Longest chain of the steps whose own time is given. */
+Millis findLongestChain(const JobSpec& spec, const std::function<Millis(std::size_t)>& getTime) {
     std::vector<Millis> ends;
     Millis longest{0};
-    for (const StepSpec& step : spec.m_steps) {
+    for (std::size_t i = 0; i < spec.m_steps.size(); ++i) {
         Millis begin{0};
-        for (const std::uint32_t earlier : step.m_after) {
+        for (const std::uint32_t earlier : spec.m_steps[i].m_after) {
             if (earlier < ends.size()) {
                 begin = std::max(begin, ends[earlier]);
             }
         }
-        ends.push_back(begin + step.m_estimate);
+        ends.push_back(begin + getTime(i));
         longest = std::max(longest, ends.back());
     }
     return longest;
 }
 
+}  // namespace
+
+Millis estimateChain(const JobSpec& spec) {
+    return findLongestChain(spec, [&](std::size_t i) { return spec.m_steps[i].m_estimate; });
+}
+
+Millis estimateRemainingChain(const JobSpec& spec, const OccurrenceRun& occurrence) {
+    return findLongestChain(spec, [&](std::size_t i) {
+        const bool isDone = i < occurrence.m_steps.size() && occurrence.m_steps[i].isDone();
+        return isDone ? Millis(0) : spec.m_steps[i].m_estimate;
+    });
+}
+
 }  // namespace pierbank
