A gateway that can't reach the store lets the leader answer

Ruled out: the leader (it served the other zones). Change: over the link that the leader keeps, the gateway passes the request on; asking twice is safe since a taken job is found to be there. Unknown outcomes are passed on after 1.5 s. Tests: AGatewayCutOffFromTheStoreLetsTheLeaderAnswer (failed first); the test that such a gateway serves no keyed call now also cuts it off from the others, as strict.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -61,6 +61,11 @@
     /** Called when another leader turns out to have written, or the state can't be trusted. */
     void onDisowned(std::function<void()> callback) { m_onDisowned = std::move(callback); }
 
+    using RelayHandler =
+            std::function<void(const ForwardRequest&, std::function<void(const ForwardAnswer&)>)>;
+    /** Called with requests that other gateways could not answer themselves. */
+    void onRelayed(RelayHandler handler) { m_onRelayed = std::move(handler); }
+
     /** Leads from now on. @param getConfirmedAt when the leadership was last confirmed. */
     void lead(StoreRevision epoch, std::function<Millis()> getConfirmedAt);
     void stepDown();
@@ -78,6 +83,7 @@
     void handleRunAbsent(const std::string& host, const RunAbsent& absent) override;
     void handleHostLost(const std::string& host) override;
     void handleInputNotice(const std::string& key) override;
+    void handleRelayed(const std::string& host, const ForwardRequest& request) override;
 
 private:
     // Loading and watching what lies in the store.
@@ -131,6 +137,7 @@
     WorkerHealth m_health;
     ProgressTracker m_progress;
     std::function<void()> m_onDisowned;
+    RelayHandler m_onRelayed;
 
     bool m_isLeading = false;
     bool m_isLoaded = false;
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -21,7 +21,7 @@
 };
 
 /** All of a gateway but its listening sockets: configuration, intake, leadership, jobs. */
-class JobCore {
+class JobCore final : private IntakeRelay {
 public:
     /** The references must outlive the core. */
     JobCore(RecordStore& store, EventLoop& loop, Transport& transport, const DocumentCodec& codec,
@@ -36,10 +36,18 @@
 
     JobIntake& getIntake() noexcept { return m_intake; }
     const ConfigurationFeed& getConfiguration() const noexcept { return m_configuration; }
+    /** Callers can be served: the store was reached lately, or a leader that can answers. */
+    bool isReady(Millis maxAge) const;
     const LeaderLock& getLock() const noexcept { return m_lock; }
     const JobController& getJobs() const noexcept { return m_jobs; }
 
 private:
+    bool isUsable() const override;
+    void relay(const IntakeRequest& request, Millis patience,
+               std::function<void(const std::optional<IntakeAnswer>&)> done) override;
+    void answerRelayed(const ForwardRequest& request,
+                       std::function<void(const ForwardAnswer&)> done);
+
     RecordStore& m_store;
     EventLoop& m_loop;
     Transport& m_transport;
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
     std::string m_body;
     /** How long the caller waits for the answer. */
     Millis m_patience{3000};
+    /** Another gateway passed it on: it is not passed on again. */
+    bool m_isRelayed = false;
 };
 
 /** Its answer. */
@@ -45,10 +48,23 @@
     Millis m_maxConfigurationAge{1200};
     /** How old the count of pending jobs may be. */
     Millis m_pendingAge{1000};
+    /** An outcome that the store does not tell for so long is left to another gateway, or unknown.
+     */
+    Millis m_commitPatience{1500};
     /** Kept back from the caller's patience, so that the answer arrives in time. */
     Millis m_answerMargin{300};
 };
 
+/** A gateway that can answer a request when this one can't reach the store. */
+class IntakeRelay {
+public:
+    virtual ~IntakeRelay() = default;
+    virtual bool isUsable() const = 0;
+    /** `done` is called once; with an empty answer when none came in time. */
+    virtual void relay(const IntakeRequest& request, Millis patience,
+                       std::function<void(const std::optional<IntakeAnswer>&)> done) = 0;
+};
+
 /**
  * Takes callers' requests at any gateway, leader or not: a job is accepted when its record is
  * known to be in the store, by a transaction that also expects the configuration under which it
@@ -74,6 +90,9 @@
         m_onWritten = std::move(callback);
     }
 
+    /** Who is asked when the store can't be reached; it must outlive the intake. */
+    void setRelay(IntakeRelay& relay) { m_relay = &relay; }
+
     /** `done` is called once. */
     void handle(IntakeRequest request, AnswerCallback done);
 
@@ -100,6 +119,9 @@
     void answer(const CallPtr& call, std::uint32_t status, std::string body,
                 std::string_view reason);
     void answerUnavailable(const CallPtr& call, std::string_view reason);
+    /** Lets another gateway answer; if none can, the answer is `status`. */
+    void relayOr(const CallPtr& call, std::uint32_t status, std::string_view reason);
+    bool mayRelay(const Call& call) const;
     Millis getTimeLeft(const Call& call) const;
 
     RecordStore& m_store;
@@ -107,6 +129,7 @@
     ConfigurationFeed& m_configuration;
     const DocumentCodec& m_codec;
     const IntakeSettings m_settings;
+    IntakeRelay* m_relay = nullptr;
     std::function<void(std::string_view)> m_onWritten = [](std::string_view) {
     };
     /** Pending jobs by queue, and when they were counted. */
--- a/libs/control/include/pierbank/control/LeaderLink.h
+++ b/libs/control/include/pierbank/control/LeaderLink.h
@@ -3,6 +3,8 @@
 #define PIERBANK_CONTROL_LEADERLINK_H
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -28,6 +30,17 @@
     /** A leader connected; it is obeyed if its epoch is the highest. */
     void handleLink(std::shared_ptr<Link> link);
 
+    using AnswerCallback = std::function<void(const ForwardAnswer&)>;
+
+    /** Whether a leader is linked that has been heard of lately. */
+    bool isUsable() const;
+
+    /**
+     * Lets the leader answer a request. `done` is called once; with a status of zero when no
+     * answer came in time.
+     */
+    void relay(ForwardRequest request, Millis patience, AnswerCallback done);
+
     /** Tells the leader, if one is linked, that a key under input/ was written. */
     void notify(std::string_view key);
 
@@ -35,12 +48,16 @@
     void handleFrame(const std::weak_ptr<Link>& from, const Frame& frame);
     void handleClosed(const std::weak_ptr<Link>& closed);
     void keepAlive();
+    void finishRelay(std::uint64_t number, const ForwardAnswer& answer);
 
     EventLoop& m_loop;
     std::shared_ptr<Link> m_leader;
     std::vector<std::shared_ptr<Link>> m_newLinks;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_sequence = 0;
+    Millis m_heardAt{0};
+    std::map<std::uint64_t, AnswerCallback> m_relayed;
+    std::uint64_t m_nextRelay = 1;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -39,6 +39,8 @@
     virtual void handleRunAbsent(const std::string& host, const RunAbsent& absent) = 0;
     /** A gateway wrote this key under input/. */
     virtual void handleInputNotice(const std::string& key) = 0;
+    /** A gateway that can't reach the store asks for a caller's request to be answered. */
+    virtual void handleRelayed(const std::string& host, const ForwardRequest& request) = 0;
     /** Whatever ran there under an earlier grant has surely stopped. */
     virtual void handleHostLost(const std::string& host) = 0;
 };
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -212,6 +212,16 @@
     });
 }
 
+void JobController::handleRelayed(const std::string& host, const ForwardRequest& request) {
+    m_onRelayed(request, [this, host, id = request.m_id,
+                          term = std::weak_ptr(m_term)](ForwardAnswer answer) {
+        if (!term.expired()) {
+            answer.m_id = id;
+            m_workers.send(host, answer);
+        }
+    });
+}
+
 void JobController::addJob(const StoreItem& item) {
     const std::string id = item.m_key.substr(JOB_PREFIX.size());
     if (m_jobs.count(id) != 0) {
--- a/libs/control/src/JobGateway.cpp
+++ b/libs/control/src/JobGateway.cpp
@@ -100,8 +100,7 @@
 }
 
 void JobGateway::handleReady(const std::shared_ptr<HttpServerCall>& call) const {
-    const auto age = m_core.getConfiguration().getAge();
-    const bool isReady = !m_isLeaving && age.has_value() && *age <= m_settings.m_readyAge;
+    const bool isReady = !m_isLeaving && m_core.isReady(m_settings.m_readyAge);
     HttpServerAnswer answer;
     answer.m_status = isReady ? OK : UNAVAILABLE;
     call->answer(answer);
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -25,6 +25,8 @@
 
 /** Callers come back after this time; the store is usually back within seconds. */
 constexpr Millis RETRY_AFTER{1000};
+/** With less time left a request is not passed on to another gateway. */
+constexpr Millis LEAST_RELAY{100};
 /** A job that meets so many changes of the configuration in a row is refused. */
 constexpr std::uint32_t MAX_SUBMIT_TRIES = 5;
 
@@ -76,7 +78,7 @@
         route(call);
         return;
     }
-    if (m_configuration.isLost()) {
+    if (m_configuration.isLost() || mayRelay(*call)) {
         answerUnavailable(call, "the store does not answer this gateway");
         return;
     }
@@ -171,7 +173,7 @@
                                 {getRunKey(call->m_id), 0}};
     transaction.m_puts = {{getJobKey(call->m_id), encodeJobRecord(record), 0}};
     CommitPatience patience;
-    patience.m_limit = std::max(getTimeLeft(*call), Millis(1));
+    patience.m_limit = std::clamp(getTimeLeft(*call), Millis(1), m_settings.m_commitPatience);
     CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_isAlive,
                        [this, call](const StoreCommit& commit) { handleSubmitted(call, commit); });
 }
@@ -185,7 +187,7 @@
         case StoreStatus::CONFLICT:
             break;
         case StoreStatus::UNKNOWN:
-            answer(call, OUTCOME_UNKNOWN, "", "the store did not say whether it was taken");
+            relayOr(call, OUTCOME_UNKNOWN, "the store did not say whether it was taken");
             return;
         default:
             answerUnavailable(call, "the store refused: " + commit.m_reason);
@@ -311,7 +313,7 @@
                            } else if (commit.m_status == StoreStatus::CONFLICT) {
                                answer(call, OK, "", "the job has just ended");
                            } else if (commit.m_status == StoreStatus::UNKNOWN) {
-                               answer(call, OUTCOME_UNKNOWN, "", "the store did not say");
+                               relayOr(call, OUTCOME_UNKNOWN, "the store did not say");
                            } else {
                                answerUnavailable(call, "the store refused: " + commit.m_reason);
                            }
@@ -380,7 +382,35 @@
 }
 
 void JobIntake::answerUnavailable(const CallPtr& call, std::string_view reason) {
-    answer(call, UNAVAILABLE, "", reason);
+    relayOr(call, UNAVAILABLE, reason);
+}
+
+bool JobIntake::mayRelay(const Call& call) const {
+    return m_relay != nullptr && m_relay->isUsable() && !call.m_request.m_isRelayed &&
+           getTimeLeft(call) > LEAST_RELAY;
+}
+
+/** Asking again is safe: a job that was taken is found to be there, and a withdrawal is one. */
+void JobIntake::relayOr(const CallPtr& call, std::uint32_t status, std::string_view reason) {
+    if (!mayRelay(*call)) {
+        answer(call, status, "", reason);
+        return;
+    }
+    IntakeRequest request = call->m_request;
+    request.m_patience = getTimeLeft(*call);
+    call->m_request.m_isRelayed = true;
+    m_relay->relay(request, request.m_patience,
+                   [this, call, status,
+                    reason = std::string(reason)](const std::optional<IntakeAnswer>& relayed) {
+                       if (!relayed.has_value()) {
+                           // The other gateway may have taken it and died.
+                           const bool mayRun = call->m_request.m_method == "POST";
+                           answer(call, mayRun ? OUTCOME_UNKNOWN : status, "",
+                                  reason + "; the leader did not answer either");
+                           return;
+                       }
+                       answer(call, relayed->m_status, relayed->m_body, "answered by the leader");
+                   });
 }
 
 void JobIntake::answer(const CallPtr& call, std::uint32_t status, std::string body,
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -10,6 +10,8 @@
 
 /** The leader gives a link up over which nothing came for 2 s (WorkerPoolSettings::m_silence). */
 constexpr Millis KEEP_ALIVE{500};
+/** The leader answers each sign of life; after so long without one it is taken for gone. */
+constexpr Millis SILENCE{1300};
 
 }  // namespace
 
@@ -46,6 +48,12 @@
 
 void LeaderLink::handleFrame(const std::weak_ptr<Link>& from, const Frame& frame) {
     const auto link = from.lock();
+    if (link != nullptr && link == m_leader) {
+        m_heardAt = m_loop.now();
+        if (const auto* const answer = std::get_if<ForwardAnswer>(&frame)) {
+            finishRelay(answer->m_id.m_number, *answer);
+        }
+    }
     const auto* const hello = std::get_if<LeaderHello>(&frame);
     if (link == nullptr || hello == nullptr) {
         return;
@@ -60,6 +68,7 @@
     }
     m_epoch = hello->m_epoch;
     m_leader = link;
+    m_heardAt = m_loop.now();
 }
 
 void LeaderLink::handleClosed(const std::weak_ptr<Link>& closed) {
@@ -70,6 +79,38 @@
     }
 }
 
+bool LeaderLink::isUsable() const {
+    return m_leader != nullptr && m_loop.now() - m_heardAt <= SILENCE;
+}
+
+void LeaderLink::relay(ForwardRequest request, Millis patience, AnswerCallback done) {
+    const std::uint64_t number = m_nextRelay++;
+    request.m_id = {"", number};
+    m_relayed[number] = std::move(done);
+    m_loop.callLater(patience, [this, number, alive = std::weak_ptr(m_isAlive)] {
+        if (!alive.expired()) {
+            finishRelay(number, ForwardAnswer());
+        }
+    });
+    if (m_leader == nullptr || !m_leader->send(request)) {
+        m_loop.post([this, number, alive = std::weak_ptr(m_isAlive)] {
+            if (!alive.expired()) {
+                finishRelay(number, ForwardAnswer());
+            }
+        });
+    }
+}
+
+void LeaderLink::finishRelay(std::uint64_t number, const ForwardAnswer& answer) {
+    const auto found = m_relayed.find(number);
+    if (found == m_relayed.end()) {
+        return;
+    }
+    const AnswerCallback done = std::move(found->second);
+    m_relayed.erase(found);
+    done(answer);
+}
+
 void LeaderLink::notify(std::string_view key) {
     if (m_leader != nullptr) {
         m_leader->send(InputNotice{std::string(key)});
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -155,6 +155,8 @@
         m_listener.handleRunAbsent(address, *absent);
     } else if (const auto* const input = std::get_if<InputNotice>(&frame)) {
         m_listener.handleInputNotice(input->m_key);
+    } else if (const auto* const request = std::get_if<ForwardRequest>(&frame)) {
+        m_listener.handleRelayed(address, *request);
     }
 }
 
