--- a/libs/control/include/pierbank/control/LeaderLock.h
+++ b/libs/control/include/pierbank/control/LeaderLock.h
@@ -15,10 +15,10 @@
 struct LeaderLockSettings {
     /** Name and operators' address of this gateway; the key's value. */
     std::string m_node;
-    /** A dead leader is replaced after about this time. */
-    Millis m_timeToLive{1500};
+    /** A dead leader is replaced after about this time; the store grants no less. */
+    Millis m_timeToLive{1000};
     /** Time between two renewals. */
-    Millis m_renewInterval{300};
+    Millis m_renewInterval{250};
     /** Time of one waiting watch of a follower; a watch that was cut may just stay silent. */
     Millis m_watchWait{800};
 };
