Operators' statements on the deployment: show, why and withdraw answer for the callers' jobs

The old operators' server is reused over a new backend; followers forward to the leader, whose address lies in the leader key. What only the platform's configuration may change is refused with the reason. Tests: OperatorsSeeTheCallersJobsAndWhyTheyWait, AnOperatorsWithdrawalStopsACallersJob.

--- a/libs/control/include/pierbank/control/JobGateway.h
+++ b/libs/control/include/pierbank/control/JobGateway.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "pierbank/control/JobBackend.h"
 #include "pierbank/control/JobCore.h"
 #include "pierbank/gateway/HttpServer.h"
 
@@ -24,6 +25,8 @@
     Address m_operators;
     Address m_store;
     JobCoreSettings m_core;
+    /** Who may give statements. */
+    OperatorTokens m_tokens;
     /** A gateway whose configuration was confirmed longer ago asks for no new connections. */
     Millis m_readyAge{2000};
     /** After SIGTERM connections still come for so long: the balancer looks once a second. */
@@ -45,7 +48,7 @@
 class JobGateway {
 public:
     /** The references must outlive the gateway. */
-    JobGateway(RecordStore& store, EventLoop& loop, Transport& transport,
+    JobGateway(RecordStore& store, EventLoop& loop, Transport& transport, HttpClient& client,
                const DocumentCodec& codec, CallerHeaders headers, JobGatewaySettings settings);
     ~JobGateway();
     JobGateway(const JobGateway&) = delete;
@@ -60,10 +63,7 @@
     void handleCaller(const HttpServerRequest& request,
                       const std::shared_ptr<HttpServerCall>& call);
     void handleReady(const std::shared_ptr<HttpServerCall>& call) const;
-    void handleOperator(const HttpServerRequest& request,
-                        const std::shared_ptr<HttpServerCall>& call) const;
     void finishLeaving();
-    std::string writeMetrics() const;
 
     EventLoop& m_loop;
     const CallerHeaders m_headers;
@@ -71,10 +71,10 @@
     JobCore m_core;
     HttpServer m_front;
     HttpServer m_ready;
-    HttpServer m_operators;
+    JobBackend::Counters m_counters;
+    JobBackend m_backend;
+    OperatorServer m_operators;
     std::size_t m_inProgress = 0;
-    std::uint64_t m_answered = 0;
-    std::uint64_t m_refused = 0;
     bool m_isLeaving = false;
     bool m_isClosing = false;
     std::function<void()> m_onLeft;
--- a/libs/control/include/pierbank/control/LeaderLock.h
+++ b/libs/control/include/pierbank/control/LeaderLock.h
@@ -5,16 +5,19 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "pierbank/base/Address.h"
 #include "pierbank/base/EventLoop.h"
 #include "pierbank/store/RecordStore.h"
 
 namespace pierbank {
 
 struct LeaderLockSettings {
-    /** Name and operators' address of this gateway; the key's value. */
+    /** Name of this gateway, and where it takes operators' statements; both lie in the key. */
     std::string m_node;
+    Address m_operators;
     /** A dead leader is replaced after about this time; the store grants no less. */
     Millis m_timeToLive{1000};
     /** Time between two renewals. */
@@ -49,6 +52,8 @@
 
     bool isHeld() const noexcept { return m_epoch != 0; }
     StoreRevision getEpoch() const noexcept { return m_epoch; }
+    /** Where the leader takes statements, as last read; empty when none is known. */
+    std::optional<Address> getLeader() const { return m_leader; }
     /** When the last successful renewal was sent; valid while held. */
     Millis getConfirmedAt() const noexcept { return m_confirmedAt; }
 
@@ -67,6 +72,7 @@
     const LeaderLockSettings m_settings;
     std::function<void(StoreRevision)> m_onAcquired;
     std::function<void()> m_onLost;
+    std::optional<Address> m_leader;
     StoreRevision m_epoch = 0;
     StoreLease m_lease = 0;
     Millis m_confirmedAt{0};
--- a/libs/control/src/JobGateway.cpp
+++ b/libs/control/src/JobGateway.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::uint32_t OK = 200;
-constexpr std::uint32_t NOT_FOUND = 404;
 constexpr std::uint32_t UNAVAILABLE = 503;
 /** A caller that names no patience. */
 constexpr std::int64_t DEFAULT_PATIENCE_MS = 3000;
@@ -36,7 +35,7 @@
 }  // namespace
 
 JobGateway::JobGateway(RecordStore& store, EventLoop& loop, Transport& transport,
-                       const DocumentCodec& codec, CallerHeaders headers,
+                       HttpClient& client, const DocumentCodec& codec, CallerHeaders headers,
                        JobGatewaySettings settings)
         : m_loop(loop),
           m_headers(std::move(headers)),
@@ -49,10 +48,8 @@
           m_ready([this](const HttpServerRequest&, const std::shared_ptr<HttpServerCall>& call) {
               handleReady(call);
           }),
-          m_operators([this](const HttpServerRequest& request,
-                             const std::shared_ptr<HttpServerCall>& call) {
-              handleOperator(request, call);
-          }) {}
+          m_backend(store, loop, m_core, m_counters),
+          m_operators(m_backend, client, m_settings.m_tokens) {}
 
 JobGateway::~JobGateway() = default;
 
@@ -93,7 +90,7 @@
         if (m_isLeaving) {
             out.m_headers.push_back({"Connection", "close"});
         }
-        ++(answer.m_status == OK ? m_answered : m_refused);
+        ++(answer.m_status == OK ? m_counters.m_served : m_counters.m_refused);
         call->answer(out);
         --m_inProgress;
     });
@@ -106,38 +103,6 @@
     call->answer(answer);
 }
 
-void JobGateway::handleOperator(const HttpServerRequest& request,
-                                const std::shared_ptr<HttpServerCall>& call) const {
-    HttpServerAnswer answer;
-    if (request.m_target == "/metrics") {
-        answer.m_body = writeMetrics();
-    } else {
-        answer.m_status = NOT_FOUND;
-    }
-    call->answer(answer);
-}
-
-std::string JobGateway::writeMetrics() const {
-    std::size_t running = 0;
-    for (const auto& [id, entry] : m_core.getJobs().getJobs()) {
-        running += entry.m_run.m_phase == JobPhase::RUNNING ? 1 : 0;
-    }
-    std::size_t linked = 0;
-    for (const auto& [address, host] : m_core.getJobs().getWorkers().getHosts()) {
-        linked += host.isLinked() ? 1 : 0;
-    }
-    const auto line = [](std::string_view name, std::uint64_t value) {
-        return std::string(name) + " " + std::to_string(value) + "\n";
-    };
-    return line("pierbank_leading", m_core.getJobs().isLeading() ? 1 : 0) +
-           line("pierbank_epoch", m_core.getLock().getEpoch()) +
-           line("pierbank_jobs_known", m_core.getJobs().getJobs().size()) +
-           line("pierbank_jobs_running", running) + line("pierbank_hosts_linked", linked) +
-           line("pierbank_requests_served", m_answered) +
-           line("pierbank_requests_refused", m_refused) +
-           line("pierbank_configuration_revision", m_core.getConfiguration().getRevision());
-}
-
 void JobGateway::leave(std::function<void()> done) {
     if (m_isLeaving) {
         return;
--- a/libs/control/src/LeaderLock.cpp
+++ b/libs/control/src/LeaderLock.cpp
@@ -46,6 +46,8 @@
             return;
         }
         if (read.m_status == StoreStatus::OK) {
+            const std::string& value = read.m_item.m_value;
+            m_leader = Address::parse(value.substr(0, value.find('#')));
             waitForChange(std::max(read.m_at, read.m_item.m_revision));
         } else if (read.m_status == StoreStatus::NOT_FOUND) {
             acquire();
@@ -82,8 +84,10 @@
 void LeaderLock::take(StoreLease lease, Millis sentAt) {
     StoreTransaction transaction;
     transaction.m_conditions = {{std::string(LEADER_KEY), 0}};
-    transaction.m_puts = {
-            {std::string(LEADER_KEY), m_settings.m_node + "#" + std::to_string(lease), lease}};
+    transaction.m_puts = {{std::string(LEADER_KEY),
+                           m_settings.m_operators.toText() + "#" + m_settings.m_node + "#" +
+                                   std::to_string(lease),
+                           lease}};
     CommitPatience patience;
     patience.m_limit = m_settings.m_timeToLive;
     CertainCommit::run(
--- a/libs/gateway/include/pierbank/gateway/GatewaySettings.h
+++ b/libs/gateway/include/pierbank/gateway/GatewaySettings.h
@@ -37,6 +37,9 @@
 /** Reads the settings; everything that is wrong is added to the file's findings. */
 GatewaySettings readGatewaySettings(SettingsFile& file);
 
+/** Reads the section `operators`: names, each with its bearer token. */
+OperatorTokens readOperatorTokens(SettingsFile& file);
+
 }  // namespace pierbank
 
 #endif  // PIERBANK_GATEWAY_GATEWAYSETTINGS_H
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -43,21 +43,6 @@
             {"platform", "host-list-interval"}, settings.m_hostListInterval, Millis(100), MINUTE);
 }
 
-void readOperators(SettingsFile& file, GatewaySettings& settings) {
-    for (const std::string& name : file.getKeys("operators")) {
-        const std::string token = file.getText({"operators", name});
-        constexpr std::size_t LEAST_TOKEN_BYTES = 8;
-        if (token.size() < LEAST_TOKEN_BYTES) {
-            file.report({"operators", name}, "the token has fewer than 8 characters");
-        } else if (!settings.m_tokens.emplace(token, name).second) {
-            file.report({"operators", name}, "another operator has the same token");
-        }
-    }
-    if (settings.m_tokens.empty()) {
-        file.report({"operators", "*"}, "no operator is named: nobody could give statements");
-    }
-}
-
 void readRequests(SettingsFile& file, GatewaySettings& settings) {
     RequestLimits& limits = settings.m_limits;
     limits.m_maxBodyBytes =
@@ -114,10 +99,27 @@
 
 }  // namespace
 
+OperatorTokens readOperatorTokens(SettingsFile& file) {
+    OperatorTokens tokens;
+    for (const std::string& name : file.getKeys("operators")) {
+        const std::string token = file.getText({"operators", name});
+        constexpr std::size_t LEAST_TOKEN_BYTES = 8;
+        if (token.size() < LEAST_TOKEN_BYTES) {
+            file.report({"operators", name}, "the token has fewer than 8 characters");
+        } else if (!tokens.emplace(token, name).second) {
+            file.report({"operators", name}, "another operator has the same token");
+        }
+    }
+    if (tokens.empty()) {
+        file.report({"operators", "*"}, "no operator is named: nobody could give statements");
+    }
+    return tokens;
+}
+
 GatewaySettings readGatewaySettings(SettingsFile& file) {
     GatewaySettings settings;
     readAddresses(file, settings);
-    readOperators(file, settings);
+    settings.m_tokens = readOperatorTokens(file);
     readRequests(file, settings);
     readSchedule(file, settings);
     file.reportUnknownKeys();
--- a/test/failures/JobFailuresTest.cpp
+++ b/test/failures/JobFailuresTest.cpp
@@ -101,6 +101,42 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
 }
 
+// Operators.
+
+TEST_F(JobFailuresTest, OperatorsSeeTheCallersJobsAndWhyTheyWait) {
+    const std::string tooBig = R"({"count":1,"cpu":9000,"gpu":8,"est_ms":500})";
+    m_fleet.submit(ID, tooBig, "500");
+    m_fleet.submit(OTHER_ID, SMALL, "5000");
+    m_fleet.m_loop.advance(Millis(200));
+    const StatementAnswer waiting = m_fleet.state(getLeader(), "why job " + std::string(ID));
+    EXPECT_NE(waiting.m_message.find("no worker that it may use has room"), std::string::npos)
+            << waiting.m_message;
+    const StatementAnswer running = m_fleet.state(getLeader(), "why job " + std::string(OTHER_ID));
+    EXPECT_NE(running.m_message.find("is running"), std::string::npos) << running.m_message;
+    const StatementAnswer jobs = m_fleet.state(getLeader(), "show jobs where state = running");
+    ASSERT_TRUE(jobs.m_table.has_value());
+    EXPECT_EQ(jobs.m_table->m_rows.size(), 1U);
+    for (const char* query : {"show workers", "show organisations", "show configuration"}) {
+        EXPECT_EQ(m_fleet.state(getLeader(), query).m_status, StatementStatus::DONE) << query;
+    }
+    EXPECT_EQ(m_fleet.state(getLeader(), "why worker 127.0.1.1-7000").m_status,
+              StatementStatus::DONE);
+    EXPECT_EQ(m_fleet.state(getLeader(), "why organisation a").m_status, StatementStatus::DONE);
+    EXPECT_EQ(m_fleet.state(getLeader(), "organisation create b").m_status,
+              StatementStatus::REFUSED);
+    EXPECT_EQ(m_fleet.state(getLeader(), "why job nobody").m_status, StatementStatus::REFUSED);
+}
+
+TEST_F(JobFailuresTest, AnOperatorsWithdrawalStopsACallersJob) {
+    m_fleet.submit(ID, SMALL, "9000");
+    m_fleet.m_loop.advance(Millis(200));
+    EXPECT_EQ(m_fleet.state(getLeader(), "withdraw job " + std::string(ID)).m_status,
+              StatementStatus::DONE);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(1000)));
+    EXPECT_EQ(m_fleet.state(getLeader(), "withdraw job " + std::string(ID)).m_status,
+              StatementStatus::REFUSED);
+}
+
 // Withdrawing.
 
 TEST_F(JobFailuresTest, AWithdrawnJobIsStoppedAndStartsNoMore) {
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -162,6 +162,21 @@
     return false;
 }
 
+StatementAnswer JobFleet::state(std::size_t gateway, const std::string& text) {
+    Gateway& at = m_gateways[gateway];
+    const JobBackend::Counters counters;
+    JobBackend backend(*at.m_store, *at.m_loop, *at.m_core, counters);
+    StatementRequest request;
+    request.m_statement = parseStatement(text).m_statement.value();
+    request.m_text = text;
+    request.m_operator = "alice";
+    const auto answer = std::make_shared<std::optional<StatementAnswer>>();
+    backend.execute(request, [answer](const StatementAnswer& got) { *answer = got; });
+    constexpr Millis LIMIT{10'000};
+    m_loop.advanceUntil(LIMIT, [&] { return answer->has_value(); });
+    return answer->value_or(StatementAnswer());
+}
+
 std::optional<std::size_t> JobFleet::findLeader() const {
     for (std::size_t i = 0; i < m_gateways.size(); ++i) {
         if (m_gateways[i].m_core != nullptr && m_gateways[i].m_core->getJobs().isLeading()) {
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -12,6 +12,7 @@
 #include "FakeTransport.h"
 #include "ManualEventLoop.h"
 #include "pierbank/adapter/Documents.h"
+#include "pierbank/control/JobBackend.h"
 #include "pierbank/control/JobCore.h"
 #include "pierbank/control/WorkerAgent.h"
 
@@ -62,6 +63,8 @@
                          std::size_t gateway = 0);
     bool waitForState(const std::string& id, const std::string& state, Millis limit,
                       const std::string& queue = "/batch/", std::size_t gateway = 0);
+    /** Executes an operator's statement at a gateway. */
+    StatementAnswer state(std::size_t gateway, const std::string& text);
     /** The place of the gateway that leads. */
     std::optional<std::size_t> findLeader() const;
     bool waitForLeader(Millis limit = Millis(5000));
--- a/tools/job-gateway/main.cpp
+++ b/tools/job-gateway/main.cpp
@@ -7,6 +7,7 @@
 #include "pierbank/adapter/PlatformStore.h"
 #include "pierbank/base/GlibEventLoop.h"
 #include "pierbank/control/JobGateway.h"
+#include "pierbank/gateway/GatewaySettings.h"
 #include "pierbank/wire/SocketTransport.h"
 
 namespace {
@@ -26,6 +27,8 @@
     settings.m_core.m_links = file.getListenAddress({"gateway", "links"});
     settings.m_store = file.getAddress({"store", "address"});
     settings.m_core.m_leader.m_node = settings.m_name;
+    settings.m_core.m_leader.m_operators = settings.m_operators;
+    settings.m_tokens = readOperatorTokens(file);
     settings.m_core.m_workers.m_node = settings.m_name;
     constexpr Millis LEAST{100};
     constexpr Millis MOST{600'000};
@@ -46,7 +49,8 @@
     HttpClient client;
     adapter::PlatformStore store(client, settings.m_store);
     const adapter::PlatformDocuments documents;
-    JobGateway gateway(store, loop, transport, documents, adapter::getCallerHeaders(), settings);
+    JobGateway gateway(store, loop, transport, client, documents, adapter::getCallerHeaders(),
+                       settings);
     Reason reason;
     if (!gateway.start(reason)) {
         std::cerr << "pierbank-job-gateway: " << reason << "\n";
