--- a/libs/control/src/JobBackend.cpp
+++ b/libs/control/src/JobBackend.cpp
@@ -35,6 +35,23 @@
     }
 }
 
+/** A host's address as a name of the language, which has no colons: `IP-PORT`. */
+std::string toHostName(std::string address) {
+    const std::size_t colon = address.rfind(':');
+    if (colon != std::string::npos) {
+        address[colon] = '-';
+    }
+    return address;
+}
+
+std::string toHostAddress(std::string name) {
+    const std::size_t dash = name.rfind('-');
+    if (dash != std::string::npos) {
+        name[dash] = ':';
+    }
+    return name;
+}
+
 std::string joinHosts(const JobRun& run) {
     std::set<std::string> hosts;
     forEachTask(run, [&](const TaskRun& task) {
@@ -57,23 +74,6 @@
     return count;
 }
 
-/** A host's address as a name of the language, which has no colons: `IP-PORT`. */
-std::string toHostName(std::string address) {
-    const std::size_t colon = address.rfind(':');
-    if (colon != std::string::npos) {
-        address[colon] = '-';
-    }
-    return address;
-}
-
-std::string toHostAddress(std::string name) {
-    const std::size_t dash = name.rfind('-');
-    if (dash != std::string::npos) {
-        name[dash] = ':';
-    }
-    return name;
-}
-
 double toNumber(std::size_t count) {
     return static_cast<double>(count);
 }
