Requests whose end is ambiguous are refused with 400, heads over 16 KB with 431

Tests in a table against a raw socket. Heads beyond libsoup's own limit (64 KB) still end in a reset.

--- a/libs/gateway/src/HttpServer.cpp
+++ b/libs/gateway/src/HttpServer.cpp
@@ -3,6 +3,7 @@
 
 #include <libsoup/soup.h>
 
+#include <cstring>
 #include <utility>
 
 #include "pierbank/wire/HttpHeaders.h"
@@ -95,6 +96,39 @@
     return request;
 }
 
+/** Head of a request, names and values together, beyond which it is refused. */
+constexpr std::size_t MAX_HEAD_BYTES = 16384;
+
+/** What a header holds, however often it was given; empty when it is missing. */
+std::string getAll(SoupServerMessage* message, const char* name) {
+    const char* value =
+            soup_message_headers_get_list(soup_server_message_get_request_headers(message), name);
+    return value == nullptr ? std::string() : value;
+}
+
+/**
+ * The status with which a request is refused unread; zero for none. Where a request ends must not
+ * be a matter of opinion: another party on the way may think otherwise.
+ */
+std::uint32_t refuseHead(SoupServerMessage* message) {
+    constexpr std::uint32_t BAD_REQUEST = 400;
+    constexpr std::uint32_t HEAD_TOO_LARGE = 431;
+    const std::string length = getAll(message, "Content-Length");
+    const bool isAmbiguous = !length.empty() && !getAll(message, "Transfer-Encoding").empty();
+    if (isAmbiguous || length.find(',') != std::string::npos) {
+        return BAD_REQUEST;
+    }
+    std::size_t bytes = 0;
+    SoupMessageHeadersIter iterator;
+    soup_message_headers_iter_init(&iterator, soup_server_message_get_request_headers(message));
+    const char* name = nullptr;
+    const char* value = nullptr;
+    while (soup_message_headers_iter_next(&iterator, &name, &value) != FALSE) {
+        bytes += std::strlen(name) + std::strlen(value);
+    }
+    return bytes > MAX_HEAD_BYTES ? HEAD_TOO_LARGE : 0;
+}
+
 }  // namespace
 
 std::string_view HttpServerRequest::getHeader(std::string_view name) const {
@@ -109,6 +143,11 @@
                           gpointer data) {
         const auto call = std::make_shared<SoupCall>(message);
         call->pause();
+        const std::uint32_t refusal = refuseHead(message);
+        if (refusal != 0) {
+            call->answer({refusal, {{"Connection", "close"}}, ""});
+            return;
+        }
         static_cast<Detail*>(data)->m_handler(readRequest(message), call);
     }
 };
--- a/libs/gateway/test/HttpServerTest.cpp
+++ b/libs/gateway/test/HttpServerTest.cpp
@@ -3,6 +3,8 @@
 
 #include <gio/gio.h>
 
+#include <array>
+
 #include "GlibFixture.h"
 #include "pierbank/gateway/CallerServer.h"
 #include "pierbank/platform/HttpClient.h"
@@ -79,6 +81,60 @@
                 HostileRequest{"Frame", std::string("\x82\x01\x81\x01", 4)}),
         [](const auto& info) { return info.param.m_name; });
 
+class HttpServerRefusalTest : public HttpServerTest {
+protected:
+    /** Sends raw bytes and returns what comes back until the server closes. */
+    std::string askRaw(const Address& address, const std::string& bytes) {
+        GSocketClient* client = g_socket_client_new();
+        GSocketConnection* connection = g_socket_client_connect_to_host(
+                client, address.m_host.c_str(), address.m_port, nullptr, nullptr);
+        g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(connection)),
+                                  bytes.data(), bytes.size(), nullptr, nullptr, nullptr);
+        GSocket* socket = g_socket_connection_get_socket(connection);
+        g_socket_set_blocking(socket, FALSE);
+        std::string answer;
+        std::array<char, 4096> buffer{};
+        for (gssize count = -1; count != 0;) {
+            g_main_context_iteration(nullptr, FALSE);
+            GError* error = nullptr;
+            count = g_socket_receive(socket, buffer.data(), buffer.size(), nullptr, &error);
+            const bool isWaiting =
+                    g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
+            g_clear_error(&error);
+            if (count > 0) {
+                answer.append(buffer.data(), static_cast<std::size_t>(count));
+            } else if (count < 0 && !isWaiting) {
+                break;
+            }
+        }
+        g_io_stream_close(G_IO_STREAM(connection), nullptr, nullptr);
+        g_object_unref(connection);
+        g_object_unref(client);
+        return answer;
+    }
+};
+
+TEST_P(HttpServerRefusalTest, RefusesARequestWhoseEndIsAmbiguousOrWhoseHeadIsTooLarge) {
+    const Address address = listen(m_server);
+    const std::string answer = askRaw(address, GetParam().m_bytes);
+    const std::string status = GetParam().m_name == std::string("LargeHead") ? "431" : "400";
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + status)) << answer.substr(0, 40);
+    EXPECT_EQ(ask(address).m_status, 200U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Table, HttpServerRefusalTest,
+        ::testing::Values(HostileRequest{"LengthAndChunks",
+                                         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+                          HostileRequest{"TwoLengths",
+                                         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+                                         "Content-Length: 1\r\n\r\nab"},
+                          HostileRequest{"LargeHead", "GET /a HTTP/1.1\r\nHost: x\r\nX: " +
+                                                              std::string(30'000, 'x') +
+                                                              "\r\n\r\n"}),
+        [](const auto& info) { return info.param.m_name; });
+
 TEST(CallerRequestTest, SplitsServiceAndPath) {
     struct Case {
         const char* m_target;
