A leader cut off from the store steps down when its successor links, and lets it answer

Ruled out: the successor (it had loaded and linked within 0.1 s). Change: the successor's own link to the gateway tells it. Test ALeaderCutOffFromTheStoreStepsDownForItsSuccessorAndLetsItAnswer failed first.

--- a/libs/control/include/pierbank/control/LeaderLink.h
+++ b/libs/control/include/pierbank/control/LeaderLink.h
@@ -27,6 +27,11 @@
     LeaderLink(const LeaderLink&) = delete;
     LeaderLink& operator=(const LeaderLink&) = delete;
 
+    /** Called with the epoch of each leader that links and has the highest so far. */
+    void onLeader(std::function<void(std::uint64_t epoch)> callback) {
+        m_onLeader = std::move(callback);
+    }
+
     /** A leader connected; it is obeyed if its epoch is the highest. */
     void handleLink(std::shared_ptr<Link> link);
 
@@ -53,6 +58,8 @@
     EventLoop& m_loop;
     std::shared_ptr<Link> m_leader;
     std::vector<std::shared_ptr<Link>> m_newLinks;
+    std::function<void(std::uint64_t)> m_onLeader = [](std::uint64_t) {
+    };
     std::uint64_t m_epoch = 0;
     std::uint64_t m_sequence = 0;
     Millis m_heardAt{0};
--- a/libs/control/src/JobCore.cpp
+++ b/libs/control/src/JobCore.cpp
@@ -32,6 +32,12 @@
         m_jobs.lead(epoch, [this] { return m_lock.getConfirmedAt(); });
     });
     m_lock.onLost([this] { m_jobs.stepDown(); });
+    // A leader that can't reach the store learns in this way that it was replaced.
+    m_leaderLink.onLeader([this](std::uint64_t epoch) {
+        if (m_lock.isHeld() && epoch > m_lock.getEpoch()) {
+            m_lock.abandon();
+        }
+    });
     m_intake.setRelay(*this);
     m_jobs.onRelayed(
             [this](const ForwardRequest& request, std::function<void(const ForwardAnswer&)> done) {
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -69,6 +69,7 @@
     m_epoch = hello->m_epoch;
     m_leader = link;
     m_heardAt = m_loop.now();
+    m_onLeader(m_epoch);
 }
 
 void LeaderLink::handleClosed(const std::weak_ptr<Link>& closed) {
--- a/test/failures/JobFailuresTest.cpp
+++ b/test/failures/JobFailuresTest.cpp
@@ -316,6 +316,16 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 1U);
 }
 
+/** Found in an incident: it went on linking to sidecars that refused it, and served nobody. */
+TEST_F(JobFailuresTest, ALeaderCutOffFromTheStoreStepsDownForItsSuccessorAndLetsItAnswer) {
+    const std::size_t old = getLeader();
+    m_fleet.m_state.m_cutOff.insert(m_fleet.m_gateways[old].m_name);
+    m_fleet.m_loop.advance(Millis(4000));
+    EXPECT_FALSE(m_fleet.m_gateways[old].m_core->getJobs().isLeading());
+    EXPECT_EQ(m_fleet.submit(ID, SMALL, "300", "/batch/", old).m_status, 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(4000), "/batch/", old));
+}
+
 TEST_F(JobFailuresTest, AFrozenLeaderWakesToFindItselfReplaced) {
     m_fleet.submit(ID, SMALL, "4000");
     m_fleet.m_loop.advance(Millis(300));
