Urgent work beyond its guarantee preempts only what it is worth

Change: work of priority 0 beyond its organisation's guarantee preempts only if that throws away at most 100 core-seconds and 0.7 of its own work more; guaranteed work always preempts.

--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -40,6 +40,10 @@
     Millis m_reserveAfter{1500};
     /** Work that misses its objective by so many times its length earns nothing (users' rule). */
     std::int64_t m_hopelessAfter = 2;
+    /** Urgent work beyond its organisation's guarantee preempts only while that throws away at most
+     * so many core-seconds, and so many times its own work more. */
+    double m_lossAllowance = 100.0;
+    double m_lossPerOwnWork = 0.7;
     /** Urgent work waits for running work to end before it preempts: up to this share of its own
      * declared time, and at most `m_maxWait` since it was handed in. */
     double m_waitShare = 0.35;
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -13,6 +13,7 @@
 /** An accelerator weighs as much as so many cores (users' price list). */
 constexpr double CORES_PER_ACCELERATOR = 8.0;
 constexpr double MILLIS_PER_CORE = 1000.0;
+constexpr double MILLIS_PER_SECOND = 1000.0;
 
 double getCores(const Resources& need) {
     return need.m_cpuMillis / MILLIS_PER_CORE + CORES_PER_ACCELERATOR * need.m_accelerators;
@@ -469,7 +470,7 @@
             best = std::move(eviction);
         }
     }
-    if (!best.has_value()) {
+    if (!best.has_value() || !isWorth(unit, best->m_loss)) {
         return false;
     }
     for (const std::size_t victim : best->m_victims) {
@@ -480,6 +481,15 @@
     return true;
 }
 
+/** A guarantee is kept whatever it costs; other urgent work must be worth what it throws away. */
+bool PlanningPass::isWorth(const WorkUnit& unit, double loss) const {
+    const StepSpec& spec = unit.getSpec();
+    const double own = getCores(spec.m_need) * static_cast<double>(unit.m_indexes.size()) *
+                       static_cast<double>(spec.m_estimate.count());
+    return unit.m_isGuaranteed || loss <= m_settings.m_lossAllowance * MILLIS_PER_SECOND +
+                                                  m_settings.m_lossPerOwnWork * own;
+}
+
 std::optional<PlanningPass::Eviction> PlanningPass::findEviction(const WorkUnit& unit,
                                                                  const std::string& rack) const {
     Eviction eviction;
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -106,6 +106,7 @@
 
     void commit(const WorkUnit& unit, const Assignment& assignment);
     bool waitFor(const WorkUnit& unit);
+    bool isWorth(const WorkUnit& unit, double loss) const;
     bool preemptFor(const WorkUnit& unit);
     std::optional<Eviction> findEviction(const WorkUnit& unit, const std::string& rack) const;
     bool addMember(const WorkUnit& unit, const std::string& rack,
