--- /dev/null
+++ b/libs/job/test/TaskPlannerTest.cpp
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/job/TaskPlanner.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace pierbank {
+namespace {
+
+constexpr Millis NOW{1'000'000};
+
+/** Two racks of two workers, 8 accelerators each, and jobs on them. */
+class TaskPlannerTest : public ::testing::Test {
+protected:
+    struct Entry {
+        JobRecord m_record;
+        JobRun m_run;
+    };
+
+    TaskPlannerTest() {
+        for (int i = 0; i < 4; ++i) {
+            WorkerView worker;
+            worker.m_id = {"h" + std::to_string(i), "life"};
+            worker.m_service = "s";
+            worker.m_rack = "r" + std::to_string(i / 2);
+            worker.m_labels = {worker.m_rack};
+            worker.m_capacity = {64'000, 64'000, 8};
+            worker.m_acceptsWork = true;
+            m_workers.push_back(worker);
+        }
+    }
+
+    Entry& addJob(const std::string& id, std::uint32_t priority, StepSpec step,
+                  Millis acceptedAt = NOW) {
+        Entry& entry = m_jobs.emplace_back();
+        entry.m_record.m_id = id;
+        entry.m_record.m_organisation = "o";
+        entry.m_record.m_policy = {"q", "s", priority, 3, 3.0, Millis(1000)};
+        entry.m_record.m_acceptedAt = acceptedAt;
+        entry.m_record.m_spec.m_steps = {std::move(step)};
+        entry.m_run = makeJobRun(entry.m_record);
+        return entry;
+    }
+
+    static StepSpec makeStep(std::uint32_t tasks, std::uint32_t accelerators) {
+        StepSpec step;
+        step.m_tasks = tasks;
+        step.m_need = {8000, 8000, accelerators};
+        step.m_estimate = Millis(1000);
+        return step;
+    }
+
+    /** A job that has run on a worker for some time. */
+    void addRunning(const std::string& id, int worker, std::uint32_t accelerators, Millis ran,
+                    bool savesProgress = false) {
+        StepSpec step = makeStep(1, accelerators);
+        step.m_savesProgress = savesProgress;
+        Entry& entry = addJob(id, 2, step);
+        TaskRun& task = entry.m_run.m_occurrences[0].m_steps[0].m_tasks[0];
+        task.m_state = TaskState::PLACED;
+        task.m_run = 1;
+        task.m_worker = m_workers[static_cast<std::size_t>(worker)].m_id;
+        task.m_placedAt = NOW - ran;
+    }
+
+    TaskPlan plan() {
+        std::vector<PlannedJob> jobs;
+        for (const Entry& entry : m_jobs) {
+            jobs.push_back({&entry.m_record, &entry.m_run});
+        }
+        return TaskPlanner(TaskPlannerSettings())
+                .plan(m_workers, jobs, m_remaining, m_guarantees, NOW);
+    }
+
+    std::vector<WorkerView> m_workers;
+    std::deque<Entry> m_jobs;
+    std::map<TaskKey, Millis> m_remaining;
+    std::map<std::string, std::uint32_t> m_guarantees;
+};
+
+TEST_F(TaskPlannerTest, SmallWorkGoesWhereTheLeastRoomIsLeft) {
+    addRunning("a", 2, 5, Millis(100));
+    addJob("b", 1, makeStep(1, 2));
+    const TaskPlan got = plan();
+    ASSERT_EQ(got.m_placements.size(), 1U);
+    EXPECT_EQ(got.m_placements[0].m_worker.m_host, "h2");
+}
+
+TEST_F(TaskPlannerTest, AGangThatWantsOneRackGetsOneOrWaits) {
+    StepSpec gang = makeStep(2, 8);
+    gang.m_isGang = true;
+    gang.m_wantsOneRack = true;
+    addRunning("a", 0, 1, Millis(100));
+    addJob("b", 1, gang);
+    const TaskPlan placed = plan();
+    ASSERT_EQ(placed.m_placements.size(), 2U);
+    EXPECT_EQ(placed.m_placements[0].m_worker.m_host, "h2");
+    EXPECT_EQ(placed.m_placements[1].m_worker.m_host, "h3");
+    addRunning("c", 2, 1, Millis(100));
+    EXPECT_TRUE(plan().m_placements.empty());
+}
+
+TEST_F(TaskPlannerTest, LabelsAndTheLimitAWorkerAreKept) {
+    StepSpec step = makeStep(3, 1);
+    step.m_requiredLabel = "r1";
+    step.m_maxPerWorker = 1;
+    addJob("a", 1, step);
+    const TaskPlan got = plan();
+    ASSERT_EQ(got.m_placements.size(), 2U);
+    EXPECT_EQ(got.m_placements[0].m_worker.m_host, "h2");
+    EXPECT_EQ(got.m_placements[1].m_worker.m_host, "h3");
+}
+
+TEST_F(TaskPlannerTest, AGuaranteeEvictsWhereTheLeastWorkIsThrownAway) {
+    m_guarantees["o"] = 8;
+    addRunning("a", 0, 8, Millis(9000));
+    addRunning("b", 1, 8, Millis(5000));
+    addRunning("c", 2, 8, Millis(9000), true);
+    addRunning("d", 3, 8, Millis(6000));
+    addJob("e", 0, makeStep(1, 8));
+    const TaskPlan got = plan();
+    ASSERT_EQ(got.m_preemptions.size(), 1U);
+    EXPECT_EQ(got.m_preemptions[0].m_task.m_job, "c");
+}
+
+TEST_F(TaskPlannerTest, BeyondTheGuaranteeUrgentWorkEvictsOnlyWhatItIsWorth) {
+    for (int i = 0; i < 4; ++i) {
+        addRunning("a" + std::to_string(i), i, 8, Millis(9000));
+    }
+    addJob("e", 0, makeStep(1, 8));
+    EXPECT_TRUE(plan().m_preemptions.empty());
+    m_guarantees["o"] = 8;
+    EXPECT_EQ(plan().m_preemptions.size(), 1U);
+}
+
+TEST_F(TaskPlannerTest, UrgentWorkWaitsForWorkThatIsAboutToEnd) {
+    m_guarantees["o"] = 8;
+    for (int i = 0; i < 4; ++i) {
+        addRunning("a" + std::to_string(i), i, 8, Millis(900));
+    }
+    m_remaining[{"a2", 0, 0, 0}] = Millis(200);
+    addJob("e", 0, makeStep(1, 8));
+    EXPECT_TRUE(plan().m_preemptions.empty());
+}
+
+TEST_F(TaskPlannerTest, WorkThatCanStillMeetItsObjectiveGoesBeforeWorkThatCannot) {
+    m_workers.resize(1);
+    addJob("late", 1, makeStep(1, 8), NOW - Millis(4000));
+    addJob("on-time", 1, makeStep(1, 8), NOW - Millis(1000));
+    const TaskPlan got = plan();
+    ASSERT_EQ(got.m_placements.size(), 1U);
+    EXPECT_EQ(got.m_placements[0].m_task.m_job, "on-time");
+}
+
+}  // namespace
+}  // namespace pierbank
