--- /dev/null
+++ b/libs/control/src/JobControllerStore.cpp
@@ -0,0 +1,329 @@
+// SPDX-License-Identifier: Apache-2.0
+// What a JobController reads from the store, and how its decisions get there.
+#include <algorithm>
+#include <utility>
+
+#include "pierbank/base/Log.h"
+#include "pierbank/control/JobController.h"
+#include "pierbank/control/StoreKeys.h"
+#include "pierbank/job/JobCodec.h"
+
+namespace pierbank {
+
+namespace {
+
+/** Pause before a call of the store that failed is made again. */
+constexpr Millis RETRY_PAUSE{200};
+
+bool isIdle(const JobRun& run) {
+    return std::all_of(run.m_occurrences.begin(), run.m_occurrences.end(),
+                       [](const OccurrenceRun& occurrence) {
+                           return std::all_of(occurrence.m_steps.begin(), occurrence.m_steps.end(),
+                                              [](const StepRun& step) { return step.isIdle(); });
+                       });
+}
+
+}  // namespace
+
+// Loading and watching what lies in the store.
+
+void JobController::load() {
+    m_store.list(INPUT_PREFIX, [this, term = std::weak_ptr(m_term)](const StoreList& input) {
+        if (term.expired()) {
+            return;
+        }
+        if (input.m_status != StoreStatus::OK) {
+            m_loop.callLater(RETRY_PAUSE, guarded([this] { load(); }));
+            return;
+        }
+        loadRuns(input);
+    });
+}
+
+void JobController::loadRuns(const StoreList& input) {
+    m_store.list(RUN_PREFIX, [this, input, term = std::weak_ptr(m_term)](const StoreList& runs) {
+        if (term.expired()) {
+            return;
+        }
+        if (runs.m_status != StoreStatus::OK) {
+            m_loop.callLater(RETRY_PAUSE, guarded([this] { load(); }));
+            return;
+        }
+        for (const StoreItem& item : input.m_items) {
+            if (item.m_key.starts_with(JOB_PREFIX)) {
+                addJob(item);
+            }
+        }
+        for (const StoreItem& item : runs.m_items) {
+            addRun(item);
+        }
+        for (const StoreItem& item : input.m_items) {
+            if (!item.m_key.starts_with(JOB_PREFIX)) {
+                handleInput(item);
+            }
+        }
+        m_watchedTo = input.m_at;
+        m_isLoaded = true;
+        logEvent(Severity::INFO, "jobs", "loaded",
+                 {{"epoch", std::to_string(m_epoch)},
+                  {"jobs", std::to_string(m_jobs.size())},
+                  {"at", std::to_string(input.m_at)}});
+        watch();
+        tick();
+        stepSoon();
+    });
+}
+
+void JobController::watch() {
+    const auto onChanges = [this, term = std::weak_ptr(m_term)](const StoreChanges& changes) {
+        if (term.expired()) {
+            return;
+        }
+        if (changes.m_status != StoreStatus::OK) {
+            m_loop.callLater(RETRY_PAUSE, guarded([this] { relist(); }));
+            return;
+        }
+        m_watchedTo = changes.m_at;
+        for (const StoreEvent& event : changes.m_events) {
+            if (!event.m_isGone) {
+                handleInput(event.m_item);
+            }
+        }
+        watch();
+    };
+    m_store.watch(INPUT_PREFIX, m_watchedTo, m_settings.m_watchWait, onChanges);
+}
+
+/** After a watch that broke, nobody knows what it missed. */
+void JobController::relist() {
+    m_store.list(INPUT_PREFIX, [this, term = std::weak_ptr(m_term)](const StoreList& input) {
+        if (term.expired()) {
+            return;
+        }
+        if (input.m_status != StoreStatus::OK) {
+            m_loop.callLater(RETRY_PAUSE, guarded([this] { relist(); }));
+            return;
+        }
+        for (const StoreItem& item : input.m_items) {
+            handleInput(item);
+        }
+        m_watchedTo = input.m_at;
+        watch();
+    });
+}
+
+void JobController::handleInput(const StoreItem& item) {
+    const std::string_view key = item.m_key;
+    if (key.starts_with(JOB_PREFIX)) {
+        addJob(item);
+    } else if (key.starts_with(CANCEL_PREFIX)) {
+        askCancel(std::string(key.substr(CANCEL_PREFIX.size())));
+    } else if (key.starts_with(HOST_PREFIX)) {
+        m_workers.addHost(std::string(key.substr(HOST_PREFIX.size())));
+    } else if (key.starts_with(GATEWAY_PREFIX)) {
+        m_workers.addHost(std::string(key.substr(GATEWAY_PREFIX.size())));
+    }
+    stepSoon();
+}
+
+void JobController::handleInputNotice(const std::string& key) {
+    const bool isKnownJob = key.starts_with(JOB_PREFIX) &&
+                            m_jobs.count(std::string_view(key).substr(JOB_PREFIX.size())) != 0;
+    if (!m_isLoaded || isKnownJob) {
+        return;
+    }
+    m_store.read(key, [this, term = std::weak_ptr(m_term)](const StoreRead& read) {
+        if (!term.expired() && read.m_status == StoreStatus::OK) {
+            handleInput(read.m_item);
+        }
+    });
+}
+
+void JobController::handleRelayed(const std::string& host, const ForwardRequest& request) {
+    m_onRelayed(request, [this, host, id = request.m_id,
+                          term = std::weak_ptr(m_term)](ForwardAnswer answer) {
+        if (!term.expired()) {
+            answer.m_id = id;
+            m_workers.send(host, answer);
+        }
+    });
+}
+
+void JobController::addJob(const StoreItem& item) {
+    const std::string id = item.m_key.substr(JOB_PREFIX.size());
+    if (m_jobs.count(id) != 0) {
+        return;
+    }
+    auto record = decodeJobRecord(item.m_value);
+    if (!record.has_value()) {
+        logEvent(Severity::ERROR, "jobs", "unreadable-job", {{"job", id}});
+        return;
+    }
+    JobEntry entry;
+    entry.m_run = makeJobRun(*record);
+    entry.m_record = std::move(*record);
+    entry.m_isCancelAsked = m_earlyCancels.erase(id) != 0;
+    logEvent(
+            Severity::INFO, "jobs", "known",
+            {{"job", id},
+             {"organisation", entry.m_record.m_organisation},
+             {"queue", entry.m_record.m_policy.m_queue},
+             {"priority", std::to_string(entry.m_record.m_policy.m_priority)},
+             {"steps", std::to_string(entry.m_record.m_spec.m_steps.size())},
+             {"age_ms", std::to_string((m_loop.wallNow() - entry.m_record.m_acceptedAt).count())}});
+    m_jobs.emplace(id, std::move(entry));
+}
+
+void JobController::addRun(const StoreItem& item) {
+    const std::string id = item.m_key.substr(RUN_PREFIX.size());
+    auto run = decodeJobRun(item.m_value);
+    if (!run.has_value()) {
+        logEvent(Severity::ERROR, "jobs", "unreadable-run", {{"job", id}});
+        return;
+    }
+    const auto [place, isNew] = m_jobs.try_emplace(id);
+    JobEntry& entry = place->second;
+    if (isNew) {
+        entry.m_record.m_id = id;
+        entry.m_hasInput = false;
+    }
+    if (isNew && !run->isOver()) {
+        logEvent(Severity::ERROR, "jobs", "run-without-job", {{"job", id}});
+    }
+    entry.m_run = std::move(*run);
+    entry.m_runRevision = item.m_revision;
+    // Its input should have gone with the write that ended it.
+    entry.m_isDirty = entry.m_run.isOver() && entry.m_hasInput && isIdle(entry.m_run);
+}
+
+void JobController::askCancel(const std::string& id) {
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end()) {
+        found->second.m_isCancelAsked = true;
+    } else {
+        // A list names withdrawals before the jobs that they belong to.
+        m_earlyCancels.insert(id);
+    }
+}
+
+// Committing.
+
+bool JobController::addToTransaction(const std::string& id, JobEntry& entry,
+                                     StoreTransaction& transaction) {
+    const bool endsInput = entry.m_run.isOver() && entry.m_hasInput && isIdle(entry.m_run);
+    constexpr std::size_t ENTRIES = 2;
+    constexpr std::size_t ENTRIES_AT_END = 4;
+    if (transaction.countEntries() + (endsInput ? ENTRIES_AT_END : ENTRIES) >
+        RecordStore::MAX_ENTRIES) {
+        return false;
+    }
+    transaction.m_conditions.push_back({getRunKey(id), entry.m_runRevision});
+    transaction.m_puts.push_back({getRunKey(id), encodeJobRun(entry.m_run), 0});
+    if (endsInput) {
+        transaction.m_removals.push_back(getJobKey(id));
+        transaction.m_removals.push_back(getCancelKey(id));
+        entry.m_hasInput = false;
+    }
+    return true;
+}
+
+void JobController::commitDirty() {
+    StoreTransaction transaction;
+    transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
+    std::vector<std::pair<std::uint32_t, std::string>> dirty;
+    for (const auto& [id, entry] : m_jobs) {
+        if (entry.m_isDirty) {
+            dirty.emplace_back(entry.m_record.m_policy.m_priority, id);
+        }
+    }
+    std::sort(dirty.begin(), dirty.end());
+    std::vector<std::string> ids;
+    for (const auto& [priority, id] : dirty) {
+        JobEntry& entry = m_jobs.find(id)->second;
+        if (!addToTransaction(id, entry, transaction)) {
+            break;
+        }
+        entry.m_isDirty = false;
+        entry.m_isCommitting = true;
+        ids.push_back(id);
+    }
+    if (ids.empty()) {
+        return;
+    }
+    m_isCommitting = true;
+    CommitPatience patience;
+    patience.m_retriesRefusals = true;
+    // What is decided while the transaction is under way has to wait for the next one.
+    for (const std::string& id : ids) {
+        JobEntry& entry = m_jobs.find(id)->second;
+        entry.m_messagesUnderWay = std::exchange(entry.m_messages, {});
+        entry.m_endsUnderWay = std::exchange(entry.m_ends, {});
+    }
+    CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_term,
+                       [this, ids](const StoreCommit& commit) { handleCommitted(ids, commit); });
+}
+
+void JobController::handleCommitted(const std::vector<std::string>& ids,
+                                    const StoreCommit& commit) {
+    m_isCommitting = false;
+    if (commit.m_status != StoreStatus::OK) {
+        disown("the store did not take a decision: " + std::string(toText(commit.m_status)) + " " +
+               commit.m_reason);
+        return;
+    }
+    for (const std::string& id : ids) {
+        JobEntry& entry = m_jobs.find(id)->second;
+        entry.m_isCommitting = false;
+        entry.m_runRevision = commit.m_revision;
+        for (const PendingMessage& message : std::exchange(entry.m_messagesUnderWay, {})) {
+            m_workers.send(message.m_host, message.m_frame);
+        }
+        for (const auto& [worker, number] : std::exchange(entry.m_endsUnderWay, {})) {
+            m_ledger.keep(worker, number);
+            sendKept(worker);
+        }
+    }
+    step();
+}
+
+void JobController::sendKept(const WorkerId& worker) {
+    const std::uint64_t kept = m_ledger.getKept(worker);
+    const auto report = m_reports.find(worker.m_host);
+    if (kept == 0 || report == m_reports.end() || report->second.m_life != worker.m_life) {
+        return;
+    }
+    const auto& ended = report->second.m_ended;
+    const bool isListed = std::any_of(ended.begin(), ended.end(), [kept](const EndedEntry& end) {
+        return end.m_number <= kept;
+    });
+    if (isListed) {
+        m_workers.send(worker.m_host, EndsKept{worker.m_life, kept});
+    }
+}
+
+/** Jobs that have been over for long go, a few at a time. */
+void JobController::forgetOver() {
+    StoreTransaction transaction;
+    transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
+    std::vector<std::string> ids;
+    for (const auto& [id, entry] : m_jobs) {
+        const bool isOld = entry.m_run.isOver() && !entry.m_hasInput && !entry.m_isDirty &&
+                           !entry.m_isCommitting &&
+                           m_loop.wallNow() - entry.m_run.m_endedAt > m_settings.m_keepOver;
+        if (isOld && transaction.countEntries() + 1 <= RecordStore::MAX_ENTRIES) {
+            transaction.m_removals.push_back(getRunKey(id));
+            ids.push_back(id);
+        }
+    }
+    if (ids.empty()) {
+        return;
+    }
+    for (const std::string& id : ids) {
+        m_jobs.erase(id);
+    }
+    // If it is lost, the next leader does it again.
+    constexpr Millis PATIENCE{1000};
+    m_store.commit(transaction, PATIENCE, [](const StoreCommit&) {});
+}
+
+}  // namespace pierbank
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -12,6 +12,9 @@
 
 namespace pierbank {
 
+/** Cores that a need is worth: an accelerator weighs as much as eight (users' price list). */
+double getCores(const Resources& need);
+
 /** Place of a worker in the pass's list. */
 using WorkerSlot = std::size_t;
 
