A fault soak of real processes; two faults that it found

Change: a refusal by the leader after an unknown outcome of one's own stays unknown (504). The sidecar says when its worker does not answer (3 s), gets no lease then, and the host takes no new work.

Tests that failed first: RequestFailuresTest.ARefusalByTheLeaderIsNoRefusalOfAWriteThatIsUnderWay, JobFailuresTest.AWorkerThatFallsSilentBesideALivingSidecarIsLost.

The soak (test/soak/): proxies on each way to the store and to each sidecar, 27 kinds of faults, eight promises. Two faults were its own: faults that struck after the healing, and two questions open at once taken for a state that goes back.

--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -32,6 +32,9 @@
     Millis m_pause{150};
     /** A leader that has not answered for so long is not asked any more. */
     Millis m_silence{2000};
+    /** A worker that answered no hold for so long is silent: no lease is asked for it. One lost
+     * answer takes up to about 2 s. */
+    Millis m_workerSilence{3000};
     /** The worker's clock may be slow by this much. */
     double m_clockSlack = 0.02;
     /** Tries of a start without an answer before the run is barred. */
@@ -84,6 +87,7 @@
     Millis getHoldWait() const;
     std::optional<Millis> getUntil() const;
     bool hasLease() const;
+    bool isWorkerSilent() const;
     void beginLife(const std::string& life);
 
     // OrderContext.
@@ -117,6 +121,8 @@
     std::uint64_t m_holdSeen = 0;
     std::uint64_t m_lastKept = 0;
     bool m_isHolding = false;
+    /** When the worker last answered a hold, or began its life here. */
+    Millis m_answeredAt{0};
     TimerId m_holdTimer = TimerId::NONE;
     std::vector<ListedRun> m_running;
     std::vector<ListedEnd> m_ended;
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -59,6 +59,8 @@
         bool m_hasReport = false;
         bool m_isConnecting = false;
         bool m_isLost = false;
+        /** The sidecar lives, and its worker does not answer it. */
+        bool m_isWorkerSilent = false;
         Millis m_heardAt{0};
         /** Until when tasks may run there at the latest. */
         Millis m_grantedUntil{0};
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -148,7 +148,7 @@
             view.m_leavesIn = Millis(0);
         }
         view.m_acceptsWork =
-                host.isLinked() && host.m_hasReport && !notice.m_isGone &&
+                host.isLinked() && host.m_hasReport && !notice.m_isGone && !host.m_isWorkerSilent &&
                 !view.m_leavesIn.has_value() && getHold(address) == WorkerHold::RELEASE &&
                 !m_health.isAvoided(address, m_loop.now()) && !m_progress.isStalled(address);
         views.push_back(std::move(view));
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -409,6 +409,12 @@
                                   reason + "; the leader did not answer either");
                            return;
                        }
+                       const bool isRefusal = relayed->m_status == UNAVAILABLE;
+                       if (isRefusal && status == OUTCOME_UNKNOWN) {
+                           // The leader did not take it, but an own write may be under way.
+                           answer(call, status, "", reason + "; the leader refused it");
+                           return;
+                       }
                        answer(call, relayed->m_status, relayed->m_body, "answered by the leader");
                    });
 }
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -91,7 +91,11 @@
     if (m_asks.size() > MAX_ASKS) {
         m_asks.erase(m_asks.begin());
     }
-    m_leader.send(LeaseAsk{m_askNumber});
+    m_leader.send(LeaseAsk{m_askNumber, isWorkerSilent()});
+}
+
+bool WorkerAgent::isWorkerSilent() const {
+    return !m_life.empty() && m_loop.now() - m_answeredAt > m_settings.m_workerSilence;
 }
 
 void WorkerAgent::handleRenewal(const LeaseRenewal& renewal) {
@@ -218,6 +222,7 @@
 void WorkerAgent::beginLife(const std::string& life) {
     m_life = life;
     m_isGone = false;
+    m_answeredAt = m_loop.now();
     m_term = std::make_shared<bool>(true);
     m_isHolding = false;
     m_clock.reset();
@@ -305,6 +310,11 @@
         return;
     }
     const bool isFirst = !m_clock.has_value();
+    const bool wasSilent = isWorkerSilent();
+    m_answeredAt = m_loop.now();
+    if (wasSilent) {
+        ask();
+    }
     m_clock = {reply.m_clock, m_loop.now()};
     // Answers on different connections overtake each other.
     if (number > m_holdSeen) {
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -162,8 +162,15 @@
 }
 
 void WorkerPool::answerAsk(Host& host, const LeaseAsk& ask) {
+    if (host.m_isWorkerSilent != ask.m_isWorkerSilent) {
+        host.m_isWorkerSilent = ask.m_isWorkerSilent;
+        logEvent(Severity::WARNING, "workers", "worker-silence",
+                 {{"host", host.m_address},
+                  {"silent", ask.m_isWorkerSilent ? "yes" : "no"},
+                  {"lease_ms", std::to_string((host.m_grantedUntil - m_loop.now()).count())}});
+    }
     const Millis sinceConfirmed = m_loop.now() - m_getConfirmedAt();
-    if (sinceConfirmed > m_settings.m_outageGrace) {
+    if (sinceConfirmed > m_settings.m_outageGrace || ask.m_isWorkerSilent) {
         return;
     }
     host.m_grantedUntil = std::max(host.m_grantedUntil, m_loop.now() + getLongestGrant());
--- a/libs/daemon/include/pierbank/daemon/Sidecar.h
+++ b/libs/daemon/include/pierbank/daemon/Sidecar.h
@@ -20,6 +20,8 @@
     Address m_beats;
     /** Where leaders connect. */
     Address m_links;
+    /** Where leaders find that address; the same unless something forwards to it. */
+    Address m_reachedAt;
     Address m_worker;
     Address m_store;
     WorkerAgentSettings m_agent;
--- a/libs/daemon/src/Sidecar.cpp
+++ b/libs/daemon/src/Sidecar.cpp
@@ -40,7 +40,7 @@
              {{"name", m_settings.m_name},
               {"links", m_settings.m_links.toText()},
               {"worker", m_settings.m_worker.toText()}});
-    registerAddress(m_store, m_loop, getHostKey(m_settings.m_links.toText()), m_isAlive);
+    registerAddress(m_store, m_loop, getHostKey(m_settings.m_reachedAt.toText()), m_isAlive);
     return true;
 }
 
--- a/libs/daemon/src/SidecarSettings.cpp
+++ b/libs/daemon/src/SidecarSettings.cpp
@@ -13,6 +13,9 @@
     }
     settings.m_beats = file.getListenAddress({"sidecar", "beats"});
     settings.m_links = file.getListenAddress({"sidecar", "links"});
+    settings.m_reachedAt = file.has({"sidecar", "reached-at"})
+                                   ? file.getAddress({"sidecar", "reached-at"})
+                                   : settings.m_links;
     settings.m_worker = file.getAddress({"sidecar", "worker"});
     settings.m_store = file.getAddress({"store", "address"});
     constexpr Millis LEAST{100};
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -18,12 +18,16 @@
 /** HttpServerCall on a paused libsoup message. */
 class SoupCall final : public HttpServerCall, public std::enable_shared_from_this<SoupCall> {
 public:
-    explicit SoupCall(SoupServerMessage* message) : m_message(message) { g_object_ref(m_message); }
+    /** @param server expires with the server, whose end also ends its messages. */
+    SoupCall(SoupServerMessage* message, std::weak_ptr<bool> server)
+            : m_message(message), m_server(std::move(server)) {
+        g_object_ref(m_message);
+    }
     ~SoupCall() override {
         if (m_finished != 0) {
             g_signal_handler_disconnect(m_message, m_finished);
         }
-        if (!m_isAnswered && !m_isGone) {
+        if (!m_isAnswered && !m_isGone && !m_server.expired()) {
             // Nobody will answer any more: an error is better than a hanging connection.
             soup_server_message_set_status(m_message, SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
             soup_server_message_unpause(m_message);
@@ -40,7 +44,7 @@
     }
 
     void answer(const HttpServerAnswer& answer) override {
-        if (m_isAnswered || m_isGone) {
+        if (m_isAnswered || m_isGone || m_server.expired()) {
             return;
         }
         m_isAnswered = true;
@@ -71,6 +75,7 @@
     }
 
     SoupServerMessage* m_message;
+    std::weak_ptr<bool> m_server;
     gulong m_finished = 0;
     std::function<void()> m_onGone;
     bool m_isAnswered = false;
@@ -156,14 +161,15 @@
 
     static void onRequest(SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
                           gpointer data) {
-        const auto call = std::make_shared<SoupCall>(message);
+        auto* const self = static_cast<Detail*>(data);
+        const auto call = std::make_shared<SoupCall>(message, self->m_isAlive);
         call->pause();
         const std::uint32_t refusal = refuseHead(message);
         if (refusal != 0) {
             call->answer({refusal, {{"Connection", "close"}}, ""});
             return;
         }
-        static_cast<Detail*>(data)->m_handler(readRequest(message), call);
+        self->m_handler(readRequest(message), call);
     }
 
     static gboolean onIncoming(GSocketService*, GSocketConnection* connection, GObject*,
@@ -224,6 +230,7 @@
 }
 
 HttpServer::~HttpServer() {
+    m_detail->m_isAlive.reset();
     stopListening();
     soup_server_disconnect(m_detail->m_server);
     g_object_unref(m_detail->m_server);
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -17,6 +17,8 @@
  */
 struct LeaseAsk {
     std::uint64_t m_sequence = 0;
+    /** The worker does not answer its sidecar: this is only a sign of life of the sender. */
+    bool m_isWorkerSilent = false;
     bool operator==(const LeaseAsk&) const = default;
 };
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -11,7 +11,7 @@
 
 template <typename Archive>
 void describe(Archive& archive, LeaseAsk& frame) {
-    archive(frame.m_sequence);
+    archive(frame.m_sequence, frame.m_isWorkerSilent);
 }
 
 template <typename Archive>
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -17,7 +17,7 @@
 const std::vector<Frame>& getFrames() {
     static const std::vector<Frame> frames = {
             LeaderHello{5, "n"},
-            LeaseAsk{9},
+            LeaseAsk{9, true},
             LeaseRenewal{1, 2, 3},
             WorkerNotice{"l", true, "s", "d", "r", {"a", "r"}, 1, 2, 3, true, 4},
             makeReport(),
@@ -80,17 +80,17 @@
 
 INSTANTIATE_TEST_SUITE_P(
         Table, HostileFrameTest,
-        ::testing::Values(HostileBytes{"Empty", ""}, HostileBytes{"Text", "GET / HTTP/1.1\r\n\r\n"},
-                          HostileBytes{"DeepNesting", std::string(1'000'000, '\x81')},
-                          HostileBytes{"DeepMaps", std::string(1'000'000, '\xa1')},
-                          HostileBytes{"HugeString",
-                                       "\x82\x00\x81\x7b\xff\xff\xff\xff\xff\xff\xff"},
-                          HostileBytes{"HugeArray", "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"},
-                          HostileBytes{"UnknownType", std::string("\x82\x18\xc8\x80", 4)},
-                          HostileBytes{"WrongFields", std::string("\x82\x01\x81\x61x", 5)},
-                          HostileBytes{"TooManyFields", std::string("\x82\x01\x82\x01\x01", 5)},
-                          HostileBytes{"NegativeNumber", std::string("\x82\x01\x81\x20", 4)},
-                          HostileBytes{"TrailingBytes", std::string("\x82\x01\x81\x01\x00", 5)}),
+        ::testing::Values(
+                HostileBytes{"Empty", ""}, HostileBytes{"Text", "GET / HTTP/1.1\r\n\r\n"},
+                HostileBytes{"DeepNesting", std::string(1'000'000, '\x81')},
+                HostileBytes{"DeepMaps", std::string(1'000'000, '\xa1')},
+                HostileBytes{"HugeString", "\x82\x00\x81\x7b\xff\xff\xff\xff\xff\xff\xff"},
+                HostileBytes{"HugeArray", "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"},
+                HostileBytes{"UnknownType", std::string("\x82\x18\xc8\x80", 4)},
+                HostileBytes{"WrongFields", std::string("\x82\x01\x81\x61x", 5)},
+                HostileBytes{"TooManyFields", std::string("\x82\x01\x83\x01\xf4\x01", 6)},
+                HostileBytes{"NegativeNumber", std::string("\x82\x01\x82\x20\xf4", 5)},
+                HostileBytes{"TrailingBytes", std::string("\x82\x01\x82\x01\xf4\x00", 6)}),
         [](const auto& info) { return info.param.m_name; });
 
 }  // namespace
--- a/test/failures/JobFailuresTest.cpp
+++ b/test/failures/JobFailuresTest.cpp
@@ -392,6 +392,17 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
 }
 
+/** Found by the soak: the sidecar lived and kept its lease, so that the runs counted as running. */
+TEST_F(JobFailuresTest, AWorkerThatFallsSilentBesideALivingSidecarIsLost) {
+    m_fleet.submit(ID, SMALL, "2000");
+    m_fleet.m_loop.advance(Millis(300));
+    const auto silent = findWorker(taskOf(ID));
+    ASSERT_TRUE(silent.has_value());
+    getSidecar(*silent).m_worker->m_isSilent = true;
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(14'000)));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
+}
+
 TEST_F(JobFailuresTest, AStartThatIsCarriedOutLateRunsOnce) {
     for (auto& sidecar : m_fleet.m_sidecars) {
         sidecar.m_worker->m_startsToDelay = 5;
--- a/test/failures/RequestFailuresTest.cpp
+++ b/test/failures/RequestFailuresTest.cpp
@@ -72,6 +72,18 @@
     }
 }
 
+/** Found by the soak: the leader's refusal was passed on although an own write was under way. */
+TEST_F(RequestFailuresTest, ARefusalByTheLeaderIsNoRefusalOfAWriteThatIsUnderWay) {
+    m_fleet.m_state.m_writesToDelay = 1;
+    m_fleet.m_state.m_writeDelay = Millis(5000);
+    m_fleet.m_loop.callLater(Millis(200), [this] { m_fleet.m_state.m_isDown = true; });
+    const IntakeAnswer answer = m_fleet.submit(idOf(9), SMALL, "300", "/batch/", getFollower());
+    EXPECT_EQ(answer.m_status, 504U) << answer.m_reason;
+    m_fleet.m_state.m_isDown = false;
+    m_fleet.m_loop.advance(Millis(6000));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(idOf(9))), 1U);
+}
+
 TEST_F(RequestFailuresTest, AJobRunsOnceWhateverGatewaysItsRepeatsComeTo) {
     Random random(7);
     for (std::uint64_t job = 1; job <= 12; ++job) {
--- /dev/null
+++ b/test/soak/FaultPlan.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "FaultPlan.h"
+
+#include <algorithm>
+#include <array>
+
+#include "pierbank/base/Random.h"
+
+namespace pierbank::testing {
+
+namespace {
+
+constexpr std::array<std::string_view, FAULT_KINDS> NAMES = {
+        "gateway-kill",        "gateway-freeze",     "gateway-stop",        "sidecar-kill",
+        "sidecar-freeze",      "all-gateways-kill",  "everything-kill",     "gateway-store-silent",
+        "gateway-store-reset", "gateway-store-slow", "sidecar-link-silent", "sidecar-link-reset",
+        "sidecar-link-slow",   "store-down",         "store-silent",        "store-slow",
+        "store-loses",         "store-late",         "store-deaf",          "store-forgets",
+        "store-lapses",        "worker-restart",     "worker-silent",       "worker-hangs",
+        "worker-slow",         "worker-drains",      "key-change"};
+
+/** Nothing strikes before the processes know each other. */
+constexpr Millis QUIET_START{2500};
+
+}  // namespace
+
+std::string_view toText(FaultKind kind) {
+    return NAMES.at(static_cast<std::size_t>(kind));
+}
+
+std::string Fault::toText() const {
+    return std::to_string(m_at.count()) + " ms, for " + std::to_string(m_for.count()) +
+           " ms: " + std::string(pierbank::testing::toText(m_kind)) + " " +
+           std::to_string(m_target);
+}
+
+std::vector<Fault> drawFaults(std::uint64_t seed, Millis length,
+                              const std::vector<std::string>& kinds) {
+    Random random(seed);
+    const auto draw = [&random](std::int64_t least, std::int64_t most) {
+        return Millis(least + static_cast<std::int64_t>(
+                                      random.below(static_cast<std::uint64_t>(most - least + 1))));
+    };
+    std::vector<Fault> faults;
+    for (Millis at = QUIET_START; at < length;) {
+        // A series: the same thing, or several, close after one another.
+        const std::uint64_t series = 1 + random.below(3);
+        for (std::uint64_t i = 0; i < series; ++i) {
+            Fault fault;
+            fault.m_kind = static_cast<FaultKind>(random.below(FAULT_KINDS));
+            fault.m_target = random.below(64);
+            fault.m_at = at + draw(0, 600);
+            fault.m_for = draw(100, 6000);
+            const bool isWanted = kinds.empty() || std::find(kinds.begin(), kinds.end(),
+                                                             toText(fault.m_kind)) != kinds.end();
+            if (isWanted) {
+                faults.push_back(fault);
+            }
+        }
+        at += draw(300, 2500);
+    }
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const Fault& a, const Fault& b) { return a.m_at < b.m_at; });
+    return faults;
+}
+
+}  // namespace pierbank::testing
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -23,7 +23,7 @@
         m_violations.push_back(task.toText() + " run " + std::to_string(run) + " on " + worker +
                                " while it runs on " + m_running[task]);
     }
-    if (m_done.count(task) != 0) {
+    if (m_kept.count(task) != 0) {
         m_violations.push_back(task.toText() + " started on " + worker + " after it was done");
     }
     m_running[task] = worker;
@@ -36,10 +36,6 @@
     }
 }
 
-void RunWitness::noteDone(const TaskKey& task) {
-    m_done.insert(task);
-}
-
 std::size_t RunWitness::countStarts(const TaskKey& task) const {
     const auto found = m_starts.find(task);
     return found == m_starts.end() ? 0 : found->second;
@@ -208,7 +204,7 @@
             return;
         }
         m_lastKept = std::max(m_lastKept, hold.m_lastKept);
-        std::erase_if(m_ended, [this](const ListedEnd& e) { return e.m_number <= m_lastKept; });
+        forgetEnds();
         if (hold.m_until.has_value()) {
             extend(*hold.m_until);
         }
@@ -244,6 +240,15 @@
     });
 }
 
+void FakeTaskWorker::forgetEnds() {
+    for (const ListedEnd& end : m_ended) {
+        if (end.m_number <= m_lastKept && end.m_end == RunEnd::DONE) {
+            m_witness.noteKept(end.m_task);
+        }
+    }
+    std::erase_if(m_ended, [this](const ListedEnd& e) { return e.m_number <= m_lastKept; });
+}
+
 void FakeTaskWorker::end(const TaskKey& task, RunEnd how) {
     const Run run = m_runs[task];
     m_runs.erase(task);
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -20,7 +20,10 @@
 public:
     void noteStart(const TaskKey& task, std::uint32_t run, const std::string& worker);
     void noteStop(const TaskKey& task, const std::string& worker);
-    void noteDone(const TaskKey& task);
+    /** A run ended well; until its worker was told to forget that, it may have to run again. */
+    void noteDone(const TaskKey& task) { m_done.insert(task); }
+    void noteKept(const TaskKey& task) { m_kept.insert(task); }
+    bool isDone(const TaskKey& task) const { return m_done.count(task) != 0; }
     std::size_t countStarts(const TaskKey& task) const;
     std::size_t countRunning() const { return m_running.size(); }
     bool isRunning(const TaskKey& task) const { return m_running.count(task) != 0; }
@@ -30,6 +33,7 @@
     std::map<TaskKey, std::string> m_running;
     std::map<TaskKey, std::size_t> m_starts;
     std::set<TaskKey> m_done;
+    std::set<TaskKey> m_kept;
     std::vector<std::string> m_violations;
 };
 
@@ -98,6 +102,7 @@
     RunReply checkCall(const WorkerCall& call);
     RunReply begin(const WorkerCall& call, const StartCall& start);
     void tick();
+    void forgetEnds();
     void end(const TaskKey& task, RunEnd how);
     void extend(Millis until);
     HoldReply look();
