Logs go to standard output and never wait for their reader; refusals name the job

Cause: the house style asks for standard output and for logging that never blocks; Boost's console sink wrote to standard error and waited for a full pipe.

Change: LineWriter, which drops and counts lines that would have to wait; its tests bring about a reader that stalls. The intake takes the id from the end of the path for its log line.

--- a/libs/base/include/pierbank/base/Log.h
+++ b/libs/base/include/pierbank/base/Log.h
@@ -19,8 +19,8 @@
 };
 
 /**
- * Structured logs on standard error, by Boost.Log: one line an event, with time, severity,
- * component, event and fields. Payloads and tokens are never logged.
+ * Structured logs on standard output, by Boost.Log and LineWriter: one line an event, with time,
+ * severity, component, event and fields. Payloads and tokens are never logged.
  *
  *     logEvent(Severity::INFO, "leader", "took-over", {{"epoch", std::to_string(epoch)}});
  */
--- a/libs/base/src/Log.cpp
+++ b/libs/base/src/Log.cpp
@@ -1,15 +1,20 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pierbank/base/Log.h"
 
+#include <unistd.h>
+
 #include <array>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/smart_ptr/make_shared.hpp>
+
+#include "pierbank/base/LineWriter.h"
 
 namespace pierbank {
 
@@ -23,16 +28,25 @@
     return SEVERITY_NAMES.at(static_cast<std::size_t>(severity));
 }
 
+/** Boost.Log's own stream sinks wait for the reader; this one does not. */
+class StandardOutput : public logging::sinks::basic_formatted_sink_backend<char> {
+public:
+    void consume(const logging::record_view& /*record*/, const std::string& line) {
+        m_writer.write(line);
+    }
+
+private:
+    LineWriter m_writer{STDOUT_FILENO};
+};
+
 void setUpSink() {
     namespace expr = logging::expressions;
     logging::add_common_attributes();
-    logging::add_console_log(
-            std::cerr,
-            logging::keywords::format =
-                    (expr::stream << expr::format_date_time<boost::posix_time::ptime>(
-                                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                                  << " " << expr::smessage),
-            logging::keywords::auto_flush = true);
+    const auto sink = boost::make_shared<logging::sinks::synchronous_sink<StandardOutput>>();
+    sink->set_formatter(expr::stream << expr::format_date_time<boost::posix_time::ptime>(
+                                                "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                     << " " << expr::smessage);
+    logging::core::get()->add_sink(sink);
 }
 
 logging::sources::severity_logger<Severity>& getLogger() {
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -36,6 +36,12 @@
            text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
+/** Names the job in the log of a request whose queue is not known yet; empty when it names none. */
+std::string getJobIdOf(std::string_view path) {
+    const std::string_view last = path.substr(path.rfind('/') + 1);
+    return isJobId(last) ? std::string(last) : std::string();
+}
+
 const StoreItem* findItem(const std::vector<StoreItem>& items, std::string_view key) {
     const auto found = std::find_if(items.begin(), items.end(),
                                     [&](const StoreItem& item) { return item.m_key == key; });
@@ -48,10 +54,11 @@
     IntakeRequest m_request;
     AnswerCallback m_done;
     Millis m_startedAt{0};
+    /** Set by route(); before it only what the path seems to name, for the log. */
+    std::string m_id;
     /** Set by route(). */
     QueuePolicy m_policy;
     std::string m_organisation;
-    std::string m_id;
     StoreRevision m_configurationRevision = 0;
     /** The configuration was confirmed by a read sent after the request came. */
     bool m_isConfirmed = false;
@@ -73,6 +80,7 @@
     call->m_request = std::move(request);
     call->m_done = std::move(done);
     call->m_startedAt = m_loop.now();
+    call->m_id = getJobIdOf(call->m_request.m_path);
     const auto age = m_configuration.getAge();
     if (age.has_value() && *age <= m_settings.m_maxConfigurationAge) {
         route(call);
