--- /dev/null
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+// How the intake tells states, withdraws jobs and counts those that are pending.
+#include <algorithm>
+#include <utility>
+
+#include "JobIntakeCall.h"
+#include "pierbank/control/CertainCommit.h"
+#include "pierbank/control/JobIntake.h"
+#include "pierbank/control/StoreKeys.h"
+#include "pierbank/http/HttpStatus.h"
+#include "pierbank/job/JobCodec.h"
+
+namespace pierbank {
+
+void JobIntake::readState(const CallPtr& call) {
+    m_store.read(getRunKey(call->m_id), [this, call,
+                                         alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
+        if (alive.expired()) {
+            return;
+        }
+        if (read.m_status == StoreStatus::NOT_FOUND) {
+            readRecord(call, false);
+            return;
+        }
+        const auto run =
+                read.m_status == StoreStatus::OK ? decodeJobRun(read.m_item.m_value) : std::nullopt;
+        if (!run.has_value()) {
+            answerUnavailable(call, "the job's state can't be read");
+            return;
+        }
+        answer(call, HTTP_OK, m_codec.writePhase(run->m_phase), run->m_why);
+    });
+}
+
+/** A record goes as its job ends; so an absent one is looked for twice, with the run between. */
+void JobIntake::readRecord(const CallPtr& call, bool isSecond) {
+    const std::string key = isSecond ? getRunKey(call->m_id) : getJobKey(call->m_id);
+    m_store.read(key,
+                 [this, call, isSecond, alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
+                     if (alive.expired()) {
+                         return;
+                     }
+                     if (read.m_status == StoreStatus::NOT_FOUND) {
+                         if (isSecond) {
+                             answer(call, HTTP_GONE, "", "there is no such job");
+                         } else {
+                             readRecord(call, true);
+                         }
+                         return;
+                     }
+                     if (read.m_status != StoreStatus::OK) {
+                         answerUnavailable(call, "the job's state can't be read");
+                         return;
+                     }
+                     const auto run = isSecond ? decodeJobRun(read.m_item.m_value) : std::nullopt;
+                     const JobPhase phase = run.has_value() ? run->m_phase : JobPhase::PENDING;
+                     answer(call, HTTP_OK, m_codec.writePhase(phase), "read from the store");
+                 });
+}
+
+void JobIntake::cancel(const CallPtr& call) {
+    m_store.read(getRunKey(call->m_id),
+                 [this, call, alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
+                     if (alive.expired()) {
+                         return;
+                     }
+                     const bool isAbsent = read.m_status == StoreStatus::NOT_FOUND;
+                     if (read.m_status != StoreStatus::OK && !isAbsent) {
+                         answerUnavailable(call, "the job's state can't be read");
+                         return;
+                     }
+                     const auto run = isAbsent ? std::nullopt : decodeJobRun(read.m_item.m_value);
+                     if (run.has_value() && run->isOver()) {
+                         answer(call, HTTP_OK, "", "the job was over already");
+                         return;
+                     }
+                     cancelRecord(call, run.has_value());
+                 });
+}
+
+void JobIntake::cancelRecord(const CallPtr& call, bool isSecond) {
+    m_store.read(getJobKey(call->m_id),
+                 [this, call, isSecond, alive = std::weak_ptr(m_isAlive)](const StoreRead& read) {
+                     if (alive.expired()) {
+                         return;
+                     }
+                     if (read.m_status == StoreStatus::OK) {
+                         putCancel(call, read.m_item);
+                     } else if (read.m_status != StoreStatus::NOT_FOUND) {
+                         answerUnavailable(call, "the job can't be read");
+                     } else if (isSecond) {
+                         // It was there a moment ago: it has just ended.
+                         answer(call, HTTP_OK, "", "the job is over");
+                     } else {
+                         answer(call, HTTP_GONE, "", "there is no such job");
+                     }
+                 });
+}
+
+void JobIntake::putCancel(const CallPtr& call, const StoreItem& record) {
+    StoreTransaction transaction;
+    transaction.m_conditions = {{record.m_key, record.m_revision}};
+    transaction.m_puts = {{getCancelKey(call->m_id), call->m_organisation, 0}};
+    CommitPatience patience;
+    patience.m_limit = std::max(getTimeLeft(*call), Millis(1));
+    CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_isAlive,
+                       [this, call](const StoreCommit& commit) {
+                           if (commit.m_status == StoreStatus::OK) {
+                               m_onWritten(getCancelKey(call->m_id));
+                               answer(call, HTTP_OK, "", "withdrawn");
+                           } else if (commit.m_status == StoreStatus::CONFLICT) {
+                               answer(call, HTTP_OK, "", "the job has just ended");
+                           } else if (commit.m_status == StoreStatus::UNKNOWN) {
+                               relayOr(call, HTTP_TIMEOUT, "the store did not say");
+                           } else {
+                               answerUnavailable(call, "the store refused: " + commit.m_reason);
+                           }
+                       });
+}
+
+void JobIntake::countPending(const CallPtr& call) {
+    if (m_hasPending && m_loop.now() - m_pendingAt <= m_settings.m_pendingAge) {
+        answer(call, HTTP_OK, m_codec.writePending(m_pending[call->m_policy.m_queue]), "counted");
+        return;
+    }
+    m_pendingCalls.push_back(call);
+    if (m_pendingCalls.size() == 1) {
+        refreshPending();
+    }
+}
+
+/** Accepted jobs without a begun run, of both prefixes; a job that begins between is counted. */
+void JobIntake::refreshPending() {
+    const Millis at = m_loop.now();
+    m_store.list(JOB_PREFIX, [this, at, alive = std::weak_ptr(m_isAlive)](const StoreList& jobs) {
+        if (alive.expired()) {
+            return;
+        }
+        if (jobs.m_status != StoreStatus::OK) {
+            finishPending(false);
+            return;
+        }
+        std::map<std::string, std::string> queues;
+        for (const StoreItem& item : jobs.m_items) {
+            const auto record = decodeJobRecord(item.m_value);
+            if (record.has_value() && !record->m_spec.isTimed()) {
+                queues[record->m_id] = record->m_policy.m_queue;
+            }
+        }
+        m_store.list(RUN_PREFIX,
+                     [this, at, queues = std::move(queues), alive](const StoreList& runs) mutable {
+                         if (alive.expired()) {
+                             return;
+                         }
+                         for (const StoreItem& item : runs.m_items) {
+                             const auto run = decodeJobRun(item.m_value);
+                             if (run.has_value() && (run->m_hasBegun || run->isOver())) {
+                                 queues.erase(item.m_key.substr(RUN_PREFIX.size()));
+                             }
+                         }
+                         m_pending.clear();
+                         for (const auto& [id, queue] : queues) {
+                             ++m_pending[queue];
+                         }
+                         m_pendingAt = at;
+                         m_hasPending = runs.m_status == StoreStatus::OK;
+                         finishPending(m_hasPending);
+                     });
+    });
+}
+
+void JobIntake::finishPending(bool isGood) {
+    for (const CallPtr& call : std::exchange(m_pendingCalls, {})) {
+        if (isGood) {
+            answer(call, HTTP_OK, m_codec.writePending(m_pending[call->m_policy.m_queue]),
+                   "counted");
+        } else {
+            answerUnavailable(call, "the jobs can't be listed");
+        }
+    }
+}
+
+}  // namespace pierbank
--- a/libs/daemon/src/Gateway.cpp
+++ b/libs/daemon/src/Gateway.cpp
@@ -6,13 +6,12 @@
 #include <utility>
 
 #include "pierbank/base/Log.h"
+#include "pierbank/http/HttpStatus.h"
 
 namespace pierbank {
 
 namespace {
 
-constexpr std::uint32_t OK = 200;
-constexpr std::uint32_t UNAVAILABLE = 503;
 /** A caller that names no patience. */
 constexpr std::int64_t DEFAULT_PATIENCE_MS = 3000;
 
@@ -90,7 +89,7 @@
                 if (m_isLeaving) {
                     out.m_headers.push_back({"Connection", "close"});
                 }
-                ++(answer.m_status == OK ? m_callers.m_served : m_callers.m_refused);
+                ++(answer.m_status == HTTP_OK ? m_callers.m_served : m_callers.m_refused);
                 m_callers.m_latency.add(m_loop.now() - startedAt);
                 call->answer(out);
                 --m_inProgress;
@@ -100,7 +99,7 @@
 void Gateway::handleReady(const std::shared_ptr<HttpServerCall>& call) const {
     const bool isReady = !m_isLeaving && m_core.isReady(m_settings.m_readyAge);
     HttpServerAnswer answer;
-    answer.m_status = isReady ? OK : UNAVAILABLE;
+    answer.m_status = isReady ? HTTP_OK : HTTP_UNAVAILABLE;
     call->answer(answer);
 }
 
--- a/libs/daemon/src/Sidecar.cpp
+++ b/libs/daemon/src/Sidecar.cpp
@@ -6,14 +6,11 @@
 #include "pierbank/base/Log.h"
 #include "pierbank/control/Registration.h"
 #include "pierbank/control/StoreKeys.h"
+#include "pierbank/http/HttpStatus.h"
 
 namespace pierbank {
 
-namespace {
-
-constexpr std::uint32_t BAD_REQUEST = 400;
-
-}  // namespace
+namespace {}  // namespace
 
 Sidecar::Sidecar(RecordStore& store, EventLoop& loop, Transport& transport, TaskWorker& worker,
                  const DocumentCodec& codec, SidecarSettings settings)
@@ -58,7 +55,7 @@
     if (!beat.has_value()) {
         logEvent(Severity::WARNING, "sidecar", "bad-beat",
                  {{"life", life}, {"findings", findings.toText()}});
-        answer.m_status = BAD_REQUEST;
+        answer.m_status = HTTP_BAD_REQUEST;
         call->answer(answer);
         return;
     }
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -10,6 +10,7 @@
 
 #include "GuardedStream.h"
 #include "pierbank/http/HttpHeaders.h"
+#include "pierbank/http/HttpStatus.h"
 
 namespace pierbank {
 
@@ -116,11 +117,10 @@
  * be a matter of opinion: another party on the way may think otherwise.
  */
 std::uint32_t refuseHead(SoupServerMessage* message) {
-    constexpr std::uint32_t BAD_REQUEST = 400;
     const std::string length = getAll(message, "Content-Length");
     const bool isAmbiguous = !length.empty() && !getAll(message, "Transfer-Encoding").empty();
     if (isAmbiguous || length.find(',') != std::string::npos) {
-        return BAD_REQUEST;
+        return HTTP_BAD_REQUEST;
     }
     return 0;
 }
--- /dev/null
+++ b/libs/job/src/JobTransitions.cpp
@@ -0,0 +1,351 @@
+// SPDX-License-Identifier: Apache-2.0
+// How a job's run moves on: placements, ends, stops and withdrawals.
+#include <algorithm>
+#include <utility>
+
+#include "pierbank/job/JobRun.h"
+
+namespace pierbank {
+
+namespace {
+
+OccurrenceRun makeOccurrence(const JobSpec& spec, std::uint32_t number) {
+    OccurrenceRun occurrence;
+    occurrence.m_number = number;
+    for (const StepSpec& step : spec.m_steps) {
+        StepRun run;
+        run.m_tasks.resize(step.m_tasks);
+        occurrence.m_steps.push_back(std::move(run));
+    }
+    return occurrence;
+}
+
+void release(TaskRun& task) {
+    task.m_state = TaskState::WAITING;
+    task.m_worker = WorkerId();
+}
+
+/** A task's own run as it holds its worker. */
+HeldRun makeHeld(const TaskKey& key, const TaskRun& task) {
+    return {key,  task.m_run, task.m_worker, task.m_placedAt, task.m_state == TaskState::STOPPING,
+            false};
+}
+
+HeldRun makeHeld(const TaskKey& key, const TaskCopy& copy) {
+    return {key, copy.m_run, copy.m_worker, copy.m_placedAt, copy.m_isStopping, true};
+}
+
+/** Runs of a step that hold workers and are not being stopped, by a condition. */
+template <typename Condition>
+std::vector<HeldRun> listGoing(const StepRun& step, const TaskKey& any, Condition condition) {
+    std::vector<HeldRun> going;
+    TaskKey key = any;
+    for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
+        key.m_index = i;
+        if (step.m_tasks[i].m_state == TaskState::PLACED) {
+            going.push_back(makeHeld(key, step.m_tasks[i]));
+        }
+    }
+    for (const TaskCopy& copy : step.m_copies) {
+        key.m_index = copy.m_index;
+        if (!copy.m_isStopping) {
+            going.push_back(makeHeld(key, copy));
+        }
+    }
+    std::erase_if(going, [&](const HeldRun& held) { return !condition(held); });
+    return going;
+}
+
+void markAllStopping(JobRun& run, const std::vector<HeldRun>& held) {
+    for (const HeldRun& one : held) {
+        markStopping(run, one);
+    }
+}
+
+void finish(JobRun& run, JobPhase phase, std::string_view why, Millis wallNow) {
+    run.m_phase = phase;
+    run.m_endedAt = wallNow;
+    run.explain(std::string(why), wallNow);
+}
+
+/** Occurrences that are done go once nothing of them holds a worker any more. */
+void finishIfDone(const JobRecord& record, JobRun& run, Millis wallNow) {
+    const bool isAllStarted =
+            run.m_startedOccurrences >= std::max<std::uint32_t>(1, record.m_spec.m_occurrences);
+    const bool isAllDone = std::all_of(run.m_occurrences.begin(), run.m_occurrences.end(),
+                                       [](const OccurrenceRun& o) { return o.isDone(); });
+    std::erase_if(run.m_occurrences,
+                  [](const OccurrenceRun& o) { return o.isDone() && o.isIdle(); });
+    if (isAllDone && isAllStarted && !run.isOver()) {
+        finish(run, JobPhase::SUCCEEDED, "every task has ended", wallNow);
+    }
+}
+
+/** The job is over: what still has workers is stopped. */
+std::vector<HeldRun> stopAll(const std::string& id, JobRun& run) {
+    std::vector<HeldRun> toStop = listHeldRuns(id, run);
+    std::erase_if(toStop, [](const HeldRun& held) { return held.m_isStopping; });
+    markAllStopping(run, toStop);
+    return toStop;
+}
+
+/** The task is done. What still runs of it is kept as copies that are being stopped. */
+void markDone(StepRun& step, std::uint32_t index) {
+    TaskRun& task = step.m_tasks[index];
+    if (task.holdsWorker()) {
+        step.m_copies.push_back({index, task.m_run, task.m_worker, task.m_placedAt,
+                                 task.m_state == TaskState::STOPPING});
+        task.m_worker = WorkerId();
+    }
+    task.m_state = TaskState::DONE;
+}
+
+std::vector<HeldRun> applyDone(const JobRecord& record, JobRun& run, const TaskKey& key,
+                               Millis wallNow) {
+    const StepSpec& spec = record.m_spec.m_steps[key.m_step];
+    StepRun& step = run.findOccurrence(key.m_occurrence)->m_steps[key.m_step];
+    std::vector<HeldRun> toStop;
+    if (spec.m_isGang) {
+        // The other members end with it; their own ends may come later.
+        for (TaskRun& member : step.m_tasks) {
+            member.m_state = TaskState::DONE;
+        }
+    } else {
+        markDone(step, key.m_index);
+        toStop = listGoing(step, key,
+                           [&](const HeldRun& h) { return h.m_task.m_index == key.m_index; });
+        markAllStopping(run, toStop);
+    }
+    finishIfDone(record, run, wallNow);
+    return toStop;
+}
+
+/** Takes a run that ended off its worker. A copy that goes on becomes the task's run. */
+void releaseRun(StepRun& step, std::uint32_t index, std::uint32_t number) {
+    TaskRun& task = step.m_tasks[index];
+    const auto isEnded = [&](const TaskCopy& copy) {
+        return copy.m_index == index && copy.m_run == number;
+    };
+    if (std::erase_if(step.m_copies, isEnded) != 0) {
+        return;
+    }
+    release(task);
+    const auto next = std::find_if(step.m_copies.begin(), step.m_copies.end(),
+                                   [&](const TaskCopy& copy) { return copy.m_index == index; });
+    if (next == step.m_copies.end()) {
+        return;
+    }
+    task.m_state = next->m_isStopping ? TaskState::STOPPING : TaskState::PLACED;
+    task.m_run = next->m_run;
+    task.m_worker = next->m_worker;
+    task.m_placedAt = next->m_placedAt;
+    step.m_copies.erase(next);
+}
+
+void saveCheckpoint(const StepSpec& spec, StepRun& step, const TaskKey& key,
+                    std::string_view checkpoint) {
+    if (checkpoint.empty()) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
+        if (spec.m_isGang || i == key.m_index) {
+            step.m_tasks[i].m_checkpoint = checkpoint;
+        }
+    }
+}
+
+}  // namespace
+
+std::optional<HeldRun> JobRun::findHeldRun(const TaskKey& key, std::uint32_t number) const {
+    const TaskRun* const task = findTask(key);
+    if (task == nullptr) {
+        return std::nullopt;
+    }
+    if (task->holdsWorker() && task->m_run == number) {
+        return makeHeld(key, *task);
+    }
+    for (const TaskCopy& copy : findOccurrence(key.m_occurrence)->m_steps[key.m_step].m_copies) {
+        if (copy.m_index == key.m_index && copy.m_run == number) {
+            return makeHeld(key, copy);
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<HeldRun> listHeldRuns(const std::string& id, const JobRun& run) {
+    std::vector<HeldRun> held;
+    for (const OccurrenceRun& occurrence : run.m_occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
+            const StepRun& stepRun = occurrence.m_steps[step];
+            for (std::uint32_t i = 0; i < stepRun.m_tasks.size(); ++i) {
+                if (stepRun.m_tasks[i].holdsWorker()) {
+                    held.push_back(
+                            makeHeld({id, occurrence.m_number, step, i}, stepRun.m_tasks[i]));
+                }
+            }
+            for (const TaskCopy& copy : stepRun.m_copies) {
+                held.push_back(makeHeld({id, occurrence.m_number, step, copy.m_index}, copy));
+            }
+        }
+    }
+    return held;
+}
+
+std::uint32_t getNextRun(const JobRecord& record, const JobRun& run, const TaskKey& key) {
+    std::uint32_t last = run.findTask(key)->m_lastRun;
+    if (record.m_spec.m_steps[key.m_step].m_isGang) {
+        const auto& members = run.findOccurrence(key.m_occurrence)->m_steps[key.m_step].m_tasks;
+        for (const TaskRun& member : members) {
+            last = std::max(last, member.m_lastRun);
+        }
+    }
+    return last + 1;
+}
+
+void applyPlacement(JobRun& run, const TaskKey& key, std::uint32_t number, const WorkerId& worker,
+                    Millis wallNow) {
+    TaskRun& task = *run.findTask(key);
+    task.m_state = TaskState::PLACED;
+    task.m_run = number;
+    task.m_lastRun = number;
+    task.m_worker = worker;
+    task.m_placedAt = wallNow;
+    run.m_hasBegun = true;
+    run.m_phase = JobPhase::RUNNING;
+    run.explain("running: placed on " + worker.m_host, wallNow);
+}
+
+std::uint32_t applyCopy(JobRun& run, const TaskKey& key, const WorkerId& worker, Millis wallNow) {
+    TaskRun& task = *run.findTask(key);
+    ++task.m_lastRun;
+    run.findOccurrence(key.m_occurrence)
+            ->m_steps[key.m_step]
+            .m_copies.push_back({key.m_index, task.m_lastRun, worker, wallNow, false});
+    return task.m_lastRun;
+}
+
+void markStopping(JobRun& run, const HeldRun& held) {
+    if (!held.m_isCopy) {
+        run.findTask(held.m_task)->m_state = TaskState::STOPPING;
+        return;
+    }
+    StepRun& step = run.findOccurrence(held.m_task.m_occurrence)->m_steps[held.m_task.m_step];
+    for (TaskCopy& copy : step.m_copies) {
+        if (copy.m_index == held.m_task.m_index && copy.m_run == held.m_run) {
+            copy.m_isStopping = true;
+        }
+    }
+}
+
+JobRun makeJobRun(const JobRecord& record) {
+    JobRun run;
+    run.m_organisation = record.m_organisation;
+    run.m_queue = record.m_policy.m_queue;
+    run.m_isTimed = record.m_spec.isTimed();
+    run.m_why = "accepted; no decision yet";
+    if (!run.m_isTimed) {
+        run.m_occurrences.push_back(makeOccurrence(record.m_spec, 0));
+        run.m_startedOccurrences = 1;
+    }
+    return run;
+}
+
+std::optional<Millis> getNextDue(const JobRecord& record, const JobRun& run) {
+    const JobSpec& spec = record.m_spec;
+    if (!spec.isTimed() || run.isOver() || run.m_startedOccurrences >= spec.m_occurrences) {
+        return std::nullopt;
+    }
+    return spec.m_firstDue + spec.m_interval * run.m_startedOccurrences;
+}
+
+bool addDueOccurrences(const JobRecord& record, JobRun& run, Millis wallNow) {
+    bool isAdded = false;
+    for (auto due = getNextDue(record, run); due.has_value() && *due <= wallNow;
+         due = getNextDue(record, run)) {
+        run.m_occurrences.push_back(makeOccurrence(record.m_spec, run.m_startedOccurrences));
+        ++run.m_startedOccurrences;
+        isAdded = true;
+    }
+    return isAdded;
+}
+
+bool isStepReady(const JobRecord& record, const OccurrenceRun& occurrence, std::uint32_t step) {
+    const auto& after = record.m_spec.m_steps[step].m_after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+        return earlier < occurrence.m_steps.size() && occurrence.m_steps[earlier].isDone();
+    });
+}
+
+namespace {
+
+/** Counts a failed run. @return whether the job has failed by it. */
+bool countFailure(const JobRecord& record, JobRun& run, const HeldRun& failed, Millis wallNow) {
+    const TaskKey& key = failed.m_task;
+    const StepSpec& spec = record.m_spec.m_steps[key.m_step];
+    StepRun& step = run.findOccurrence(key.m_occurrence)->m_steps[key.m_step];
+    TaskRun& counted = spec.m_isGang ? step.m_tasks.front() : step.m_tasks[key.m_index];
+    step.m_tasks[key.m_index].m_failedHost = failed.m_worker.m_host;
+    if (counted.m_failedRun != failed.m_run) {
+        counted.m_failedRun = failed.m_run;
+        ++counted.m_failures;
+    }
+    if (counted.m_failures < record.m_policy.m_attempts || run.isOver()) {
+        return false;
+    }
+    finish(run, JobPhase::FAILED,
+           "task " + key.toText() + " failed " + std::to_string(counted.m_failures) +
+                   " times, at last on " + failed.m_worker.m_host,
+           wallNow);
+    return true;
+}
+
+}  // namespace
+
+EndEffect applyEnd(const JobRecord& record, JobRun& run, const TaskKey& key, std::uint32_t number,
+                   RunEnd end, std::string_view checkpoint, Millis wallNow) {
+    EndEffect effect;
+    const auto held = run.findHeldRun(key, number);
+    if (!held.has_value()) {
+        return effect;
+    }
+    effect.m_isCurrent = true;
+    const StepSpec& spec = record.m_spec.m_steps[key.m_step];
+    StepRun& step = run.findOccurrence(key.m_occurrence)->m_steps[key.m_step];
+    const bool isDoneAlready = step.m_tasks[key.m_index].m_state == TaskState::DONE;
+    releaseRun(step, key.m_index, number);
+    if (isDoneAlready) {
+        // What was left of a task that is done.
+        finishIfDone(record, run, wallNow);
+        return effect;
+    }
+    saveCheckpoint(spec, step, key, checkpoint);
+    if (end == RunEnd::DONE && !spec.m_isLasting) {
+        effect.m_toStop = applyDone(record, run, key, wallNow);
+        return effect;
+    }
+    if (end == RunEnd::FAILED && !spec.m_isLasting && countFailure(record, run, *held, wallNow)) {
+        effect.m_toStop = stopAll(key.m_job, run);
+        return effect;
+    }
+    if (spec.m_isGang) {
+        effect.m_toStop =
+                listGoing(step, key, [number](const HeldRun& h) { return h.m_run == number; });
+        markAllStopping(run, effect.m_toStop);
+    }
+    return effect;
+}
+
+EndEffect applyNotRunning(const JobRecord& record, JobRun& run, const TaskKey& key,
+                          std::uint32_t number, Millis wallNow) {
+    return applyEnd(record, run, key, number, RunEnd::LAPSED, "", wallNow);
+}
+
+std::vector<HeldRun> applyCancel(const std::string& id, JobRun& run, Millis wallNow) {
+    if (run.isOver()) {
+        return {};
+    }
+    finish(run, JobPhase::CANCELLED, "withdrawn by its caller", wallNow);
+    return stopAll(id, run);
+}
+
+}  // namespace pierbank
--- a/test/soak/Callers.cpp
+++ b/test/soak/Callers.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Callers.h"
+#include "pierbank/http/HttpStatus.h"
 
 #include <utility>
 
@@ -7,9 +8,6 @@
 
 namespace {
 
-constexpr std::uint32_t OK = 200;
-constexpr std::uint32_t BAD_GATEWAY = 502;
-constexpr std::uint32_t OUTCOME_UNKNOWN = 504;
 constexpr Millis CALL_TIMEOUT{3000};
 constexpr Millis RETRY_PAUSE{400};
 constexpr unsigned MAX_TRIES = 5;
@@ -24,7 +22,7 @@
 }
 
 bool isUnknown(std::uint32_t status) {
-    return status == 0 || status == BAD_GATEWAY || status == OUTCOME_UNKNOWN;
+    return status == 0 || status == HTTP_BAD_GATEWAY || status == HTTP_TIMEOUT;
 }
 
 }  // namespace
@@ -118,7 +116,7 @@
     SoakJob& job = m_promises.getJobs().at(id);
     m_promises.noteSubmitted(job, status);
     // Sometimes also after its acceptance: it stays one job.
-    const bool isAgain = status == OK ? m_random.below(12) == 0 : true;
+    const bool isAgain = status == HTTP_OK ? m_random.below(12) == 0 : true;
     const unsigned most = isUnknown(status) ? 2 * MAX_TRIES : MAX_TRIES;
     if (!isAgain || tries >= most || job.m_isCancelAsked) {
         return;
@@ -172,7 +170,7 @@
                           return;
                       }
                       m_promises.noteCancelled(m_promises.getJobs().at(id), result.m_status);
-                      if (result.m_status != OK && tries < MAX_TRIES) {
+                      if (result.m_status != HTTP_OK && tries < MAX_TRIES) {
                           m_loop.callLater(RETRY_PAUSE, [this, id, tries, alive] {
                               if (!alive.expired()) {
                                   cancel(id, tries + 1);
--- a/test/soak/Promises.cpp
+++ b/test/soak/Promises.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Promises.h"
+#include "pierbank/http/HttpStatus.h"
 
 #include <utility>
 
@@ -7,12 +8,6 @@
 
 namespace {
 
-constexpr std::uint32_t OK = 200;
-constexpr std::uint32_t UNAUTHORIZED = 401;
-constexpr std::uint32_t GONE = 410;
-constexpr std::uint32_t TOO_MANY = 429;
-constexpr std::uint32_t UNAVAILABLE = 503;
-
 /** The state in `{"state":"..."}`; empty for any other body. */
 std::string readState(const std::string& body) {
     constexpr std::string_view HEAD = R"({"state":")";
@@ -66,20 +61,21 @@
 }
 
 void Promises::noteSubmitted(SoakJob& job, std::uint32_t status) {
-    const bool isRefusal = status == UNAVAILABLE || status == TOO_MANY || status == UNAUTHORIZED;
-    job.m_isAccepted = job.m_isAccepted || status == OK;
+    const bool isRefusal =
+            status == HTTP_UNAVAILABLE || status == HTTP_TOO_MANY || status == HTTP_UNAUTHORIZED;
+    job.m_isAccepted = job.m_isAccepted || status == HTTP_OK;
     job.m_isOnlyRefused = job.m_isOnlyRefused && isRefusal;
 }
 
 void Promises::noteState(SoakJob& job, std::uint32_t status, const std::string& body,
                          Millis askedAt, Millis now) {
-    if (status == GONE) {
+    if (status == HTTP_GONE) {
         if (job.m_isAccepted) {
             breach("nothing accepted is lost", job.m_id, "410 for an accepted job");
         }
         return;
     }
-    if (status != OK) {
+    if (status != HTTP_OK) {
         return;
     }
     const std::string state = readState(body);
@@ -111,13 +107,13 @@
 
 void Promises::noteCancelled(SoakJob& job, std::uint32_t status) {
     job.m_isCancelAsked = true;
-    if (status == GONE && job.m_isAccepted) {
+    if (status == HTTP_GONE && job.m_isAccepted) {
         breach("nothing accepted is lost", job.m_id, "410 to a DELETE of an accepted job");
     }
 }
 
 void Promises::noteRevokedKey(std::uint32_t status, const std::string& gateway) {
-    if (status == OK) {
+    if (status == HTTP_OK) {
         breach("no revoked key is served", gateway, "200 to a key that was taken away long ago");
     }
 }
