--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -117,7 +117,7 @@
     }
     entry.m_isDirty = true;
     stopRuns(entry, effect.m_toStop);
-    if (entry.m_run.isOver()) {
+    if (effect.m_endsJob) {
         logEvent(Severity::INFO, "jobs", "over",
                  {{"job", entry.m_record.m_id},
                   {"phase", std::string(toText(entry.m_run.m_phase))},
--- a/libs/job/include/pierbank/job/JobRun.h
+++ b/libs/job/include/pierbank/job/JobRun.h
@@ -222,6 +222,8 @@
 struct EndEffect {
     /** The end belonged to the task's last run. */
     bool m_isCurrent = false;
+    /** The job was not over before. */
+    bool m_endsJob = false;
     /** Runs that have to be stopped: a gang's other members, copies, all of a failed job. */
     std::vector<HeldRun> m_toStop;
 };
--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -299,10 +299,8 @@
     return true;
 }
 
-}  // namespace
-
-EndEffect applyEnd(const JobRecord& record, JobRun& run, const TaskKey& key, std::uint32_t number,
-                   RunEnd end, std::string_view checkpoint, Millis wallNow) {
+EndEffect takeEnd(const JobRecord& record, JobRun& run, const TaskKey& key, std::uint32_t number,
+                  RunEnd end, std::string_view checkpoint, Millis wallNow) {
     EndEffect effect;
     const auto held = run.findHeldRun(key, number);
     if (!held.has_value()) {
@@ -335,6 +333,16 @@
     return effect;
 }
 
+}  // namespace
+
+EndEffect applyEnd(const JobRecord& record, JobRun& run, const TaskKey& key, std::uint32_t number,
+                   RunEnd end, std::string_view checkpoint, Millis wallNow) {
+    const bool wasOver = run.isOver();
+    EndEffect effect = takeEnd(record, run, key, number, end, checkpoint, wallNow);
+    effect.m_endsJob = !wasOver && run.isOver();
+    return effect;
+}
+
 EndEffect applyNotRunning(const JobRecord& record, JobRun& run, const TaskKey& key,
                           std::uint32_t number, Millis wallNow) {
     return applyEnd(record, run, key, number, RunEnd::LAPSED, "", wallNow);
