Hosts that are gone for ten minutes are forgotten; a living one without a leader registers again

Change: WorkerPool forgets a host that was out of reach for ten minutes; the controller removes its key under the leader key's condition. Registration writes the key again each 30 s while no leader is linked.

The part of the fleet in tests now registers by the same class.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -120,6 +120,7 @@
     void handleRunReport(const std::string& host, const RunReport& report) override;
     void handleRunAbsent(const std::string& host, const RunAbsent& absent) override;
     void handleHostLost(const std::string& host) override;
+    void handleHostGone(const std::string& host) override;
     void handleInputNotice(const std::string& key) override;
     void handleRelayed(const std::string& host, const RelayedRequest& request) override;
 
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -7,6 +7,7 @@
 #include "pierbank/control/JobIntake.h"
 #include "pierbank/control/LeaderLink.h"
 #include "pierbank/control/LeaderLock.h"
+#include "pierbank/control/Registration.h"
 
 namespace pierbank {
 
@@ -67,6 +68,7 @@
     JobController m_jobs;
     WaveController m_waves;
     LeaderLink m_leaderLink;
+    Registration m_registration;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/libs/control/include/pierbank/control/Registration.h
+++ b/libs/control/include/pierbank/control/Registration.h
@@ -2,6 +2,7 @@
 #ifndef PIERBANK_CONTROL_REGISTRATION_H
 #define PIERBANK_CONTROL_REGISTRATION_H
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -11,12 +12,35 @@
 namespace pierbank {
 
 /**
- * Writes the key by which leaders find this process, and tries until it is written. The key stays
- * when the process ends. @param guard expires with the owner, which must not outlive store and
- * loop.
+ * Keeps the key by which leaders find this process: writes it, tries until it is written, and
+ * writes it again while no leader has been there for long, since leaders remove the keys of hosts
+ * that they could not reach for minutes. The key stays when the process ends.
  */
-void registerAddress(RecordStore& store, EventLoop& loop, std::string key,
-                     std::weak_ptr<bool> guard);
+class Registration {
+public:
+    /** How often it looks whether a leader is there. Also bounds the writes of a fleet without one.
+     */
+    static constexpr Millis CHECK{30'000};
+
+    /** Store and loop must outlive the registration. @param isLed whether a leader is linked. */
+    Registration(RecordStore& store, EventLoop& loop, std::function<bool()> isLed);
+    Registration(const Registration&) = delete;
+    Registration& operator=(const Registration&) = delete;
+
+    void start(std::string key);
+
+private:
+    void write();
+    void check();
+    void checkLater();
+
+    RecordStore& m_store;
+    EventLoop& m_loop;
+    const std::function<bool()> m_isLed;
+    std::string m_key;
+    bool m_isWriting = false;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
 
 }  // namespace pierbank
 
--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -64,6 +64,8 @@
     void handleBeat(const WorkerBeat& beat);
     /** The worker said that this life ends. */
     void handleLeave(const std::string& life);
+    /** Whether a leader is linked. */
+    bool isLed() const noexcept { return m_leader.isLinked(); }
 
 private:
     // The leader's link.
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -27,6 +27,9 @@
     Millis m_reconnectPause{250};
     /** A link over which nothing came for so long is given up. */
     Millis m_silence{2000};
+    /** A host out of reach for so long is forgotten; if it lives it registers again. Hosts are
+     * replaced every day (240 of 690), and their addresses must not gather. */
+    Millis m_forgetAfter{600'000};
 };
 
 /** Told of what the sidecars report. Hosts are named by the sidecar's address. */
@@ -43,6 +46,8 @@
     virtual void handleRelayed(const std::string& host, const RelayedRequest& request) = 0;
     /** Whatever ran there under an earlier grant has surely stopped. */
     virtual void handleHostLost(const std::string& host) = 0;
+    /** It was out of reach for so long that the pool has forgotten it. */
+    virtual void handleHostGone(const std::string& host) = 0;
 };
 
 /** The leader's links to all sidecars, and the grants under which workers run tasks. */
@@ -88,12 +93,14 @@
 
 private:
     void connect(const std::string& address);
+    void handleConnected(const std::string& address, std::shared_ptr<Link> link);
     void connectLater(const std::string& address);
     void handleLink(const std::string& address, std::shared_ptr<Link> link);
     void handleFrame(const std::string& address, const Frame& frame);
     void answerAsk(Host& host, const LeaseAsk& ask);
     void dropLink(const std::string& address, std::string_view why);
     void tick();
+    void forgetGone();
     Millis getLongestGrant() const;
 
     Transport& m_transport;
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -346,4 +346,14 @@
     m_store.commit(transaction, PATIENCE, [](const StoreCommit&) {});
 }
 
+void JobController::handleHostGone(const std::string& host) {
+    m_reports.erase(host);
+    StoreTransaction transaction;
+    transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
+    transaction.m_removals = {getHostKey(host), getGatewayKey(host)};
+    // If it is lost, the next leader does it again.
+    constexpr Millis PATIENCE{1000};
+    m_store.commit(transaction, PATIENCE, [](const StoreCommit&) {});
+}
+
 }  // namespace pierbank
--- a/libs/control/src/JobCore.cpp
+++ b/libs/control/src/JobCore.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pierbank/control/JobCore.h"
 
-#include "pierbank/control/Registration.h"
 #include "pierbank/control/StoreKeys.h"
 
 namespace pierbank {
@@ -18,7 +17,8 @@
           m_jobs(m_store, loop, m_configuration, transport, platform.m_advisor, settings.m_workers,
                  settings.m_jobs),
           m_waves(m_store, loop, platform.m_fleet, platform.m_codec, m_jobs, settings.m_waves),
-          m_leaderLink(loop) {
+          m_leaderLink(loop),
+          m_registration(m_store, loop, [this] { return m_leaderLink.isUsable(); }) {
     m_intake.onWritten([this](std::string_view key) { m_leaderLink.notify(key); });
     m_configuration.onChange([this] { m_jobs.handleConfiguration(); });
     m_lock.onAcquired([this](StoreRevision epoch) {
@@ -50,7 +50,7 @@
     if (!m_transport.listen(m_links, onLink, reason)) {
         return false;
     }
-    registerAddress(m_store, m_loop, getGatewayKey(m_links.toText()), m_isAlive);
+    m_registration.start(getGatewayKey(m_links.toText()));
     m_configuration.start();
     m_lock.start();
     return true;
--- a/libs/control/src/Registration.cpp
+++ b/libs/control/src/Registration.cpp
@@ -15,27 +15,54 @@
 
 }  // namespace
 
-void registerAddress(RecordStore& store, EventLoop& loop, std::string key,
-                     std::weak_ptr<bool> guard) {
-    StoreTransaction transaction;
-    transaction.m_puts = {{key, "", 0}};
-    store.commit(transaction, PATIENCE, [&store, &loop, key, guard](const StoreCommit& commit) {
-        if (guard.expired()) {
-            return;
-        }
-        if (commit.m_status == StoreStatus::OK) {
-            logEvent(Severity::INFO, "registration", "done",
-                     {{"key", key}, {"revision", std::to_string(commit.m_revision)}});
-            return;
+Registration::Registration(RecordStore& store, EventLoop& loop, std::function<bool()> isLed)
+        : m_store(store), m_loop(loop), m_isLed(std::move(isLed)) {}
+
+void Registration::start(std::string key) {
+    m_key = std::move(key);
+    write();
+    checkLater();
+}
+
+void Registration::check() {
+    if (!m_isWriting && !m_isLed()) {
+        write();
+    }
+    checkLater();
+}
+
+void Registration::checkLater() {
+    m_loop.callLater(CHECK, [this, alive = std::weak_ptr(m_isAlive)] {
+        if (!alive.expired()) {
+            check();
         }
-        logEvent(Severity::WARNING, "registration", "failed",
-                 {{"key", key}, {"reason", commit.m_reason}});
-        loop.callLater(PAUSE, [&store, &loop, key, guard] {
-            if (!guard.expired()) {
-                registerAddress(store, loop, key, guard);
-            }
-        });
     });
 }
 
+void Registration::write() {
+    m_isWriting = true;
+    StoreTransaction transaction;
+    transaction.m_puts = {{m_key, "", 0}};
+    m_store.commit(
+            transaction, PATIENCE,
+            [this, alive = std::weak_ptr(m_isAlive)](const StoreCommit& commit) {
+                if (alive.expired()) {
+                    return;
+                }
+                if (commit.m_status == StoreStatus::OK) {
+                    m_isWriting = false;
+                    logEvent(Severity::INFO, "registration", "done",
+                             {{"key", m_key}, {"revision", std::to_string(commit.m_revision)}});
+                    return;
+                }
+                logEvent(Severity::WARNING, "registration", "failed",
+                         {{"key", m_key}, {"reason", commit.m_reason}});
+                m_loop.callLater(PAUSE, [this, alive] {
+                    if (!alive.expired()) {
+                        write();
+                    }
+                });
+            });
+}
+
 }  // namespace pierbank
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -85,15 +85,27 @@
                             if (term.expired()) {
                                 return;
                             }
-                            m_hosts[address].m_isConnecting = false;
-                            if (link == nullptr) {
-                                connectLater(address);
-                                return;
-                            }
-                            handleLink(address, std::move(link));
+                            handleConnected(address, std::move(link));
                         });
 }
 
+void WorkerPool::handleConnected(const std::string& address, std::shared_ptr<Link> link) {
+    const auto found = m_hosts.find(address);
+    if (found == m_hosts.end()) {
+        // Forgotten meanwhile.
+        if (link != nullptr) {
+            link->close();
+        }
+        return;
+    }
+    found->second.m_isConnecting = false;
+    if (link == nullptr) {
+        connectLater(address);
+        return;
+    }
+    handleLink(address, std::move(link));
+}
+
 void WorkerPool::connectLater(const std::string& address) {
     m_loop.callLater(m_settings.m_reconnectPause, [this, address, term = std::weak_ptr(m_term)] {
         if (!term.expired()) {
@@ -203,6 +215,7 @@
         logEvent(Severity::WARNING, "workers", "host-lost", {{"host", address}});
         m_listener.handleHostLost(address);
     }
+    forgetGone();
     m_loop.callLater(TICK, [this, term = std::weak_ptr(m_term)] {
         if (!term.expired()) {
             tick();
@@ -210,4 +223,22 @@
     });
 }
 
+void WorkerPool::forgetGone() {
+    std::vector<std::string> gone;
+    for (const auto& [address, host] : m_hosts) {
+        const bool isGone = !host.isLinked() && host.m_isLost &&
+                            m_loop.now() - host.m_heardAt > m_settings.m_forgetAfter;
+        if (isGone) {
+            gone.push_back(address);
+        }
+    }
+    for (const std::string& address : gone) {
+        m_hosts.erase(address);
+        logEvent(Severity::WARNING, "workers", "host-forgotten",
+                 {{"host", address},
+                  {"out_of_reach_s", std::to_string(m_settings.m_forgetAfter.count() / 1000)}});
+        m_listener.handleHostGone(address);
+    }
+}
+
 }  // namespace pierbank
--- a/libs/daemon/include/pierbank/daemon/Sidecar.h
+++ b/libs/daemon/include/pierbank/daemon/Sidecar.h
@@ -6,6 +6,7 @@
 
 #include "pierbank/base/SettingsFile.h"
 #include "pierbank/control/Documents.h"
+#include "pierbank/control/Registration.h"
 #include "pierbank/control/WorkerAgent.h"
 #include "pierbank/http/HttpServer.h"
 #include "pierbank/store/RecordStore.h"
@@ -45,14 +46,12 @@
 private:
     void handleBeat(const HttpServerRequest& request, const std::shared_ptr<HttpServerCall>& call);
 
-    RecordStore& m_store;
-    EventLoop& m_loop;
     Transport& m_transport;
     const DocumentCodec& m_codec;
     const SidecarSettings m_settings;
     WorkerAgent m_agent;
+    Registration m_registration;
     HttpServer m_beats;
-    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 }  // namespace pierbank
--- a/libs/daemon/src/Sidecar.cpp
+++ b/libs/daemon/src/Sidecar.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "pierbank/base/Log.h"
-#include "pierbank/control/Registration.h"
 #include "pierbank/control/StoreKeys.h"
 #include "pierbank/http/HttpStatus.h"
 
@@ -14,12 +13,11 @@
 
 Sidecar::Sidecar(RecordStore& store, EventLoop& loop, Transport& transport, TaskWorker& worker,
                  const DocumentCodec& codec, SidecarSettings settings)
-        : m_store(store),
-          m_loop(loop),
-          m_transport(transport),
+        : m_transport(transport),
           m_codec(codec),
           m_settings(std::move(settings)),
           m_agent(loop, worker, m_settings.m_agent),
+          m_registration(store, loop, [this] { return m_agent.isLed(); }),
           m_beats([this](const HttpServerRequest& request,
                          const std::shared_ptr<HttpServerCall>& call) {
               handleBeat(request, call);
@@ -37,7 +35,7 @@
              {{"name", m_settings.m_name},
               {"links", m_settings.m_links.toText()},
               {"worker", m_settings.m_worker.toText()}});
-    registerAddress(m_store, m_loop, getHostKey(m_settings.m_reachedAt.toText()), m_isAlive);
+    m_registration.start(getHostKey(m_settings.m_reachedAt.toText()));
     return true;
 }
 
--- a/test/failures/ScheduleFailuresTest.cpp
+++ b/test/failures/ScheduleFailuresTest.cpp
@@ -236,6 +236,33 @@
     EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(3000), "/urgent/"));
 }
 
+TEST_F(ScheduleFailuresTest, AHostThatIsGoneForLongIsForgottenAndComesBackWhenItStarts) {
+    const std::string key = getHostKey(m_fleet.m_sidecars[1].m_address);
+    m_fleet.killSidecar(1);
+    m_fleet.m_loop.advance(Millis(540'000));
+    EXPECT_NE(m_fleet.m_state.find(key), nullptr);
+    m_fleet.m_loop.advance(Millis(120'000));
+    EXPECT_EQ(m_fleet.m_state.find(key), nullptr);
+
+    m_fleet.startSidecar(1);
+    m_fleet.m_loop.advance(Millis(2000));
+    EXPECT_NE(m_fleet.m_state.find(key), nullptr);
+    EXPECT_TRUE(m_fleet.m_sidecars[1].m_agent->isLed());
+}
+
+TEST_F(ScheduleFailuresTest, AHostForgottenWhileItWasCutOffRegistersAgain) {
+    JobFleet::Sidecar& sidecar = m_fleet.m_sidecars[1];
+    for (const JobFleet::Gateway& gateway : m_fleet.m_gateways) {
+        m_fleet.m_network.cut(gateway.m_name, sidecar.m_name);
+    }
+    m_fleet.m_loop.advance(Millis(660'000));
+    for (const JobFleet::Gateway& gateway : m_fleet.m_gateways) {
+        m_fleet.m_network.heal(gateway.m_name, sidecar.m_name);
+    }
+    m_fleet.m_loop.advance(Registration::CHECK + Millis(2000));
+    EXPECT_TRUE(sidecar.m_agent->isLed());
+}
+
 TEST_F(ScheduleFailuresTest, AWaveOfCancellationsFreesEverything) {
     const std::string half = R"({"count":1,"cpu":1000,"gpu":4,"est_ms":600000})";
     for (int i = 1; i <= 40; ++i) {
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -83,6 +83,7 @@
     sidecar.m_loop = std::make_unique<ProcessLoop>(m_loop);
     sidecar.m_transport =
             std::make_unique<FakeTransport>(m_network, *sidecar.m_loop, sidecar.m_name);
+    sidecar.m_store = std::make_unique<FakeRecordStore>(m_state, *sidecar.m_loop, sidecar.m_name);
     sidecar.m_agent = std::make_unique<WorkerAgent>(*sidecar.m_loop, *sidecar.m_worker,
                                                     WorkerAgentSettings());
     Reason reason;
@@ -92,13 +93,17 @@
                 agent->handleLink(std::move(link));
             },
             reason);
-    m_state.put(getHostKey(sidecar.m_address), sidecar.m_name);
+    sidecar.m_registration = std::make_unique<Registration>(
+            *sidecar.m_store, *sidecar.m_loop,
+            [agent = sidecar.m_agent.get()] { return agent->isLed(); });
+    sidecar.m_registration->start(getHostKey(sidecar.m_address));
     beat(place);
 }
 
 void JobFleet::killSidecar(std::size_t place) {
     Sidecar& sidecar = m_sidecars[place];
     m_network.kill(sidecar.m_name);
+    sidecar.m_registration.reset();
     sidecar.m_agent.reset();
     sidecar.m_loop.reset();
 }
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -14,6 +14,7 @@
 #include "FakeTransport.h"
 #include "ManualEventLoop.h"
 #include "pierbank/adapter/Documents.h"
+#include "pierbank/control/Registration.h"
 #include "pierbank/control/WorkerAgent.h"
 #include "pierbank/operators/JobBackend.h"
 
@@ -41,7 +42,9 @@
         std::unique_ptr<ProcessLoop> m_loop;
         std::unique_ptr<FakeTransport> m_transport;
         std::unique_ptr<FakeTaskWorker> m_worker;
+        std::unique_ptr<FakeRecordStore> m_store;
         std::unique_ptr<WorkerAgent> m_agent;
+        std::unique_ptr<Registration> m_registration;
         std::uint64_t m_sequence = 0;
         bool m_isDraining = false;
         /** Its worker sends no heartbeats. */
