--- a/bench/plots/plot.sh
+++ b/bench/plots/plot.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plots a replay's lines (pierbank-replay > FILE) as grouped bars, one picture a measure:
-#     bench/plots/plot.sh FILE docs/plots
+#     bench/plots/plot.sh FILE FOLDER
 # Needs gnuplot (Debian package gnuplot-nox).
 set -euo pipefail
 lines=${1:?the output of pierbank-replay}
--- /dev/null
+++ b/bench/replay/Replay.cpp
@@ -0,0 +1,387 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Replay.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <set>
+#include <tuple>
+
+#include "pierbank/control/WorkerHealth.h"
+
+namespace pierbank::replay {
+
+namespace {
+
+constexpr double MILLIS_PER_HOUR = 3'600'000.0;
+constexpr double MILLIS_PER_SECOND = 1000.0;
+/** Run time that each restart from a checkpoint costs again. */
+constexpr Millis RESTART_COST{60'000};
+/** What a stopped run takes to leave its checkpoint. */
+constexpr Millis CHECKPOINT_GRACE{3000};
+constexpr Millis FAILS_AFTER{30'000};
+/** A plan is made at least so often: waiting and health depend on time. */
+constexpr Millis TICK{300'000};
+/** With nothing finished for so long the rest never runs. */
+constexpr Millis STUCK{14LL * 24 * 3'600'000};
+
+double toHours(Millis time) {
+    return static_cast<double>(time.count()) / MILLIS_PER_HOUR;
+}
+
+enum class EventKind { ARRIVAL, WITHDRAWAL, END, FAILURE, STOPPED, TICK };
+
+struct Event {
+    Millis m_at{0};
+    EventKind m_kind = EventKind::TICK;
+    std::string m_job;
+    std::uint64_t m_attempt = 0;
+
+    bool operator>(const Event& other) const {
+        return std::tie(m_at, m_kind, m_job) > std::tie(other.m_at, other.m_kind, other.m_job);
+    }
+};
+
+/** A job that is not over. */
+struct LiveJob {
+    const Arrival* m_arrival = nullptr;
+    JobRun m_run;
+    /** Run time that its checkpoint holds. */
+    Millis m_progress{0};
+    Millis m_startedAt{0};
+    std::uint64_t m_attempt = 0;
+    std::uint32_t m_preemptions = 0;
+
+    const JobRecord& getRecord() const { return m_arrival->m_record; }
+    std::vector<HeldRun> listHeld() const { return listHeldRuns(getRecord().m_id, m_run); }
+    Millis getRestartCost() const { return RESTART_COST * m_preemptions; }
+};
+
+double quantile(std::vector<double> values, double part) {
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+double mean(const std::vector<double>& values) {
+    double sum = 0;
+    for (const double value : values) {
+        sum += value;
+    }
+    return values.empty() ? 0 : sum / static_cast<double>(values.size());
+}
+
+class Run {
+public:
+    Run(const Workload& workload, ReplayPolicy& policy)
+            : m_workload(workload), m_policy(policy), m_workers(workload.m_workers) {
+        for (const Arrival& arrival : workload.m_arrivals) {
+            const std::string& id = arrival.m_record.m_id;
+            m_arrivals[id] = &arrival;
+            m_events.push({arrival.m_at, EventKind::ARRIVAL, id, 0});
+            if (arrival.m_withdrawnAt > Millis(0)) {
+                m_events.push({arrival.m_withdrawnAt, EventKind::WITHDRAWAL, id, 0});
+            }
+        }
+        m_events.push({TICK, EventKind::TICK, "", 0});
+    }
+
+    Measures run() {
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            integrateTo(event.m_at);
+            handle(event);
+            const bool isLastOfInstant = m_events.empty() || m_events.top().m_at != event.m_at;
+            if (isLastOfInstant) {
+                pass();
+            }
+        }
+        return summarise();
+    }
+
+private:
+    void handle(const Event& event) {
+        if (event.m_kind == EventKind::ARRIVAL) {
+            arrive(event.m_job);
+            return;
+        }
+        if (event.m_kind == EventKind::TICK) {
+            tick();
+            return;
+        }
+        const auto found = m_jobs.find(event.m_job);
+        if (found == m_jobs.end()) {
+            return;
+        }
+        LiveJob& job = found->second;
+        if (event.m_kind == EventKind::WITHDRAWAL) {
+            withdraw(job);
+        } else if (job.m_attempt != event.m_attempt) {
+            return;
+        } else if (event.m_kind == EventKind::END) {
+            complete(job);
+        } else if (event.m_kind == EventKind::FAILURE) {
+            fail(job);
+        } else {
+            endRuns(job, RunEnd::STOPPED);
+        }
+        if (job.m_run.isOver() && job.m_run.isIdle()) {
+            m_jobs.erase(event.m_job);
+        }
+    }
+
+    void tick() {
+        const bool isOver = m_jobs.empty() && m_events.empty();
+        const bool isStuck = m_now > m_lastProgress + STUCK;
+        if (!isOver && !isStuck) {
+            m_events.push({m_now + TICK, EventKind::TICK, "", 0});
+        }
+    }
+
+    void arrive(const std::string& id) {
+        LiveJob job;
+        job.m_arrival = m_arrivals.at(id);
+        job.m_run = makeJobRun(job.getRecord());
+        m_jobs[id] = job;
+        m_lastProgress = m_now;
+    }
+
+    void withdraw(LiveJob& job) {
+        const bool wasRunning = !job.m_run.isIdle();
+        applyCancel(job.getRecord().m_id, job.m_run, m_now);
+        if (wasRunning) {
+            stopLater(job);
+        }
+    }
+
+    /** All its runs end in this way. */
+    void endRuns(LiveJob& job, RunEnd how) {
+        for (const HeldRun& held : job.listHeld()) {
+            applyEnd(job.getRecord(), job.m_run, held.m_task, held.m_run, how, "c", m_now);
+            m_health.noteEnd(held.m_worker.m_host, job.getRecord().m_id, how, m_now);
+        }
+    }
+
+    void stopLater(LiveJob& job) {
+        ++job.m_attempt;
+        m_events.push({m_now + CHECKPOINT_GRACE, EventKind::STOPPED, job.getRecord().m_id,
+                       job.m_attempt});
+    }
+
+    void complete(LiveJob& job) {
+        const Arrival& arrival = *job.m_arrival;
+        const double took = toHours(m_now - arrival.m_at);
+        const double bound = toHours(arrival.m_trueRunTime);
+        m_completions.push_back(took);
+        m_bounds.push_back(bound);
+        m_slowdowns.push_back(took / bound);
+        m_slowdownsOf[arrival.m_record.m_organisation].push_back(took / bound);
+        m_measures.m_preemptions += job.m_preemptions;
+        m_work += bound * arrival.getTotal();
+        m_lost += toHours(job.getRestartCost()) * arrival.getTotal();
+        ++m_measures.m_finished;
+        m_lastProgress = m_now;
+        endRuns(job, RunEnd::DONE);
+    }
+
+    /** The member on the failing worker fails, the others stop with it. */
+    void fail(LiveJob& job) {
+        for (const HeldRun& held : job.listHeld()) {
+            const bool isFailing = held.m_worker.m_host == m_workload.m_failingWorker;
+            const RunEnd how = isFailing ? RunEnd::FAILED : RunEnd::STOPPED;
+            applyEnd(job.getRecord(), job.m_run, held.m_task, held.m_run, how, "c", m_now);
+            m_health.noteEnd(held.m_worker.m_host, job.getRecord().m_id, how, m_now);
+        }
+        ++job.m_attempt;
+        m_measures.m_unfinished += job.m_run.isOver() ? 1 : 0;
+    }
+
+    void pass() {
+        for (WorkerView& worker : m_workers) {
+            worker.m_acceptsWork = !m_health.isAvoided(worker.m_id.m_host, m_now);
+        }
+        const std::vector<PlannedJob> jobs = listJobs();
+        const std::map<TaskKey, Millis> remaining = estimateRemaining();
+        const TaskPlan plan =
+                m_policy.plan({m_workers, jobs, remaining, m_workload.m_guarantees, m_now});
+        std::set<std::string> started;
+        for (const Placement& placement : plan.m_placements) {
+            LiveJob& job = m_jobs.at(placement.m_task.m_job);
+            const bool isFirst = started.insert(placement.m_task.m_job).second;
+            const std::uint32_t number =
+                    isFirst ? getNextRun(job.getRecord(), job.m_run, placement.m_task)
+                            : job.listHeld().front().m_run;
+            applyPlacement(job.m_run, placement.m_task, number, placement.m_worker, m_now);
+        }
+        for (const std::string& id : started) {
+            start(m_jobs.at(id));
+        }
+        std::set<std::string> stopped;
+        for (const Stop& stop : plan.m_stops) {
+            if (stopped.insert(stop.m_task.m_job).second) {
+                preempt(m_jobs.at(stop.m_task.m_job));
+            }
+        }
+    }
+
+    std::vector<PlannedJob> listJobs() const {
+        std::vector<PlannedJob> jobs;
+        for (const auto& [id, job] : m_jobs) {
+            jobs.push_back({&job.getRecord(), &job.m_run, nullptr});
+        }
+        return jobs;
+    }
+
+    /** From what was declared; a job that runs over it may end at any moment. */
+    std::map<TaskKey, Millis> estimateRemaining() const {
+        std::map<TaskKey, Millis> remaining;
+        for (const auto& [id, job] : m_jobs) {
+            const Millis done = job.m_progress + (m_now - job.m_startedAt);
+            const Millis declared = job.m_arrival->getStep().m_estimate;
+            for (const HeldRun& held : job.listHeld()) {
+                remaining[held.m_task] = std::max(declared - done, Millis(0));
+            }
+        }
+        return remaining;
+    }
+
+    void start(LiveJob& job) {
+        job.m_startedAt = m_now;
+        const Millis work = job.m_arrival->m_trueRunTime + job.getRestartCost();
+        const Millis left = std::max(work - job.m_progress, Millis(1000));
+        const std::vector<HeldRun> held = job.listHeld();
+        const bool fails = std::any_of(held.begin(), held.end(), [this](const HeldRun& run) {
+            return run.m_worker.m_host == m_workload.m_failingWorker;
+        });
+        ++job.m_attempt;
+        m_events.push({m_now + (fails ? std::min(FAILS_AFTER, left) : left),
+                       fails ? EventKind::FAILURE : EventKind::END, job.getRecord().m_id,
+                       job.m_attempt});
+        noteStart(job);
+    }
+
+    void noteStart(const LiveJob& job) {
+        if (!m_started.insert(job.getRecord().m_id).second) {
+            return;
+        }
+        const Millis waited = m_now - job.m_arrival->m_at;
+        if (job.m_arrival->getStep().m_isGang) {
+            m_measures.m_longestLargeWait =
+                    std::max(m_measures.m_longestLargeWait, toHours(waited));
+        }
+        if (job.m_arrival->isUrgent()) {
+            const double seconds = static_cast<double>(waited.count()) / MILLIS_PER_SECOND;
+            m_measures.m_longestUrgentSeconds =
+                    std::max(m_measures.m_longestUrgentSeconds, seconds);
+        }
+    }
+
+    void preempt(LiveJob& job) {
+        for (const HeldRun& held : job.listHeld()) {
+            markStopping(job.m_run, held);
+        }
+        job.m_progress += m_now - job.m_startedAt;
+        ++job.m_preemptions;
+        stopLater(job);
+    }
+
+    void integrateTo(Millis now) {
+        const auto passed = static_cast<double>((now - m_now).count());
+        m_now = now;
+        const auto share = passed > 0 ? findFragmentation() : std::nullopt;
+        if (share.has_value()) {
+            m_fragmentedTime += *share * passed;
+            m_consideredTime += passed;
+        }
+    }
+
+    std::optional<double> findFragmentation() const {
+        std::map<std::string, std::uint32_t> free;
+        std::uint32_t idle = 0;
+        for (const WorkerView& worker : m_workers) {
+            const std::uint32_t count = worker.m_acceptsWork ? worker.m_capacity.m_accelerators : 0;
+            free[worker.m_id.m_host] = count;
+            idle += count;
+        }
+        for (const auto& [id, job] : m_jobs) {
+            for (const HeldRun& run : job.listHeld()) {
+                std::uint32_t& left = free[run.m_worker.m_host];
+                const std::uint32_t taken =
+                        std::min(left, job.m_arrival->getStep().m_need.m_accelerators);
+                left -= taken;
+                idle -= taken;
+            }
+        }
+        const StepSpec& gauge = m_workload.m_gauge;
+        if (idle < gauge.m_tasks * gauge.m_need.m_accelerators) {
+            return std::nullopt;
+        }
+        return 1.0 - static_cast<double>(countServable(free)) / idle;
+    }
+
+    /** Accelerators that as many gauge gangs as possible would take; each in one rack. */
+    std::uint32_t countServable(const std::map<std::string, std::uint32_t>& free) const {
+        const StepSpec& gauge = m_workload.m_gauge;
+        std::map<std::string, std::uint32_t> membersOf;
+        for (const WorkerView& worker : m_workers) {
+            membersOf[worker.m_rack] += free.at(worker.m_id.m_host) / gauge.m_need.m_accelerators;
+        }
+        std::uint32_t served = 0;
+        for (const auto& [rack, members] : membersOf) {
+            served += members / gauge.m_tasks * gauge.m_tasks * gauge.m_need.m_accelerators;
+        }
+        return served;
+    }
+
+    Measures summarise() {
+        m_measures.m_meanCompletion = mean(m_completions);
+        m_measures.m_95thCompletion = quantile(m_completions, 0.95);
+        m_measures.m_meanSlowdown = mean(m_slowdowns);
+        m_measures.m_95thSlowdown = quantile(m_slowdowns, 0.95);
+        m_measures.m_lowerBound = mean(m_bounds);
+        m_measures.m_fragmentation = m_consideredTime > 0 ? m_fragmentedTime / m_consideredTime : 0;
+        m_measures.m_lostWork = m_work > 0 ? m_lost / m_work : 0;
+        m_measures.m_unfinished += static_cast<std::uint32_t>(m_jobs.size());
+        double sum = 0;
+        double squares = 0;
+        for (const auto& [organisation, slowdowns] : m_slowdownsOf) {
+            const double speed = 1.0 / mean(slowdowns);
+            sum += speed;
+            squares += speed * speed;
+        }
+        const auto count = static_cast<double>(m_slowdownsOf.size());
+        m_measures.m_jain = squares > 0 ? sum * sum / (count * squares) : 0;
+        return m_measures;
+    }
+
+    const Workload& m_workload;
+    ReplayPolicy& m_policy;
+    std::vector<WorkerView> m_workers;
+    WorkerHealth m_health{WorkerHealthSettings()};
+    Millis m_now{0};
+    Millis m_lastProgress{0};
+    std::map<std::string, const Arrival*> m_arrivals;
+    std::map<std::string, LiveJob> m_jobs;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::set<std::string> m_started;
+    std::vector<double> m_completions;
+    std::vector<double> m_bounds;
+    std::vector<double> m_slowdowns;
+    std::map<std::string, std::vector<double>> m_slowdownsOf;
+    double m_fragmentedTime = 0;
+    double m_consideredTime = 0;
+    double m_work = 0;
+    double m_lost = 0;
+    Measures m_measures;
+};
+
+}  // namespace
+
+Measures replay(const Workload& workload, ReplayPolicy& policy) {
+    return Run(workload, policy).run();
+}
+
+}  // namespace pierbank::replay
--- a/build.sh
+++ b/build.sh
@@ -86,6 +86,14 @@
 check_pages() { test/check_pages.sh "$OUT/build"; }
 check_model() { model/check.sh; }
 check_processes() { test/process/failures.sh "$OUT/build"; }
+# Two seeded soaks: seed 3 and 8 once broke (docs/SOAK.md).
+check_soak() {
+    local seed
+    for seed in 3 8; do
+        "$OUT/build/test/pierbank-soak" --seed "$seed" --for 8s --quiet --tools "$OUT/build/tools" \
+            --logs "$OUT/soak/$seed" >"$OUT/soak.log" 2>&1 || { cat "$OUT/soak.log"; return 1; }
+    done
+}
 check_demo() { test/process/demo.sh "$OUT/build" >"$OUT/demo.log" 2>&1 || { cat "$OUT/demo.log"; return 1; }; }
 
 run_tests() {
@@ -96,6 +104,7 @@
     step check_pages
     step check_demo
     step check_processes
+    step check_soak
     step check_model
     step check_sanitizers
     step check_fuzz
