--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -59,7 +59,6 @@
                        std::function<void(const RelayedAnswer&)> done);
 
     RecordStore& m_store;
-    EventLoop& m_loop;
     Transport& m_transport;
     const Address m_links;
     ConfigurationFeed m_configuration;
@@ -69,7 +68,6 @@
     WaveController m_waves;
     LeaderLink m_leaderLink;
     Registration m_registration;
-    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 }  // namespace pierbank
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -71,7 +71,7 @@
  * was accepted. States are read from the store. What would be refused by the configuration at hand
  * is refused only after a read that was sent after the request confirmed it.
  *
- * Refusals (429, 503) are sure: the job was not taken and never runs. An outcome that stays
+ * Refusals (503) are sure: the job was not taken and never runs. An outcome that stays
  * unknown is answered 504.
  */
 class JobIntake {
--- a/libs/control/src/JobCore.cpp
+++ b/libs/control/src/JobCore.cpp
@@ -8,7 +8,6 @@
 JobCore::JobCore(const PlatformPorts& platform, EventLoop& loop, Transport& transport,
                  const JobCoreSettings& settings)
         : m_store(platform.m_store),
-          m_loop(loop),
           m_transport(transport),
           m_links(settings.m_links),
           m_configuration(m_store, loop, platform.m_codec, settings.m_configuration),
