--- a/build.sh
+++ b/build.sh
@@ -53,7 +53,7 @@
     cmake -S . -B "$OUT/sanitize" -G Ninja -DPIERBANK_SANITIZE=ON -DCMAKE_BUILD_TYPE=None >/dev/null
     ninja -C "$OUT/sanitize" --quiet pierbank-tests
     RC_PARAMS="seed=20261202 max_success=50" \
-        "$OUT/sanitize/test/pierbank-tests" --gtest_brief=1 2>"$OUT/sanitize.log" ||
+        "$OUT/sanitize/test/pierbank-tests" --gtest_brief=1 >"$OUT/sanitize.log" 2>&1 ||
         { tail -n 60 "$OUT/sanitize.log"; return 1; }
 }
 
