Hosts are judged by evidence that fades; units keep off hosts that failed them

Only the last host of one task was remembered, and any good end wiped the slate, also that of a run from before the fault.

Change: each job counts once against a host, a failure within 0.4 s for 1.0, another for 0.4; blame halves in 15 s and falls to 0.4 after a run that began since and ended well; a job that fails on several sound hosts is blamed itself. From 0.75 a host is suspect: it gets one run at a time, no gang, no urgent work and no last attempt; from 1.5 it is avoided (3 s, doubled). All members of a unit keep off hosts that failed one of them while others could hold it; a task remembers four hosts (as one text, so that records of older versions are read).

Tests: AGangOfTwoAttemptsEndsWellThoughAHostFailsEverything (failed before), WorkerHealthTest.

--- a/libs/control/include/pierbank/control/WorkerHealth.h
+++ b/libs/control/include/pierbank/control/WorkerHealth.h
@@ -12,35 +12,79 @@
 namespace pierbank {
 
 struct WorkerHealthSettings {
-    /** A host where runs of so many different jobs failed, and none did well since, is avoided...
+    /** Blame halves in this time: a host that was repaired has to be tried again. */
+    Millis m_halfLife{15'000};
+    /** A host that fails everything does so within some 50 ms; work that fails by itself, seldom.
      */
-    std::size_t m_failedJobs = 2;
-    /** ...for this long; each further time for twice as long. */
-    Millis m_pause{5000};
+    Millis m_quickEnd{400};
+    /** Blame for a run that failed quickly, and for any other. */
+    double m_quickBlame = 1.0;
+    double m_slowBlame = 0.4;
+    /** What is left of the blame after a run that began since then and ended well. */
+    double m_forgiveness = 0.4;
+    /** From here on a host is suspect: one quick failure, or two others. */
+    double m_suspectAt = 0.75;
+    /** From here on it is avoided for a while: quick failures of two jobs. */
+    double m_avoidAt = 1.5;
+    /** How long; each further time for twice as long. */
+    Millis m_pause{3000};
     Millis m_maxPause{60'000};
+    /** How long it is known where a job failed. */
+    Millis m_jobMemory{60'000};
+};
+
+/** What one end of a run says about its host. */
+struct RunEvidence {
+    std::string m_host;
+    std::string m_job;
+    RunEnd m_end = RunEnd::DONE;
+    /** From the placement to the end. */
+    Millis m_ran{0};
 };
 
 /**
- * Blames hosts by what their runs come to: failures of several different jobs in a row speak
- * against the host, those of one job against the job.
+ * Blames hosts by what their runs come to. Each job counts once against a host, quick failures
+ * more than others; blame fades with time and with runs that end well. A job that fails on several
+ * hosts is itself to blame.
  */
 class WorkerHealth {
 public:
     explicit WorkerHealth(const WorkerHealthSettings& settings) : m_settings(settings) {}
 
-    void noteEnd(const std::string& host, const std::string& job, RunEnd end, Millis now);
-    /** Whether new runs should go elsewhere. */
+    void noteEnd(const RunEvidence& evidence, Millis now);
+    /** New runs should go elsewhere. */
     bool isAvoided(const std::string& host, Millis now) const;
-    void clear() { m_hosts.clear(); }
+    /** It may have to be tried, but not with work that a failure costs much. */
+    bool isSuspect(const std::string& host, Millis now) const;
+    void clear();
 
 private:
     struct Host {
-        std::set<std::string> m_failedJobs;
+        double m_blame = 0;
+        Millis m_blamedAt{0};
+        Millis m_failedAt{0};
+        /** Jobs that count in the blame, and with how much. */
+        std::map<std::string, double> m_jobs;
         Millis m_avoidedUntil{0};
         unsigned m_times = 0;
     };
+    struct Job {
+        std::set<std::string> m_hosts;
+        Millis m_failedAt{0};
+    };
+
+    double getBlame(const Host& host, Millis now) const;
+    void noteDone(Host& host, Millis startedAt, Millis now);
+    void noteFailed(const RunEvidence& evidence, Millis now);
+    /** The job failed on another host, of which no other job says anything bad. */
+    bool failedOnSoundHost(const RunEvidence& evidence, const Job& job, Millis now) const;
+    /** Takes the blame of a job back everywhere. */
+    void acquit(const std::string& job, const Job& known, Millis now);
+    void forgetJobs(Millis now);
+
     const WorkerHealthSettings m_settings;
     std::map<std::string, Host> m_hosts;
+    std::map<std::string, Job> m_jobs;
 };
 
 }  // namespace pierbank
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -151,6 +151,7 @@
                 host.isLinked() && host.m_hasReport && !notice.m_isGone && !host.m_isWorkerSilent &&
                 !view.m_leavesIn.has_value() && getHold(address) == WorkerHold::RELEASE &&
                 !m_health.isAvoided(address, m_loop.now()) && !m_progress.isStalled(address);
+        view.m_isSuspect = m_health.isSuspect(address, m_loop.now());
         views.push_back(std::move(view));
     }
     return views;
@@ -355,7 +356,7 @@
             if (!mustMove(entry, run)) {
                 continue;
             }
-            entry.m_run.findTask(run.m_task)->m_failedHost = run.m_worker.m_host;
+            entry.m_run.findTask(run.m_task)->m_failedHosts.add(run.m_worker.m_host);
             stop({run.m_task, run.m_run, "nothing advances on " + run.m_worker.m_host});
         }
     }
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -98,7 +98,10 @@
               {"number", std::to_string(end.m_number)},
               {"how", std::string(toText(how))},
               {"current", effect.m_isCurrent ? "yes" : "no"}});
-    m_health.noteEnd(worker.m_host, key->m_job, how, m_loop.now());
+    if (isHere) {
+        const Millis ran = m_loop.wallNow() - held->m_placedAt;
+        m_health.noteEnd({worker.m_host, key->m_job, how, ran}, m_loop.now());
+    }
     if (effect.m_isCurrent) {
         entry.m_ends.emplace_back(worker, end.m_number);
         takeEffect(entry, effect);
--- /dev/null
+++ b/libs/control/test/WorkerHealthTest.cpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/control/WorkerHealth.h"
+
+#include <gtest/gtest.h>
+
+namespace pierbank {
+namespace {
+
+class WorkerHealthTest : public ::testing::Test {
+protected:
+    void fail(const std::string& host, const std::string& job, Millis ran = Millis(50)) {
+        m_health.noteEnd({host, job, RunEnd::FAILED, ran}, m_now);
+    }
+    void finish(const std::string& host, Millis ran = Millis(1000)) {
+        m_health.noteEnd({host, "other", RunEnd::DONE, ran}, m_now);
+    }
+    bool isSuspect(const std::string& host) const { return m_health.isSuspect(host, m_now); }
+    bool isAvoided(const std::string& host) const { return m_health.isAvoided(host, m_now); }
+
+    WorkerHealthSettings m_settings;
+    WorkerHealth m_health{m_settings};
+    Millis m_now{100'000};
+};
+
+class AHostThatFailedOnce : public WorkerHealthTest {
+protected:
+    void SetUp() override { fail("h", "job-1"); }
+};
+
+TEST_F(AHostThatFailedOnce, QuicklyIsSuspectButNotAvoided) {
+    EXPECT_TRUE(isSuspect("h"));
+    EXPECT_FALSE(isAvoided("h"));
+    EXPECT_FALSE(isSuspect("another"));
+}
+
+TEST_F(AHostThatFailedOnce, IsNotBlamedTwiceForOneJob) {
+    fail("h", "job-1");
+    fail("h", "job-1");
+    EXPECT_FALSE(isAvoided("h"));
+}
+
+TEST_F(AHostThatFailedOnce, IsNoLongerSuspectAfterALongTime) {
+    m_now += m_settings.m_halfLife;
+    EXPECT_FALSE(isSuspect("h"));
+}
+
+TEST_F(AHostThatFailedOnce, IsNoLongerSuspectAfterARunThatBeganSinceAndEndedWell) {
+    m_now += Millis(2000);
+    finish("h", Millis(1900));
+    EXPECT_FALSE(isSuspect("h"));
+}
+
+TEST_F(AHostThatFailedOnce, StaysSuspectAfterARunThatHadBegunBefore) {
+    m_now += Millis(2000);
+    finish("h", Millis(2100));
+    EXPECT_TRUE(isSuspect("h"));
+}
+
+class AHostThatFailedTwoJobs : public AHostThatFailedOnce {
+protected:
+    void SetUp() override {
+        AHostThatFailedOnce::SetUp();
+        fail("h", "job-2");
+    }
+};
+
+TEST_F(AHostThatFailedTwoJobs, IsAvoidedAndThenSuspect) {
+    EXPECT_TRUE(isAvoided("h"));
+    m_now += m_settings.m_pause;
+    EXPECT_FALSE(isAvoided("h"));
+    EXPECT_TRUE(isSuspect("h"));
+}
+
+TEST_F(AHostThatFailedTwoJobs, IsAvoidedForLongerWhenItFailsAgain) {
+    m_now += m_settings.m_pause;
+    fail("h", "job-3");
+    m_now += m_settings.m_pause;
+    EXPECT_TRUE(isAvoided("h"));
+    m_now += m_settings.m_pause;
+    EXPECT_FALSE(isAvoided("h"));
+}
+
+TEST_F(WorkerHealthTest, OneSlowFailureSaysLittle) {
+    fail("h", "job-1", Millis(3000));
+    EXPECT_FALSE(isSuspect("h"));
+    fail("h", "job-2", Millis(3000));
+    EXPECT_TRUE(isSuspect("h"));
+    EXPECT_FALSE(isAvoided("h"));
+}
+
+TEST_F(WorkerHealthTest, AJobThatFailsOnSeveralHostsIsItselfToBlame) {
+    fail("a", "job-1", Millis(3000));
+    fail("b", "job-1", Millis(3000));
+    fail("b", "job-2", Millis(3000));
+    EXPECT_FALSE(isSuspect("a"));
+    EXPECT_FALSE(isSuspect("b"));
+}
+
+TEST_F(WorkerHealthTest, AJobThatFailedOnAHostThatFailsOthersTooCountsAgainstTheNext) {
+    fail("a", "job-2");
+    fail("a", "job-1");
+    fail("b", "job-1");
+    EXPECT_TRUE(isAvoided("a"));
+    EXPECT_TRUE(isSuspect("b"));
+}
+
+}  // namespace
+}  // namespace pierbank
--- a/libs/job/include/pierbank/job/JobRun.h
+++ b/libs/job/include/pierbank/job/JobRun.h
@@ -34,6 +34,21 @@
     auto operator<=>(const TaskKey&) const = default;
 };
 
+/**
+ * The hosts on which a task's runs failed, the last ones first. Kept as one text, names apart by
+ * blanks, so that records with just one name are read as well.
+ */
+class FailedHosts {
+public:
+    static constexpr std::size_t MOST = 4;
+
+    void add(std::string_view host);
+    bool contains(std::string_view host) const;
+    bool isEmpty() const noexcept { return m_text.empty(); }
+    /** What the record holds. */
+    std::string m_text;
+};
+
 /** Where a task stands. */
 enum class TaskState : std::uint8_t {
     WAITING,
@@ -64,8 +79,8 @@
     std::uint32_t m_failures = 0;
     /** The last of them, so that a gang's run counts once however many members report it. */
     std::uint32_t m_failedRun = 0;
-    /** Worker of the last failed run: the next one goes elsewhere if it can. */
-    std::string m_failedHost;
+    /** The next run goes elsewhere if it can. */
+    FailedHosts m_failedHosts;
 
     bool holdsWorker() const noexcept {
         return m_state == TaskState::PLACED || m_state == TaskState::STOPPING;
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -27,6 +27,8 @@
     bool m_acceptsWork = false;
     /** It leaves, in this time at the earliest, and what runs there dies; empty: it stays. */
     std::optional<Millis> m_leavesIn;
+    /** Runs failed there lately: work that a failure costs much goes elsewhere if it can. */
+    bool m_isSuspect = false;
     /** Work takes so many times the declared time there, as far as was seen; 1 is normal. */
     double m_slowness = 1.0;
 };
@@ -69,6 +71,8 @@
     std::uint32_t m_fragmentationWeight = 0;
     /** A task that may be copied is, when it would take so many times its declared time longer. */
     double m_copyFactor = 1.5;
+    /** Units keep off hosts that failed them, and off suspect ones if a failure costs them much. */
+    bool m_barsHosts = true;
     /** A stopped lasting task counts as away until it has run elsewhere for so long. */
     Millis m_settleTime{5000};
 };
--- a/libs/job/src/JobCodec.cpp
+++ b/libs/job/src/JobCodec.cpp
@@ -51,7 +51,7 @@
 template <typename Archive>
 void describe(Archive& archive, TaskRun& value) {
     archive(value.m_state, value.m_run, value.m_lastRun, value.m_worker, value.m_placedAt,
-            value.m_checkpoint, value.m_failures, value.m_failedRun, value.m_failedHost);
+            value.m_checkpoint, value.m_failures, value.m_failedRun, value.m_failedHosts.m_text);
 }
 
 template <typename Archive>
--- a/libs/job/src/JobRun.cpp
+++ b/libs/job/src/JobRun.cpp
@@ -10,6 +10,37 @@
 
 namespace {
 
+std::vector<std::string_view> splitNames(std::string_view text) {
+    std::vector<std::string_view> names;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(' '), text.size());
+        names.push_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return names;
+}
+
+}  // namespace
+
+bool FailedHosts::contains(std::string_view host) const {
+    const std::vector<std::string_view> names = splitNames(m_text);
+    return std::find(names.begin(), names.end(), host) != names.end();
+}
+
+void FailedHosts::add(std::string_view host) {
+    std::string kept(host);
+    std::size_t count = 1;
+    for (const std::string_view name : splitNames(m_text)) {
+        if (name != host && count < MOST) {
+            kept.append(1, ' ').append(name);
+            ++count;
+        }
+    }
+    m_text = std::move(kept);
+}
+
+namespace {
+
 constexpr std::array<std::string_view, 5> PHASE_NAMES = {"pending", "running", "succeeded",
                                                          "failed", "cancelled"};
 constexpr std::array<std::string_view, 6> END_NAMES = {"done",   "failed", "stopped",
--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -284,7 +284,7 @@
     const StepSpec& spec = record.m_spec.m_steps[key.m_step];
     StepRun& step = run.findOccurrence(key.m_occurrence)->m_steps[key.m_step];
     TaskRun& counted = spec.m_isGang ? step.m_tasks.front() : step.m_tasks[key.m_index];
-    step.m_tasks[key.m_index].m_failedHost = failed.m_worker.m_host;
+    step.m_tasks[key.m_index].m_failedHosts.add(failed.m_worker.m_host);
     if (counted.m_failedRun != failed.m_run) {
         counted.m_failedRun = failed.m_run;
         ++counted.m_failures;
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -151,14 +151,70 @@
         whole.m_indexes.push_back(i);
         if (!isGang) {
             units.push_back(whole);
+            barHosts(units.back());
             whole.m_indexes.clear();
         }
     }
     if (isGang && whole.m_indexes.size() == run.m_tasks.size()) {
+        barHosts(whole);
         units.push_back(std::move(whole));
     }
 }
 
+bool PlanningPass::isLastAttempt(const WorkUnit& unit) const {
+    const std::uint32_t counted = unit.getSpec().m_isGang ? 0 : unit.m_indexes.front();
+    return unit.getStep().m_tasks[counted].m_failures + 1 >= unit.m_record->m_policy.m_attempts;
+}
+
+/** A suspect worker is tried with one run at a time, and not with what a failure costs much. */
+bool PlanningPass::isRisk(const WorkUnit& unit, WorkerSlot slot) const {
+    if (!m_rooms[slot].m_view->m_isSuspect) {
+        return false;
+    }
+    const bool isBusy = std::any_of(m_occupants.begin(), m_occupants.end(),
+                                    [slot](const Occupant& o) { return o.m_slot == slot; });
+    return isBusy || unit.isUrgent() || unit.m_indexes.size() > 1 || isLastAttempt(unit);
+}
+
+/** Whether it would fit if nothing else ran. */
+bool PlanningPass::couldHold(const WorkUnit& unit) const {
+    std::vector<Resources> rooms(m_rooms.size());
+    for (WorkerSlot slot = 0; slot < m_rooms.size(); ++slot) {
+        if (isAllowed(unit, slot)) {
+            rooms[slot] = m_rooms[slot].m_view->m_capacity;
+        }
+    }
+    return assign(unit, rooms).has_value();
+}
+
+/** All members keep off a host that failed one of them, as long as others could hold the unit. */
+void PlanningPass::barHosts(WorkUnit& unit) const {
+    if (!m_settings.m_barsHosts) {
+        return;
+    }
+    const auto& tasks = unit.getStep().m_tasks;
+    std::set<WorkerSlot> risks;
+    for (WorkerSlot slot = 0; slot < m_rooms.size(); ++slot) {
+        const std::string& host = m_rooms[slot].m_view->m_id.m_host;
+        const bool hasFailed = std::any_of(
+                unit.m_indexes.begin(), unit.m_indexes.end(),
+                [&](std::uint32_t index) { return tasks[index].m_failedHosts.contains(host); });
+        if (hasFailed) {
+            unit.m_barred.insert(slot);
+        } else if (isRisk(unit, slot)) {
+            risks.insert(slot);
+        }
+    }
+    if (!unit.m_barred.empty() && !couldHold(unit)) {
+        unit.m_barred.clear();
+    }
+    const std::set<WorkerSlot> failed = unit.m_barred;
+    unit.m_barred.insert(risks.begin(), risks.end());
+    if (!risks.empty() && !couldHold(unit)) {
+        unit.m_barred = failed;
+    }
+}
+
 WorkUnit PlanningPass::makeUnit(const PlannedJob& job, const OccurrenceRun& occurrence,
                                 std::uint32_t step) const {
     const JobRecord& record = *job.m_record;
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -36,6 +36,8 @@
     Millis m_objective{0};
     /** Place in the order of units; lower ones are tried first. */
     std::uint32_t m_band = 0;
+    /** Workers that it keeps off although they could hold it. */
+    std::set<WorkerSlot> m_barred;
 
     const StepSpec& getSpec() const { return m_record->m_spec.m_steps[m_step]; }
     const StepRun& getStep() const { return m_run->findOccurrence(m_occurrence)->m_steps[m_step]; }
@@ -107,6 +109,10 @@
                       std::uint32_t step) const;
     Millis weighObjective(const WorkUnit& unit) const;
 
+    void barHosts(WorkUnit& unit) const;
+    bool isLastAttempt(const WorkUnit& unit) const;
+    bool isRisk(const WorkUnit& unit, WorkerSlot slot) const;
+    bool couldHold(const WorkUnit& unit) const;
     void placeUnit(const WorkUnit& unit);
     bool placeOrWait(const WorkUnit& unit);
     void commit(const WorkUnit& unit, const Assignment& assignment);
--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -29,7 +29,8 @@
     const std::string& label = unit.getSpec().m_requiredLabel;
     const bool isAdvised = !unit.m_needsAdvice || (unit.m_advised != nullptr &&
                                                    unit.m_advised->count(worker.m_id.m_life) != 0);
-    return worker.m_acceptsWork && worker.m_service == unit.m_record->m_policy.m_service &&
+    return worker.m_acceptsWork && unit.m_barred.count(slot) == 0 &&
+           worker.m_service == unit.m_record->m_policy.m_service &&
            (label.empty() || worker.m_labels.count(label) != 0) && isAdvised;
 }
 
@@ -167,7 +168,8 @@
     Resources left = room;
     left -= unit.getSpec().getRoomNeed();
     const WorkerView& worker = *m_rooms[slot].m_view;
-    const bool hasFailedHere = unit.getStep().m_tasks[index].m_failedHost == worker.m_id.m_host;
+    const bool hasFailedHere =
+            unit.getStep().m_tasks[index].m_failedHosts.contains(worker.m_id.m_host);
     const double cpuShare =
             static_cast<double>(left.m_cpuMillis) / std::max(1U, worker.m_capacity.m_cpuMillis);
     return (hasFailedHere ? FAILED_HERE : 0.0) + SLOWNESS * (worker.m_slowness - 1.0) +
--- a/test/failures/JobFailuresTest.cpp
+++ b/test/failures/JobFailuresTest.cpp
@@ -485,4 +485,17 @@
     EXPECT_EQ(kept, 1U);
 }
 
+/** The last attempt of a gang goes to none of the hosts that failed a member of it. */
+TEST_F(JobFailuresTest, AGangOfTwoAttemptsEndsWellThoughAHostFailsEverything) {
+    for (std::size_t bad = 0; bad < m_fleet.m_sidecars.size(); ++bad) {
+        getSidecar(bad).m_worker->m_failsAll = true;
+        const std::string id = "00000000000000" + std::to_string(80 + bad);
+        m_fleet.submit(id,
+                       R"({"count":3,"cpu":1000,"mem_mb":100,"gpu":4,"est_ms":600,"gang":true})",
+                       "600", "/urgent/");
+        EXPECT_TRUE(m_fleet.waitForState(id, "succeeded", Millis(15'000), "/urgent/")) << bad;
+        getSidecar(bad).m_worker->m_failsAll = false;
+    }
+}
+
 }  // namespace pierbank::testing
