A gang that stands at zero although all its members are there is stalled

Change: a member at zero counts as waiting only until the workers of all members report its run; from then on standing still is counted.

Test: AGangThatNeverBeginsAlthoughItsMembersAreThereBeginsElsewhere (failed before); the fake worker can hang at zero.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -163,6 +163,7 @@
     void resendRun(const JobEntry& entry, const HeldRun& run, const RunReport& report);
     void loseRuns(const std::string& host, const std::string& exceptLife, std::string_view why);
     void noteProgress(const std::string& host, const RunReport& report);
+    bool isGangThere(const JobEntry& entry, const TaskKey& member, std::uint32_t run) const;
     void stopStrays(const WorkerId& worker, const RunReport& report);
     void applyRunEnd(const WorkerId& worker, const EndedEntry& end);
     void takeEffect(JobEntry& entry, const EndEffect& effect);
--- a/libs/control/include/pierbank/control/ProgressTracker.h
+++ b/libs/control/include/pierbank/control/ProgressTracker.h
@@ -18,7 +18,8 @@
     TaskKey m_task;
     std::uint32_t m_run = 0;
     std::uint32_t m_percent = 0;
-    bool m_isGang = false;
+    /** A member of a gang of which not all members are known to be there: it stands at zero. */
+    bool m_mayWait = false;
 };
 
 /**
@@ -51,7 +52,7 @@
 private:
     struct Track {
         std::uint32_t m_run = 0;
-        bool m_isGang = false;
+        bool m_mayWait = false;
         std::uint32_t m_firstPercent = 0;
         Millis m_firstAt{0};
         std::uint32_t m_percent = 0;
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -70,12 +70,37 @@
         const auto& steps = found->second.m_record.m_spec.m_steps;
         const bool isLasting = key->m_step >= steps.size() || steps[key->m_step].m_isLasting;
         if (!isLasting) {
-            runs.push_back({*key, entry.m_run, entry.m_percent, steps[key->m_step].m_isGang});
+            const bool mayWait = entry.m_percent == 0 && steps[key->m_step].m_isGang &&
+                                 !isGangThere(found->second, *key, entry.m_run);
+            runs.push_back({*key, entry.m_run, entry.m_percent, mayWait});
         }
     }
     m_progress.note(host, runs, m_loop.now());
 }
 
+/** Whether the workers of all members of a gang's run say that they run it. */
+bool JobController::isGangThere(const JobEntry& entry, const TaskKey& member,
+                                std::uint32_t run) const {
+    const OccurrenceRun* const occurrence = entry.m_run.findOccurrence(member.m_occurrence);
+    if (occurrence == nullptr) {
+        return false;
+    }
+    TaskKey key = member;
+    const auto& tasks = occurrence->m_steps[member.m_step].m_tasks;
+    return std::all_of(tasks.begin(), tasks.end(), [&](const TaskRun& task) {
+        key.m_index = static_cast<std::uint32_t>(&task - tasks.data());
+        const auto report = m_reports.find(task.m_worker.m_host);
+        if (task.m_run != run || report == m_reports.end()) {
+            return false;
+        }
+        const auto& running = report->second.m_report.m_running;
+        const std::string name = key.toText();
+        return std::any_of(running.begin(), running.end(), [&](const RunningEntry& listed) {
+            return listed.m_run == run && listed.m_task == name;
+        });
+    });
+}
+
 void JobController::applyRunEnd(const WorkerId& worker, const EndedEntry& end) {
     const auto key = TaskKey::parse(end.m_task);
     const auto found = key.has_value() ? m_jobs.find(key->m_job) : m_jobs.end();
--- a/libs/control/src/ProgressTracker.cpp
+++ b/libs/control/src/ProgressTracker.cpp
@@ -2,6 +2,7 @@
 #include "pierbank/control/ProgressTracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pierbank {
 
@@ -12,10 +13,9 @@
 
 }  // namespace
 
-/** A gang's member at zero may still wait for the others, and one at the end does. */
+/** A gang's member at the end waits for the others. */
 bool ProgressTracker::Track::isStalled() const {
-    const bool mayWait = m_percent >= WHOLE || (m_isGang && m_percent == 0);
-    return !mayWait && getStalledTime() >= STALLED_AFTER;
+    return m_percent < WHOLE && !m_mayWait && getStalledTime() >= STALLED_AFTER;
 }
 
 std::optional<double> ProgressTracker::Track::getRate() const {
@@ -33,12 +33,17 @@
     for (const ProgressReport& run : runs) {
         const auto found = known.find(run.m_task);
         if (found == known.end() || found->second.m_run != run.m_run) {
-            next[run.m_task] = {run.m_run, run.m_isGang, run.m_percent, now, run.m_percent,
-                                now,       now};
+            next[run.m_task] = {run.m_run, run.m_mayWait, run.m_percent, now, run.m_percent, now,
+                                now};
             continue;
         }
         Track track = found->second;
         track.m_seenAt = now;
+        if (std::exchange(track.m_mayWait, run.m_mayWait) && !run.m_mayWait) {
+            // Its gang begins now.
+            track.m_firstAt = now;
+            track.m_changedAt = now;
+        }
         if (run.m_percent != track.m_percent) {
             track.m_percent = run.m_percent;
             track.m_changedAt = now;
--- a/libs/control/test/ProgressTrackerTest.cpp
+++ b/libs/control/test/ProgressTrackerTest.cpp
@@ -38,11 +38,21 @@
 
 TEST(ProgressTrackerTest, AGangThatWaitsForItsMembersIsNotStalled) {
     ProgressTracker tracker;
-    tracker.note("h", {{TASK, 1, 0, true}, {OTHER, 1, 100, true}}, Millis(1000));
-    tracker.note("h", {{TASK, 1, 0, true}, {OTHER, 1, 100, true}}, Millis(4000));
+    tracker.note("h", {{TASK, 1, 0, true}, {OTHER, 1, 100, false}}, Millis(1000));
+    tracker.note("h", {{TASK, 1, 0, true}, {OTHER, 1, 100, false}}, Millis(4000));
     EXPECT_FALSE(tracker.isStalled("h"));
 }
 
+TEST(ProgressTrackerTest, AGangWhoseMembersAreAllThereIsStalledWhenNoneBegins) {
+    ProgressTracker tracker;
+    tracker.note("h", {{TASK, 1, 0, true}}, Millis(1000));
+    tracker.note("h", {{TASK, 1, 0, false}}, Millis(3000));
+    EXPECT_FALSE(tracker.isStalled("h"));
+    tracker.note("h", {{TASK, 1, 0, false}}, Millis(4500));
+    EXPECT_TRUE(tracker.isStalled("h"));
+    EXPECT_EQ(tracker.getStalledTime("h", TASK), Millis(1500));
+}
+
 TEST(ProgressTrackerTest, ANewRunBeginsAnew) {
     ProgressTracker tracker;
     tracker.note("h", {{TASK, 1, 50, false}}, Millis(1000));
--- a/test/failures/JobFailuresTest.cpp
+++ b/test/failures/JobFailuresTest.cpp
@@ -392,6 +392,21 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
 }
 
+TEST_F(JobFailuresTest, AGangThatNeverBeginsAlthoughItsMembersAreThereBeginsElsewhere) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_isHanging = true;
+        sidecar.m_worker->m_hangsAtPercent = 0;
+    }
+    m_fleet.submit(ID, R"({"count":2,"cpu":1000,"mem_mb":100,"gpu":4,"est_ms":1000,"gang":true})",
+                   "1000", "/urgent/");
+    m_fleet.m_loop.advance(Millis(300));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_isHanging = sidecar.m_worker->countRunning() > 0;
+    }
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(6000), "/urgent/"));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
+}
+
 /** Found in the log of a standard day: 142 starts were refused for room that was not there. */
 TEST_F(JobFailuresTest, ASidecarThatDoesNotKnowItsWorkerYetCallsNoRunAbsent) {
     m_fleet.submit(ID, SMALL, "60000");
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -182,7 +182,7 @@
         const auto passed = (m_loop.now() - run.m_startedAt).count();
         const auto length = std::max<std::int64_t>(1, (run.m_endsAt - run.m_startedAt).count());
         const bool lasts = run.m_isServing || run.m_isFilling;
-        const auto percent = m_isHanging ? 50
+        const auto percent = m_isHanging ? m_hangsAtPercent
                              : lasts     ? 100
                                          : std::min<std::int64_t>(100, 100 * passed / length);
         reply.m_running.push_back({task, run.m_number, "", static_cast<std::uint32_t>(percent),
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -66,6 +66,8 @@
     std::string m_refusal;
     /** Its runs stand still, while it looks well. */
     bool m_isHanging = false;
+    /** Of their work, what runs that stand still show as done. */
+    std::int64_t m_hangsAtPercent = 50;
     /** Its runs are so many times slower. */
     int m_slowness = 1;
     /** Starts have to bring the ticket that the advisor gave for this life. */
