A worker's life counts once the worker has answered under it; former lives never come back

Cause: any other id in a heartbeat was taken for a new life, so that a delayed heartbeat of a dead life threw the living one away, the leader placed its runs elsewhere, and the next heartbeat threw it back: two runs of a task at once.

Change: a sidecar remembers the lives that were followed by another. It tells the leader of a life only after the worker has answered a hold under it, and before that calls no run absent; so that a sidecar that is new, with a leader that is new, is not deceived either.

Ruled out: remembering former lives at the leader (a new leader knows none); trusting the heartbeats' numbers (they begin anew with each life).

--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -3,6 +3,7 @@
 #define PIERBANK_CONTROL_WORKERAGENT_H
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -91,6 +92,9 @@
     bool hasLease() const;
     bool isWorkerSilent() const;
     void beginLife(const std::string& life);
+    bool isFormer(const std::string& life) const;
+    /** The worker has answered under the life that its heartbeats name. */
+    bool isConfirmed() const { return m_clock.has_value(); }
 
     // OrderContext.
     WorkerCall getCall() const override { return {m_life, m_leader.getEpoch()}; }
@@ -110,6 +114,8 @@
     Pacer m_pacer;
 
     std::string m_life;
+    /** Lives that were followed by another one, the latest at the end. */
+    std::deque<std::string> m_formerLives;
     bool m_isGone = false;
     std::optional<WorkerBeat> m_beat;
 
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -15,6 +15,8 @@
 constexpr Millis LEAST_LEASE{300};
 /** What runs is reported at least so often, for its progress. */
 constexpr Millis REPORT_INTERVAL{1000};
+/** Former lives that are remembered: a worker that restarts each second for half a minute. */
+constexpr std::size_t MAX_FORMER_LIVES = 32;
 
 }  // namespace
 
@@ -129,6 +131,10 @@
         return;
     }
     if (order.m_life != m_life) {
+        if (!isConfirmed()) {
+            // Which of the two is over is not known; the leader sends it again.
+            return;
+        }
         m_leader.send(
                 RunAbsent{order.m_life, order.m_task, order.m_run, "another life of the worker"});
         return;
@@ -150,6 +156,9 @@
         return;
     }
     if (stop.m_life != m_life) {
+        if (!isConfirmed()) {
+            return;
+        }
         m_leader.send(
                 RunAbsent{stop.m_life, stop.m_task, stop.m_run, "another life of the worker"});
         return;
@@ -157,7 +166,12 @@
     m_orders.bar(*task, stop.m_run, "stopped on the leader's word");
 }
 
+/** A heartbeat may be a former life's that was delayed: the leader hears of a confirmed life only.
+ */
 void WorkerAgent::sendNotice() {
+    if (!m_life.empty() && !isConfirmed()) {
+        return;
+    }
     WorkerNotice notice;
     notice.m_life = m_life;
     notice.m_isGone = m_isGone;
@@ -202,6 +216,11 @@
 
 void WorkerAgent::handleBeat(const WorkerBeat& beat) {
     const bool isNew = beat.m_life != m_life;
+    if (isNew && isFormer(beat.m_life)) {
+        logEvent(Severity::WARNING, "agent", "late-heartbeat",
+                 {{"life", beat.m_life}, {"living", m_life}});
+        return;
+    }
     if (!isNew && m_beat.has_value() && beat.m_sequence <= m_beat->m_sequence) {
         return;
     }
@@ -220,7 +239,17 @@
     }
 }
 
+bool WorkerAgent::isFormer(const std::string& life) const {
+    return std::find(m_formerLives.begin(), m_formerLives.end(), life) != m_formerLives.end();
+}
+
 void WorkerAgent::beginLife(const std::string& life) {
+    if (!m_life.empty()) {
+        m_formerLives.push_back(m_life);
+    }
+    if (m_formerLives.size() > MAX_FORMER_LIVES) {
+        m_formerLives.pop_front();
+    }
     m_life = life;
     m_isGone = false;
     m_answeredAt = m_loop.now();
@@ -233,8 +262,6 @@
     m_orders.clear();
     m_pacer.clear();
     m_mustReport = true;
-    // The old life's notice must not be taken for this one's: send the new one first.
-    sendNotice();
     hold(Millis(0));
 }
 
@@ -317,6 +344,10 @@
         ask();
     }
     m_clock = {reply.m_clock, m_loop.now()};
+    if (isFirst) {
+        // Before the first report, which would else be taken for the old life's.
+        sendNotice();
+    }
     // Answers on different connections overtake each other.
     if (number > m_holdSeen) {
         m_holdSeen = number;
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -108,11 +108,8 @@
     sidecar.m_loop.reset();
 }
 
-void JobFleet::beat(std::size_t place) {
-    Sidecar& sidecar = m_sidecars[place];
-    if (sidecar.m_agent == nullptr || sidecar.m_isMute) {
-        return;
-    }
+WorkerBeat JobFleet::makeBeat(std::size_t place) const {
+    const Sidecar& sidecar = m_sidecars[place];
     WorkerBeat beat;
     beat.m_life = sidecar.m_worker->getLife();
     beat.m_service = "s";
@@ -122,8 +119,23 @@
     beat.m_isDraining = sidecar.m_isDraining;
     beat.m_remaining = sidecar.m_remaining;
     beat.m_failureDomain = "d" + std::to_string(place / 4);
-    beat.m_sequence = ++sidecar.m_sequence;
-    sidecar.m_agent->handleBeat(beat);
+    beat.m_sequence = sidecar.m_sequence;
+    return beat;
+}
+
+void JobFleet::beat(std::size_t place) {
+    Sidecar& sidecar = m_sidecars[place];
+    if (sidecar.m_agent == nullptr || sidecar.m_isMute) {
+        return;
+    }
+    ++sidecar.m_sequence;
+    sidecar.m_agent->handleBeat(makeBeat(place));
+}
+
+void JobFleet::beatLate(std::size_t place, const std::string& life) {
+    WorkerBeat beat = makeBeat(place);
+    beat.m_life = life;
+    m_sidecars[place].m_agent->handleBeat(beat);
 }
 
 void JobFleet::keepBeating() {
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -65,6 +65,8 @@
     void startSidecar(std::size_t place);
     void killSidecar(std::size_t place);
     void beat(std::size_t place);
+    /** A heartbeat that was delayed, of the life that a worker has or once had. */
+    void beatLate(std::size_t place, const std::string& life);
 
     /** Sends a request and lets time pass until it is answered. */
     IntakeAnswer ask(std::size_t gateway, const std::string& method, const std::string& path,
@@ -97,6 +99,7 @@
 
 private:
     void keepBeating();
+    WorkerBeat makeBeat(std::size_t place) const;
     std::uint64_t m_version = 0;
 };
 
