Evidence against hosts lasts as long as runs do; the replay builds again

Change: half-life, pause and what counts as quick grow with the moving mean of runs that ended well. The replay tells the health model how long runs took, and the planner which workers are suspect.

Test: WhereRunsTakeHoursBlameLastsForHours.

--- a/bench/replay/Replay.cpp
+++ b/bench/replay/Replay.cpp
@@ -161,10 +161,15 @@
     void endRuns(LiveJob& job, RunEnd how) {
         for (const HeldRun& held : job.listHeld()) {
             applyEnd(job.getRecord(), job.m_run, held.m_task, held.m_run, how, "c", m_now);
-            m_health.noteEnd(held.m_worker.m_host, job.getRecord().m_id, how, m_now);
+            noteEnd(job, held, how);
         }
     }
 
+    void noteEnd(const LiveJob& job, const HeldRun& held, RunEnd how) {
+        const Millis ran = m_now - held.m_placedAt;
+        m_health.noteEnd({held.m_worker.m_host, job.getRecord().m_id, how, ran}, m_now);
+    }
+
     void stopLater(LiveJob& job) {
         ++job.m_attempt;
         m_events.push({m_now + CHECKPOINT_GRACE, EventKind::STOPPED, job.getRecord().m_id,
@@ -193,7 +198,7 @@
             const bool isFailing = held.m_worker.m_host == m_workload.m_failingWorker;
             const RunEnd how = isFailing ? RunEnd::FAILED : RunEnd::STOPPED;
             applyEnd(job.getRecord(), job.m_run, held.m_task, held.m_run, how, "c", m_now);
-            m_health.noteEnd(held.m_worker.m_host, job.getRecord().m_id, how, m_now);
+            noteEnd(job, held, how);
         }
         ++job.m_attempt;
         m_measures.m_unfinished += job.m_run.isOver() ? 1 : 0;
@@ -202,6 +207,7 @@
     void pass() {
         for (WorkerView& worker : m_workers) {
             worker.m_acceptsWork = !m_health.isAvoided(worker.m_id.m_host, m_now);
+            worker.m_isSuspect = m_health.isSuspect(worker.m_id.m_host, m_now);
         }
         const std::vector<PlannedJob> jobs = listJobs();
         const std::map<TaskKey, Millis> remaining = estimateRemaining();
--- a/libs/control/include/pierbank/control/WorkerHealth.h
+++ b/libs/control/include/pierbank/control/WorkerHealth.h
@@ -11,12 +11,15 @@
 
 namespace pierbank {
 
+/** Times are the least ones: where runs take longer, they grow with them by the given factors. */
 struct WorkerHealthSettings {
     /** Blame halves in this time: a host that was repaired has to be tried again. */
     Millis m_halfLife{15'000};
+    double m_halfLifeFactor = 2.5;
     /** A host that fails everything does so within some 50 ms; work that fails by itself, seldom.
      */
     Millis m_quickEnd{400};
+    double m_quickFactor = 0.05;
     /** Blame for a run that failed quickly, and for any other. */
     double m_quickBlame = 1.0;
     double m_slowBlame = 0.4;
@@ -28,9 +31,10 @@
     double m_avoidAt = 1.5;
     /** How long; each further time for twice as long. */
     Millis m_pause{3000};
+    double m_pauseFactor = 0.5;
     Millis m_maxPause{60'000};
-    /** How long it is known where a job failed. */
-    Millis m_jobMemory{60'000};
+    /** How long it is known where a job failed; in times of `m_halfLife` as it is in force. */
+    double m_jobMemoryFactor = 4.0;
 };
 
 /** What one end of a run says about its host. */
@@ -73,6 +77,8 @@
         Millis m_failedAt{0};
     };
 
+    /** The least time, or so many times what a run takes that ends well. */
+    Millis scale(Millis least, double factor) const;
     double getBlame(const Host& host, Millis now) const;
     void noteDone(Host& host, Millis startedAt, Millis now);
     void noteFailed(const RunEvidence& evidence, Millis now);
@@ -85,6 +91,8 @@
     const WorkerHealthSettings m_settings;
     std::map<std::string, Host> m_hosts;
     std::map<std::string, Job> m_jobs;
+    /** Moving mean of the time of runs that ended well, of all hosts. */
+    Millis m_typicalRun{0};
 };
 
 }  // namespace pierbank
--- a/libs/control/src/WorkerHealth.cpp
+++ b/libs/control/src/WorkerHealth.cpp
@@ -11,16 +11,27 @@
 void WorkerHealth::clear() {
     m_hosts.clear();
     m_jobs.clear();
+    m_typicalRun = Millis(0);
+}
+
+Millis WorkerHealth::scale(Millis least, double factor) const {
+    const auto scaled = static_cast<double>(m_typicalRun.count()) * factor;
+    return std::max(least, Millis(static_cast<std::int64_t>(scaled)));
 }
 
 double WorkerHealth::getBlame(const Host& host, Millis now) const {
     const auto age = static_cast<double>((now - host.m_blamedAt).count());
-    return host.m_blame * std::exp2(-age / static_cast<double>(m_settings.m_halfLife.count()));
+    const Millis halfLife = scale(m_settings.m_halfLife, m_settings.m_halfLifeFactor);
+    return host.m_blame * std::exp2(-age / static_cast<double>(halfLife.count()));
 }
 
 void WorkerHealth::noteEnd(const RunEvidence& evidence, Millis now) {
     forgetJobs(now);
     if (evidence.m_end == RunEnd::DONE) {
+        constexpr int MEMORY = 10;
+        m_typicalRun = m_typicalRun == Millis(0)
+                               ? evidence.m_ran
+                               : (m_typicalRun * (MEMORY - 1) + evidence.m_ran) / MEMORY;
         const auto found = m_hosts.find(evidence.m_host);
         if (found != m_hosts.end()) {
             noteDone(found->second, now - evidence.m_ran, now);
@@ -53,7 +64,7 @@
     }
     Host& host = m_hosts[evidence.m_host];
     host.m_failedAt = now;
-    const bool isQuick = evidence.m_ran <= m_settings.m_quickEnd;
+    const bool isQuick = evidence.m_ran <= scale(m_settings.m_quickEnd, m_settings.m_quickFactor);
     const double blame = isQuick ? m_settings.m_quickBlame : m_settings.m_slowBlame;
     if (!host.m_jobs.emplace(evidence.m_job, blame).second) {
         return;
@@ -64,8 +75,10 @@
         return;
     }
     constexpr unsigned MAX_DOUBLINGS = 8;
-    const Millis pause = m_settings.m_pause * (1U << std::min(host.m_times, MAX_DOUBLINGS));
-    host.m_avoidedUntil = now + std::min(pause, m_settings.m_maxPause);
+    const Millis least = scale(m_settings.m_pause, m_settings.m_pauseFactor);
+    const Millis pause = least * (1U << std::min(host.m_times, MAX_DOUBLINGS));
+    const Millis most = scale(m_settings.m_maxPause, m_settings.m_halfLifeFactor);
+    host.m_avoidedUntil = now + std::min(pause, most);
     ++host.m_times;
     logEvent(Severity::WARNING, "health", "host-avoided",
              {{"host", evidence.m_host},
@@ -106,8 +119,10 @@
 }
 
 void WorkerHealth::forgetJobs(Millis now) {
+    const Millis halfLife = scale(m_settings.m_halfLife, m_settings.m_halfLifeFactor);
     std::erase_if(m_jobs, [&](const auto& entry) {
-        return now - entry.second.m_failedAt > m_settings.m_jobMemory;
+        const auto age = static_cast<double>((now - entry.second.m_failedAt).count());
+        return age > m_settings.m_jobMemoryFactor * static_cast<double>(halfLife.count());
     });
 }
 
--- a/libs/control/test/WorkerHealthTest.cpp
+++ b/libs/control/test/WorkerHealthTest.cpp
@@ -80,6 +80,22 @@
     EXPECT_FALSE(isAvoided("h"));
 }
 
+TEST_F(WorkerHealthTest, WhereRunsTakeHoursBlameLastsForHours) {
+    const Millis hour(3'600'000);
+    for (int i = 0; i < 3; ++i) {
+        finish("another", 2 * hour);
+    }
+    fail("h", "job-1", hour / 20);
+    m_now += hour;
+    fail("h", "job-2", hour / 20);
+    EXPECT_TRUE(isAvoided("h"));
+    m_now += hour / 2;
+    EXPECT_TRUE(isAvoided("h"));
+    m_now += hour;
+    EXPECT_FALSE(isAvoided("h"));
+    EXPECT_TRUE(isSuspect("h"));
+}
+
 TEST_F(WorkerHealthTest, OneSlowFailureSaysLittle) {
     fail("h", "job-1", Millis(3000));
     EXPECT_FALSE(isSuspect("h"));
