pierbank-trace: what became of each job, from the gateways' logs; log lines say how long runs ran

Reads the logs of one fleet or several and prints per job its time by cause (intake, leader, room, evicted, stalled, failed and lost runs), refusals and whether another gateway took a job at that moment, and a table of causes. `jobs known` now names the objective, `jobs stopped` and `jobs run-ended` how long the run ran, and its cores.

--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -2,6 +2,7 @@
 #include "pierbank/control/JobController.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "pierbank/base/Log.h"
@@ -309,6 +310,15 @@
     return order;
 }
 
+namespace {
+
+/** Cores that a task takes, accelerators included, rounded; for the log. */
+long getWeight(const JobRecord& record, const TaskKey& task) {
+    return std::lround(getCores(record.m_spec.m_steps[task.m_step].m_need));
+}
+
+}  // namespace
+
 void JobController::stop(const Stop& stop) {
     JobEntry& entry = m_jobs.find(stop.m_task.m_job)->second;
     const auto held = entry.m_run.findHeldRun(stop.m_task, stop.m_run);
@@ -322,6 +332,8 @@
              {{"task", stop.m_task.toText()},
               {"run", std::to_string(stop.m_run)},
               {"host", held->m_worker.m_host},
+              {"ran_ms", std::to_string((m_loop.wallNow() - held->m_placedAt).count())},
+              {"cores", std::to_string(getWeight(entry.m_record, stop.m_task))},
               {"why", stop.m_why}});
     stopRuns(entry, {*held});
 }
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -122,6 +122,8 @@
               {"host", worker.m_host},
               {"number", std::to_string(end.m_number)},
               {"how", std::string(toText(how))},
+              {"ran_ms",
+               isHere ? std::to_string((m_loop.wallNow() - held->m_placedAt).count()) : "-"},
               {"current", effect.m_isCurrent ? "yes" : "no"}});
     if (isHere) {
         const Millis ran = m_loop.wallNow() - held->m_placedAt;
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -189,6 +189,7 @@
              {"queue", entry.m_record.m_policy.m_queue},
              {"priority", std::to_string(entry.m_record.m_policy.m_priority)},
              {"steps", std::to_string(entry.m_record.m_spec.m_steps.size())},
+             {"objective_ms", std::to_string(getObjectiveSpan(entry.m_record).count())},
              {"age_ms", std::to_string((m_loop.wallNow() - entry.m_record.m_acceptedAt).count())}});
     m_jobs.emplace(id, std::move(entry));
 }
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -54,6 +54,12 @@
      * so many core-seconds, and so many times its own work more. */
     double m_lossAllowance = 100.0;
     double m_lossPerOwnWork = 0.7;
+    /**
+     * Work that would miss its objective by giving way counts so many times its whole declared work
+     * more as thrown away, if it then waits for `m_restartWait` before it runs again.
+     */
+    double m_missWeight = 1.0;
+    Millis m_restartWait{1500};
     /** Urgent work waits for running work to end before it preempts: up to this share of its own
      * declared time, and at most `m_maxWait` since it was handed in. */
     double m_waitShare = 0.35;
@@ -146,6 +152,12 @@
 /** Longest chain of declared work of a job. */
 Millis estimateChain(const JobSpec& spec);
 
+/** How long after it is handed in, or due, a job should be done. */
+Millis getObjectiveSpan(const JobRecord& record);
+
+/** Cores that a need is worth: an accelerator weighs as much as eight (users' price list). */
+double getCores(const Resources& need);
+
 }  // namespace pierbank
 
 #endif  // PIERBANK_JOB_TASKPLANNER_H
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -17,6 +17,12 @@
     return most;
 }
 
+/** Since when an occurrence could have run. */
+Millis getDue(const JobRecord& record, std::uint32_t occurrence) {
+    const JobSpec& spec = record.m_spec;
+    return spec.isTimed() ? spec.m_firstDue + spec.m_interval * occurrence : record.m_acceptedAt;
+}
+
 }  // namespace
 
 std::uint32_t WorkUnit::countAccelerators() const {
@@ -112,9 +118,26 @@
     const bool losesNothing = spec.m_savesProgress || held.m_isCopy;
     const double lost = losesNothing ? 0.0 : std::max(0.0, elapsed);
     occupant.m_loss = getCores(spec.m_need) * (lost + RESTART_MS);
+    if (missesByGivingWay(job, occupant)) {
+        const auto whole = static_cast<double>(spec.m_estimate.count());
+        occupant.m_loss += m_settings.m_missWeight * getCores(spec.m_need) * whole;
+    }
     m_occupants.push_back(std::move(occupant));
 }
 
+/** It is in time as things stand, and would not be if it began again after a wait. */
+bool PlanningPass::missesByGivingWay(const PlannedJob& job, const Occupant& occupant) const {
+    const TaskKey& key = occupant.m_held.m_task;
+    const OccurrenceRun& occurrence = *job.m_run->findOccurrence(key.m_occurrence);
+    const JobSpec& spec = job.m_record->m_spec;
+    const Millis spare = getObjective(*job.m_record, key.m_occurrence) - m_wallNow -
+                         estimateRemainingChain(spec, occurrence);
+    const Millis elapsed = m_wallNow - occupant.m_held.m_placedAt;
+    const Millis kept = occupant.m_spec->m_savesProgress ? elapsed : Millis(0);
+    return !occupant.m_spec->m_isLasting && spare + elapsed >= Millis(0) &&
+           spare + kept < m_settings.m_restartWait;
+}
+
 std::vector<WorkUnit> PlanningPass::collectUnits() const {
     std::vector<WorkUnit> units;
     for (const PlannedJob& job : m_jobs) {
@@ -229,16 +252,17 @@
         const auto advised = job.m_advised->find({occurrence.m_number, step});
         unit.m_advised = advised == job.m_advised->end() ? nullptr : &advised->second;
     }
-    const JobSpec& spec = record.m_spec;
-    unit.m_since = spec.isTimed() ? spec.m_firstDue + spec.m_interval * occurrence.m_number
-                                  : record.m_acceptedAt;
-    const auto chain = static_cast<double>(estimateChain(spec).count());
-    const auto objective = static_cast<std::int64_t>(record.m_policy.m_stretch * chain);
-    unit.m_objective = unit.m_since + Millis(objective) + record.m_policy.m_slack;
+    unit.m_since = getDue(record, occurrence.m_number);
+    unit.m_objective = getObjective(record, occurrence.m_number);
     unit.m_band = chooseBand(unit, occurrence);
     return unit;
 }
 
+/** By when an occurrence of a job should be done. */
+Millis PlanningPass::getObjective(const JobRecord& record, std::uint32_t occurrence) {
+    return getDue(record, occurrence) + getObjectiveSpan(record);
+}
+
 /**
  * Urgent work goes first, that of guarantees before all; then by priority, and in one priority
  * what can still meet its objective before what cannot. What is so late that nobody counts on it
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -13,9 +13,6 @@
 
 namespace pierbank {
 
-/** Cores that a need is worth: an accelerator weighs as much as eight (users' price list). */
-double getCores(const Resources& need);
-
 /** Place of a worker in the pass's list. */
 using WorkerSlot = std::size_t;
 
@@ -98,12 +95,14 @@
     void findGuaranteed();
     void takeRooms();
     void takeRun(const PlannedJob& job, const HeldRun& held);
+    bool missesByGivingWay(const PlannedJob& job, const Occupant& occupant) const;
     void addGangLosses();
 
     // Units and their order.
     std::vector<WorkUnit> collectUnits() const;
     void collectStep(const PlannedJob& job, const OccurrenceRun& occurrence, std::uint32_t step,
                      std::vector<WorkUnit>& units) const;
+    static Millis getObjective(const JobRecord& record, std::uint32_t occurrence);
     std::uint32_t chooseBand(const WorkUnit& unit, const OccurrenceRun& occurrence) const;
     WorkUnit makeUnit(const PlannedJob& job, const OccurrenceRun& occurrence,
                       std::uint32_t step) const;
--- a/libs/job/src/TaskPlanner.cpp
+++ b/libs/job/src/TaskPlanner.cpp
@@ -48,4 +48,10 @@
     });
 }
 
+Millis getObjectiveSpan(const JobRecord& record) {
+    const auto chain = static_cast<double>(estimateChain(record.m_spec).count());
+    return Millis(static_cast<std::int64_t>(record.m_policy.m_stretch * chain)) +
+           record.m_policy.m_slack;
+}
+
 }  // namespace pierbank
--- /dev/null
+++ b/libs/trace/src/LogLine.cpp
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/trace/LogLine.h"
+
+#include <charconv>
+#include <chrono>
+#include <cstdio>
+#include <vector>
+
+namespace pierbank {
+
+namespace {
+
+/** Takes the next word off a text; a quoted value with its blanks is one. */
+std::string takeWord(std::string_view& text) {
+    text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+    std::string word;
+    bool isQuoted = false;
+    std::size_t i = 0;
+    for (; i < text.size() && (isQuoted || text[i] != ' '); ++i) {
+        if (text[i] == '"') {
+            isQuoted = !isQuoted;
+        } else if (text[i] == '\\' && isQuoted && i + 1 < text.size()) {
+            word += text[++i];
+        } else {
+            word += text[i];
+        }
+    }
+    text.remove_prefix(i);
+    return word;
+}
+
+std::optional<Millis> readTime(const std::string& word) {
+    int year = 0;
+    unsigned month = 0;
+    unsigned day = 0;
+    int hour = 0;
+    int minute = 0;
+    double second = 0;
+    constexpr int FIELDS = 6;
+    if (std::sscanf(word.c_str(), "%4d-%2u-%2uT%2d:%2d:%lf", &year, &month, &day, &hour, &minute,
+                    &second) != FIELDS) {
+        return std::nullopt;
+    }
+    using namespace std::chrono;
+    const sys_days date =
+            std::chrono::year(year) / std::chrono::month(month) / std::chrono::day(day);
+    const auto inMinute = static_cast<std::int64_t>(second * 1000);
+    return duration_cast<Millis>(date.time_since_epoch()) + hours(hour) + minutes(minute) +
+           Millis(inMinute);
+}
+
+bool isSeverity(const std::string& word) {
+    return word == "debug" || word == "info" || word == "warning" || word == "error";
+}
+
+}  // namespace
+
+std::optional<LogLine> LogLine::parse(std::string_view text) {
+    LogLine line;
+    std::optional<Millis> time;
+    // A collector puts a few words of its own before the line.
+    constexpr int MOST_BEFORE = 6;
+    for (int i = 0; i < MOST_BEFORE && !text.empty(); ++i) {
+        std::string word = takeWord(text);
+        if (time.has_value() && isSeverity(word)) {
+            line.m_at = *time;
+            line.m_component = takeWord(text);
+            line.m_event = takeWord(text);
+            break;
+        }
+        if (!time.has_value()) {
+            time = readTime(word);
+        }
+        if (!time.has_value()) {
+            line.m_node = std::move(word);
+        }
+    }
+    if (line.m_event.empty()) {
+        return std::nullopt;
+    }
+    while (!text.empty()) {
+        const std::string word = takeWord(text);
+        const std::size_t equals = word.find('=');
+        if (equals != std::string::npos) {
+            line.m_fields[word.substr(0, equals)] = word.substr(equals + 1);
+        }
+    }
+    return line;
+}
+
+std::string_view LogLine::get(std::string_view key) const {
+    const auto found = m_fields.find(key);
+    return found == m_fields.end() ? std::string_view() : std::string_view(found->second);
+}
+
+Millis LogLine::getMillis(std::string_view key) const {
+    const std::string_view text = get(key);
+    std::int64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return Millis(value);
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/tools/trace/main.cpp
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: Apache-2.0
+// pierbank-trace: reads gateways' logs and says what became of each job and where its time went.
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <numeric>
+
+#include "pierbank/base/Version.h"
+#include "pierbank/trace/JobTrace.h"
+
+namespace {
+
+using namespace pierbank;
+namespace po = boost::program_options;
+
+constexpr int EXIT_USAGE = 2;
+
+struct TraceOptions {
+    std::vector<std::string> m_files;
+    std::string m_job;
+    bool m_onlyBad = false;
+    bool m_onlySum = false;
+};
+
+/** What the table says of one cause. */
+struct CauseLine {
+    std::uint32_t m_late = 0;
+    std::uint32_t m_failed = 0;
+    std::uint32_t m_notTaken = 0;
+    Millis m_lost{0};
+};
+
+bool isBad(const JobStory& story) {
+    const bool isNotTaken = !story.m_acceptedAt.has_value() && story.m_isTurnedAway;
+    return isNotTaken || story.m_phase == "failed" || story.isLate();
+}
+
+void printStory(const JobStory& story) {
+    const Millis took = story.m_endedAt.value_or(*story.m_firstAskedAt) - *story.m_firstAskedAt;
+    std::printf(
+            "%s queue=%s organisation=%s priority=%s %s took_ms=%lld objective_ms=%lld%s cause=%s",
+            story.m_id.c_str(), story.m_queue.c_str(), story.m_organisation.c_str(),
+            story.m_priority.c_str(),
+            !story.m_acceptedAt.has_value() ? "not-taken"
+            : story.m_phase.empty()         ? "open"
+                                            : story.m_phase.c_str(),
+            static_cast<long long>(took.count()), static_cast<long long>(story.m_objective.count()),
+            story.isLate() ? " LATE" : "", std::string(toText(story.getCause())).c_str());
+    for (std::size_t i = 0; i < CAUSES; ++i) {
+        if (story.m_lost.at(i) > Millis(0)) {
+            std::printf(" %s_ms=%lld", std::string(toText(static_cast<Cause>(i))).c_str(),
+                        static_cast<long long>(story.m_lost.at(i).count()));
+        }
+    }
+    if (story.m_evictions > 0) {
+        std::printf(" evictions=%u work_lost_core_s=%.1f", story.m_evictions, story.m_workLost);
+    }
+    for (const std::string& host : story.m_failedOn) {
+        std::printf(" failed_on=%s", host.c_str());
+    }
+    for (const auto& [reason, count] : story.m_refusals) {
+        std::printf(" refused=%ux\"%s\"", count, reason.c_str());
+    }
+    if (story.m_neededNot > 0) {
+        std::printf(" refused_while_another_took=%u", story.m_neededNot);
+    }
+    std::printf("\n");
+}
+
+void printSum(const std::vector<JobStory>& stories) {
+    std::map<Cause, CauseLine> causes;
+    std::uint32_t evictions = 0;
+    double workLost = 0;
+    std::uint32_t neededNot = 0;
+    for (const JobStory& story : stories) {
+        evictions += story.m_evictions;
+        workLost += story.m_workLost;
+        neededNot += story.m_neededNot;
+        if (!isBad(story)) {
+            continue;
+        }
+        CauseLine& line = causes[story.getCause()];
+        line.m_lost += story.m_lost.at(static_cast<std::size_t>(story.getCause()));
+        if (!story.m_acceptedAt.has_value()) {
+            ++line.m_notTaken;
+        } else if (story.m_phase == "failed") {
+            ++line.m_failed;
+        } else {
+            ++line.m_late;
+        }
+    }
+    std::printf("%-12s %9s %7s %7s %9s\n", "cause", "not-taken", "failed", "late", "lost_s");
+    for (const auto& [cause, line] : causes) {
+        std::printf("%-12s %9u %7u %7u %9.1f\n", std::string(toText(cause)).c_str(),
+                    line.m_notTaken, line.m_failed, line.m_late,
+                    static_cast<double>(line.m_lost.count()) / 1000.0);
+    }
+    std::printf(
+            "jobs %zu; evictions %u, work thrown away by them %.0f core-seconds; "
+            "submissions refused while another gateway took one: %u\n",
+            stories.size(), evictions, workLost, neededNot);
+}
+
+std::optional<TraceOptions> readOptions(int argc, char** argv, int& exit) {
+    TraceOptions options;
+    po::options_description shown(
+            "pierbank-trace [OPTIONS] [LOG...]  (- or nothing: standard input)");
+    shown.add_options()("job", po::value(&options.m_job), "only the job with this id")(
+            "bad", po::bool_switch(&options.m_onlyBad),
+            "only jobs that were late, failed or not taken")(
+            "sum", po::bool_switch(&options.m_onlySum), "only the table of causes")(
+            "help", "this text")("version", "the version");
+    po::options_description all;
+    all.add(shown).add_options()("logs", po::value(&options.m_files));
+    po::positional_options_description positional;
+    positional.add("logs", -1);
+    po::variables_map values;
+    try {
+        po::store(po::command_line_parser(argc, argv).options(all).positional(positional).run(),
+                  values);
+        po::notify(values);
+    } catch (const po::error& error) {
+        std::cerr << "pierbank-trace: " << error.what() << "\n" << shown;
+        exit = EXIT_USAGE;
+        return std::nullopt;
+    }
+    exit = EXIT_SUCCESS;
+    if (values.count("help") != 0) {
+        std::cout << shown;
+        return std::nullopt;
+    }
+    if (values.count("version") != 0) {
+        std::cout << "pierbank-trace " << VERSION << "\n";
+        return std::nullopt;
+    }
+    if (options.m_files.empty()) {
+        options.m_files = {"-"};
+    }
+    return options;
+}
+
+std::size_t readLog(std::istream& in, JobTrace& trace) {
+    std::size_t lines = 0;
+    for (std::string text; std::getline(in, text);) {
+        if (auto line = LogLine::parse(text)) {
+            trace.take(std::move(*line));
+            ++lines;
+        }
+    }
+    return lines;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    int exit = EXIT_SUCCESS;
+    const auto options = readOptions(argc, argv, exit);
+    if (!options.has_value()) {
+        return exit;
+    }
+    // Each log is a fleet's of its own: ids of one don't mean jobs of another.
+    std::vector<JobStory> stories;
+    for (const std::string& name : options->m_files) {
+        std::ifstream file;
+        if (name != "-") {
+            file.open(name);
+        }
+        JobTrace trace;
+        if ((name != "-" && !file) || readLog(name == "-" ? std::cin : file, trace) == 0) {
+            std::cerr << "pierbank-trace: " << name << ": no log of a gateway\n";
+            return EXIT_USAGE;
+        }
+        for (JobStory& story : trace.tell()) {
+            stories.push_back(std::move(story));
+        }
+    }
+    for (const JobStory& story : stories) {
+        const bool isAsked = options->m_job.empty() || story.m_id == options->m_job;
+        if (!options->m_onlySum && isAsked && (!options->m_onlyBad || isBad(story))) {
+            printStory(story);
+        }
+    }
+    if (options->m_job.empty()) {
+        printSum(stories);
+    }
+    return EXIT_SUCCESS;
+}
