Room is kept for urgent work as it is seen to arrive; every mechanism has a switch

Change: the leader keeps a decayed rate of urgent arrivals by service (accelerators times declared time, halved in 10 s) and keeps whole workers for what runs of it on the mean and one job more, a quarter of the fleet at most; those with the least other work, so that the same ones stay kept. Starved work may still use them.

--- a/libs/base/include/pierbank/base/SettingsFile.h
+++ b/libs/base/include/pierbank/base/SettingsFile.h
@@ -67,6 +67,9 @@
     /** A number that need not be whole, within [least, most]; may be left out. */
     double getReal(SettingKey key, double otherwise, double least, double most);
 
+    /** `on` or `off`; may be left out. */
+    bool getSwitch(SettingKey key, bool otherwise);
+
     /** A time with its unit, `250ms`, `4s`, `10min` or `2h`, within [least, most]. */
     Millis getDuration(SettingKey key, Millis otherwise, Millis least, Millis most);
 
--- a/libs/base/src/SettingsFile.cpp
+++ b/libs/base/src/SettingsFile.cpp
@@ -205,6 +205,15 @@
     return number;
 }
 
+bool SettingsFile::getSwitch(SettingKey key, bool otherwise) {
+    const auto value = find(key);
+    if (value.has_value() && *value != "on" && *value != "off") {
+        report(key, "`" + *value + "` is neither on nor off");
+        return otherwise;
+    }
+    return value.has_value() ? *value == "on" : otherwise;
+}
+
 std::int64_t SettingsFile::getNumber(SettingKey key, std::int64_t otherwise, std::int64_t least,
                                      std::int64_t most) {
     const auto value = find(key);
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -18,6 +18,7 @@
 #include "pierbank/control/EndLedger.h"
 #include "pierbank/control/JobTable.h"
 #include "pierbank/control/ProgressTracker.h"
+#include "pierbank/control/UrgentDemand.h"
 #include "pierbank/control/WaveController.h"
 #include "pierbank/control/WorkerHealth.h"
 #include "pierbank/control/WorkerPool.h"
@@ -29,6 +30,13 @@
 struct JobControllerSettings {
     TaskPlannerSettings m_planner;
     WorkerHealthSettings m_health;
+    UrgentDemandSettings m_demand;
+    /** Room is kept for urgent work as it is seen to arrive. */
+    bool m_keepsRoom = true;
+    /** Hosts are judged by how runs end there. */
+    bool m_judgesHosts = true;
+    /** Hosts on which nothing advances get no work, and what runs there may begin elsewhere. */
+    bool m_seesStalls = true;
     /** What happens within this time is decided and committed together. */
     Millis m_commitDelay{3};
     /**
@@ -153,6 +161,8 @@
     void stopRuns(JobEntry& entry, const std::vector<HeldRun>& runs);
     void sendOrder(JobEntry& entry, const HeldRun& run);
     RunOrder makeOrder(const JobEntry& entry, const HeldRun& run) const;
+    bool isAvoided(const std::string& host) const;
+    bool isStalled(const std::string& host) const;
     void moveStalled();
     bool mustMove(const JobEntry& entry, const HeldRun& run) const;
     std::map<TaskKey, Millis> estimateRemaining() const;
@@ -185,6 +195,7 @@
     WorkerPool m_workers;
     WorkerHealth m_health;
     ProgressTracker m_progress;
+    UrgentDemand m_demand;
     AdviceBook m_advice;
     std::function<void()> m_onDisowned;
     RelayHandler m_onRelayed;
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -57,6 +57,10 @@
      * store that is slow (0.24 to 0.33 s).
      */
     Millis m_hedgeAfter{400};
+    /** Whether it is. */
+    bool m_hedges = true;
+    /** What this gateway can't do is passed on to the leader. */
+    bool m_relays = true;
     /** Kept back from the caller's patience, so that the answer arrives in time. */
     Millis m_answerMargin{100};
 };
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -27,6 +27,7 @@
           m_settings(settings),
           m_workers(transport, loop, *this, std::move(workers)),
           m_health(m_settings.m_health),
+          m_demand(m_settings.m_demand),
           m_advice(loop, advisor),
           m_weight(m_settings.m_planner.m_fragmentationWeight) {
     m_advice.onNews([this] { stepSoon(); });
@@ -64,6 +65,7 @@
     m_notes.clear();
     m_earlyCancels.clear();
     m_health.clear();
+    m_demand.clear();
     m_progress.clear();
     m_advice.clear();
     m_holds.clear();
@@ -148,11 +150,11 @@
         } else if (isEmptied) {
             view.m_leavesIn = Millis(0);
         }
-        view.m_acceptsWork =
-                host.isLinked() && host.m_hasReport && !notice.m_isGone && !host.m_isWorkerSilent &&
-                !view.m_leavesIn.has_value() && getHold(address) == WorkerHold::RELEASE &&
-                !m_health.isAvoided(address, m_loop.now()) && !m_progress.isStalled(address);
-        view.m_isSuspect = m_health.isSuspect(address, m_loop.now());
+        view.m_acceptsWork = host.isLinked() && host.m_hasReport && !notice.m_isGone &&
+                             !host.m_isWorkerSilent && !view.m_leavesIn.has_value() &&
+                             getHold(address) == WorkerHold::RELEASE && !isAvoided(address) &&
+                             !isStalled(address);
+        view.m_isSuspect = m_settings.m_judgesHosts && m_health.isSuspect(address, m_loop.now());
         views.push_back(std::move(view));
     }
     return views;
@@ -188,6 +190,12 @@
 TaskPlanner JobController::makePlanner() const {
     TaskPlannerSettings settings = m_settings.m_planner;
     settings.m_fragmentationWeight = m_weight;
+    for (const auto& [address, host] : m_workers.getHosts()) {
+        if (m_settings.m_keepsRoom && host.m_notice.has_value()) {
+            const std::string& service = host.m_notice->m_service;
+            settings.m_urgentReserve[service] = m_demand.getReserve(service, m_loop.wallNow());
+        }
+    }
     return TaskPlanner(settings);
 }
 
@@ -347,9 +355,17 @@
     }
 }
 
+bool JobController::isAvoided(const std::string& host) const {
+    return m_settings.m_judgesHosts && m_health.isAvoided(host, m_loop.now());
+}
+
+bool JobController::isStalled(const std::string& host) const {
+    return m_settings.m_seesStalls && m_progress.isStalled(host);
+}
+
 bool JobController::mustMove(const JobEntry& entry, const HeldRun& run) const {
     const std::string& host = run.m_worker.m_host;
-    if (run.m_isStopping || run.m_isCopy || !m_progress.isStalled(host)) {
+    if (run.m_isStopping || run.m_isCopy || !isStalled(host)) {
         return false;
     }
     const Millis still = m_progress.getStalledTime(host, run.m_task);
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -191,6 +191,7 @@
              {"steps", std::to_string(entry.m_record.m_spec.m_steps.size())},
              {"objective_ms", std::to_string(getObjectiveSpan(entry.m_record).count())},
              {"age_ms", std::to_string((m_loop.wallNow() - entry.m_record.m_acceptedAt).count())}});
+    m_demand.note(entry.m_record);
     m_jobs.emplace(id, std::move(entry));
 }
 
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -167,7 +167,8 @@
                        [this, call](const StoreCommit& commit) { handleSubmitted(call, commit); });
     const Millis hedgeAfter = std::min(m_settings.m_hedgeAfter, getTimeLeft(*call) / 2);
     m_loop.callLater(hedgeAfter, [this, call, alive = std::weak_ptr(m_isAlive)] {
-        if (!alive.expired() && !call->m_isAnswered && mayRelay(*call)) {
+        const bool isOpen = !alive.expired() && !call->m_isAnswered;
+        if (isOpen && m_settings.m_hedges && mayRelay(*call)) {
             askLeader(call);
         }
     });
@@ -214,8 +215,9 @@
 }
 
 bool JobIntake::mayRelay(const Call& call) const {
-    return m_relay != nullptr && m_relay->isUsable() && !call.m_request.m_isRelayed &&
-           call.m_relay == Call::Relay::NOT_ASKED && getTimeLeft(call) > LEAST_RELAY;
+    return m_settings.m_relays && m_relay != nullptr && m_relay->isUsable() &&
+           !call.m_request.m_isRelayed && call.m_relay == Call::Relay::NOT_ASKED &&
+           getTimeLeft(call) > LEAST_RELAY;
 }
 
 void JobIntake::relayOr(const CallPtr& call, std::uint32_t status, std::string_view reason) {
--- /dev/null
+++ b/libs/control/src/UrgentDemand.cpp
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/control/UrgentDemand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pierbank {
+
+double UrgentDemand::getDecay(Millis passed) const {
+    const auto age = static_cast<double>(std::max(passed, Millis(0)).count());
+    return std::exp2(-age / static_cast<double>(m_settings.m_halfLife.count()));
+}
+
+void UrgentDemand::note(const JobRecord& record) {
+    if (record.m_policy.m_priority != 0) {
+        return;
+    }
+    double widest = 0;
+    double work = 0;
+    for (const StepSpec& step : record.m_spec.m_steps) {
+        const double accelerators = step.m_tasks * step.m_need.m_accelerators;
+        widest = std::max(widest, accelerators);
+        work += accelerators * static_cast<double>(step.m_estimate.count());
+    }
+    Arrivals& arrivals = m_services[record.m_policy.m_service];
+    const double decay = getDecay(record.m_acceptedAt - arrivals.m_at);
+    const double late = getDecay(arrivals.m_at - record.m_acceptedAt);
+    arrivals.m_count = arrivals.m_count * decay + late;
+    arrivals.m_accelerators = arrivals.m_accelerators * decay + widest * late;
+    arrivals.m_work = arrivals.m_work * decay + work * late;
+    arrivals.m_at = std::max(arrivals.m_at, record.m_acceptedAt);
+}
+
+/** What runs at a time on the mean, and one job more. */
+std::uint32_t UrgentDemand::getReserve(const std::string& service, Millis wallNow) const {
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return 0;
+    }
+    const Arrivals& arrivals = found->second;
+    const double decay = getDecay(wallNow - arrivals.m_at);
+    if (arrivals.m_count * decay < m_settings.m_leastArrivals) {
+        return 0;
+    }
+    // The decayed sum of a steady stream is its rate times the half-life over ln 2.
+    const double span = static_cast<double>(m_settings.m_halfLife.count()) / std::log(2.0);
+    const double running = arrivals.m_work * decay / span;
+    const double next = arrivals.m_accelerators / arrivals.m_count;
+    return static_cast<std::uint32_t>(std::lround(running + next));
+}
+
+}  // namespace pierbank
--- a/libs/daemon/src/GatewaySettings.cpp
+++ b/libs/daemon/src/GatewaySettings.cpp
@@ -84,6 +84,31 @@
             file.getNumber({"planner", "fragmentation-weight"}, 0, 0, 100));
 }
 
+/**
+ * Each mechanism of the decisions can be switched off, to see what it is worth; docs/DECISIONS.md
+ * has the figures.
+ */
+void readSwitches(SettingsFile& file, JobCoreSettings& core) {
+    auto& planner = core.m_jobs.m_planner;
+    planner.m_barsHosts = file.getSwitch({"switches", "bars-hosts"}, true);
+    planner.m_movesOffLeaving = file.getSwitch({"switches", "moves-off-leaving"}, true);
+    planner.m_copies = file.getSwitch({"switches", "copies"}, true);
+    if (!file.getSwitch({"switches", "weighs-misses"}, true)) {
+        planner.m_missWeight = 0;
+    }
+    if (!file.getSwitch({"switches", "waits-for-ends"}, true)) {
+        planner.m_waitShare = 0;
+    }
+    if (!file.getSwitch({"switches", "claims"}, true)) {
+        planner.m_maxClaims = 0;
+    }
+    core.m_jobs.m_keepsRoom = file.getSwitch({"switches", "keeps-room"}, true);
+    core.m_jobs.m_judgesHosts = file.getSwitch({"switches", "judges-hosts"}, true);
+    core.m_jobs.m_seesStalls = file.getSwitch({"switches", "sees-stalls"}, true);
+    core.m_intake.m_hedges = file.getSwitch({"switches", "hedges"}, true);
+    core.m_intake.m_relays = file.getSwitch({"switches", "relays"}, true);
+}
+
 }  // namespace
 
 OperatorTokens readOperatorTokens(SettingsFile& file) {
@@ -109,6 +134,7 @@
     readGrace(file, settings);
     settings.m_tokens = readOperatorTokens(file);
     readSchedule(file, settings);
+    readSwitches(file, settings.m_core);
     settings.m_core.m_leader.m_node = settings.m_name;
     settings.m_core.m_leader.m_operators = settings.m_operators;
     settings.m_core.m_workers.m_node = settings.m_name;
--- /dev/null
+++ b/libs/daemon/test/GatewaySettingsTest.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/daemon/GatewaySettings.h"
+
+#include <gtest/gtest.h>
+
+namespace pierbank {
+namespace {
+
+constexpr const char* LEAST = R"([gateway]
+name=g
+front=127.0.0.1:7201
+ready=127.0.0.1:7202
+operators=127.0.0.1:7101
+links=127.0.0.1:7102
+[store]
+address=127.0.0.1:7001
+[operators]
+alice=change-this-token
+)";
+
+class GatewaySettingsTest : public ::testing::Test {
+protected:
+    GatewaySettings read(const std::string& more) {
+        auto file = SettingsFile::parse(LEAST + more, "gateway.ini", m_findings);
+        EXPECT_TRUE(file.has_value());
+        return readGatewaySettings(*file);
+    }
+
+    Findings m_findings;
+};
+
+TEST_F(GatewaySettingsTest, HaveEveryMechanismOnByDefault) {
+    const GatewaySettings settings = read("");
+    EXPECT_TRUE(m_findings.isEmpty()) << m_findings.toText();
+    EXPECT_TRUE(settings.m_core.m_jobs.m_keepsRoom);
+    EXPECT_TRUE(settings.m_core.m_jobs.m_planner.m_barsHosts);
+    EXPECT_TRUE(settings.m_core.m_intake.m_hedges);
+}
+
+TEST_F(GatewaySettingsTest, SwitchMechanismsOff) {
+    const GatewaySettings settings = read("[switches]\nkeeps-room=off\nclaims=off\n");
+    EXPECT_TRUE(m_findings.isEmpty()) << m_findings.toText();
+    EXPECT_FALSE(settings.m_core.m_jobs.m_keepsRoom);
+    EXPECT_EQ(settings.m_core.m_jobs.m_planner.m_maxClaims, 0U);
+}
+
+TEST_F(GatewaySettingsTest, NameASwitchThatIsNeitherOnNorOffAndOneThatIsNotKnown) {
+    read("[switches]\nkeeps-room=maybe\nkeep-room=off\n");
+    EXPECT_NE(m_findings.toText().find("neither on nor off"), std::string::npos);
+    EXPECT_NE(m_findings.toText().find("keep-room"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace pierbank
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -77,8 +77,18 @@
     std::uint32_t m_fragmentationWeight = 0;
     /** A task that may be copied is, when it would take so many times its declared time longer. */
     double m_copyFactor = 1.5;
+    /**
+     * Accelerators by service that only urgent work gets, those that it has included; whole workers
+     * are kept. At most `m_mostReserved` of a service's.
+     */
+    std::map<std::string, std::uint32_t> m_urgentReserve;
+    double m_mostReserved = 0.25;
     /** Units keep off hosts that failed them, and off suspect ones if a failure costs them much. */
     bool m_barsHosts = true;
+    /** Work moves off workers that leave before it would end. */
+    bool m_movesOffLeaving = true;
+    /** Slow tasks that may be copied are. */
+    bool m_copies = true;
     /** A stopped lasting task counts as away until it has run elsewhere for so long. */
     Millis m_settleTime{5000};
 };
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -41,20 +41,61 @@
           m_wallNow(wallNow) {
     for (const WorkerView& worker : workers) {
         m_slots[worker.m_id] = m_rooms.size();
-        m_rooms.push_back({&worker, worker.m_capacity, Resources(), std::nullopt});
+        m_rooms.push_back({&worker, worker.m_capacity, Resources(), std::nullopt, false});
         m_largestWorker = std::max(m_largestWorker, worker.m_capacity.m_accelerators);
     }
     findGuaranteed();
     takeRooms();
     addGangLosses();
+    reserveForUrgent();
+}
+
+void PlanningPass::reserveForUrgent() {
+    for (const auto& [service, accelerators] : m_settings.m_urgentReserve) {
+        reserveForUrgent(service, accelerators);
+    }
+}
+
+/** The workers on which the least other work runs, so that the same ones stay kept. */
+void PlanningPass::reserveForUrgent(const std::string& service, std::uint32_t accelerators) {
+    std::vector<std::uint32_t> others(m_rooms.size());
+    for (const Occupant& occupant : m_occupants) {
+        if (occupant.m_record->m_policy.m_priority != 0) {
+            others[occupant.m_slot] += occupant.m_spec->m_need.m_accelerators;
+        }
+    }
+    std::vector<WorkerSlot> slots;
+    double all = 0;
+    for (WorkerSlot slot = 0; slot < m_rooms.size(); ++slot) {
+        const WorkerView& worker = *m_rooms[slot].m_view;
+        if (worker.m_acceptsWork && worker.m_service == service) {
+            slots.push_back(slot);
+            all += worker.m_capacity.m_accelerators;
+        }
+    }
+    std::stable_sort(slots.begin(), slots.end(),
+                     [&](WorkerSlot a, WorkerSlot b) { return others[a] < others[b]; });
+    const double most = std::min<double>(accelerators, m_settings.m_mostReserved * all);
+    double kept = 0;
+    for (const WorkerSlot slot : slots) {
+        kept += m_rooms[slot].m_view->m_capacity.m_accelerators;
+        if (kept > most) {
+            return;
+        }
+        m_rooms[slot].m_isReserved = true;
+    }
 }
 
 TaskPlan PlanningPass::run() {
     for (const WorkUnit& unit : collectUnits()) {
         placeUnit(unit);
     }
-    copySlowTasks();
-    moveOffLeaving();
+    if (m_settings.m_copies) {
+        copySlowTasks();
+    }
+    if (m_settings.m_movesOffLeaving) {
+        moveOffLeaving();
+    }
     return std::move(m_plan);
 }
 
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -63,6 +63,8 @@
         Resources m_leaving;
         /** A starved unit begins here in this time; only what ends before may start. */
         std::optional<Millis> m_claimedIn;
+        /** Kept for urgent work that will come. */
+        bool m_isReserved = false;
     };
     /** A run that may be made to give way. */
     struct Occupant {
@@ -97,6 +99,8 @@
     void takeRun(const PlannedJob& job, const HeldRun& held);
     bool missesByGivingWay(const PlannedJob& job, const Occupant& occupant) const;
     void addGangLosses();
+    void reserveForUrgent();
+    void reserveForUrgent(const std::string& service, std::uint32_t accelerators);
 
     // Units and their order.
     std::vector<WorkUnit> collectUnits() const;
--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -34,10 +34,14 @@
            (label.empty() || worker.m_labels.count(label) != 0) && isAdvised;
 }
 
-/** A worker that a starved unit claims takes only what is gone before. */
+/** A worker that a starved unit claims takes only what is gone before; reserved ones, urgent work.
+ */
 bool PlanningPass::isOpenTo(const WorkUnit& unit, WorkerSlot slot) const {
     const auto& claimedIn = m_rooms[slot].m_claimedIn;
     const StepSpec& spec = unit.getSpec();
+    if (m_rooms[slot].m_isReserved && !unit.isUrgent() && !isStarved(unit)) {
+        return false;
+    }
     return !claimedIn.has_value() || (!spec.m_isLasting && spec.m_estimate < *claimedIn);
 }
 
--- a/libs/job/test/TaskPlannerTest.cpp
+++ b/libs/job/test/TaskPlannerTest.cpp
@@ -70,10 +70,10 @@
         for (const Entry& entry : m_jobs) {
             jobs.push_back({&entry.m_record, &entry.m_run});
         }
-        return TaskPlanner(TaskPlannerSettings())
-                .plan(m_workers, jobs, m_remaining, m_guarantees, NOW);
+        return TaskPlanner(m_settings).plan(m_workers, jobs, m_remaining, m_guarantees, NOW);
     }
 
+    TaskPlannerSettings m_settings;
     std::vector<WorkerView> m_workers;
     std::deque<Entry> m_jobs;
     std::map<TaskKey, Millis> m_remaining;
@@ -154,5 +154,51 @@
     EXPECT_EQ(got.m_placements[0].m_task.m_job, "on-time");
 }
 
+class WorkersKeptForUrgentWork : public TaskPlannerTest {
+protected:
+    void SetUp() override {
+        m_settings.m_urgentReserve["s"] = 8;
+        addRunning("old", 0, 4, Millis(100));
+    }
+    std::set<std::string> placeMany(std::uint32_t priority) {
+        addJob("new", priority, makeStep(32, 1));
+        std::set<std::string> hosts;
+        for (const Placement& placement : plan().m_placements) {
+            hosts.insert(placement.m_worker.m_host);
+        }
+        return hosts;
+    }
+};
+
+TEST_F(WorkersKeptForUrgentWork, AreThoseWithTheLeastOtherWorkAndTakeNoOther) {
+    EXPECT_EQ(placeMany(2), (std::set<std::string>{"h0", "h2", "h3"}));
+}
+
+TEST_F(WorkersKeptForUrgentWork, TakeUrgentWork) {
+    EXPECT_EQ(placeMany(0), (std::set<std::string>{"h0", "h1", "h2", "h3"}));
+}
+
+TEST_F(WorkersKeptForUrgentWork, AreAQuarterOfThemAtMost) {
+    m_settings.m_urgentReserve["s"] = 1000;
+    EXPECT_EQ(placeMany(2).size(), 3U);
+}
+
+TEST_F(WorkersKeptForUrgentWork, AreNoneWhenTheDemandFillsNoWorker) {
+    m_settings.m_urgentReserve["s"] = 7;
+    EXPECT_EQ(placeMany(2).size(), 4U);
+}
+
+TEST_F(TaskPlannerTest, WorkThatWouldMissItsObjectiveByGivingWayIsSparedForWorkThatWouldNot) {
+    // Both ran as long; the objective is 3 times 1 s and 1 s more after the acceptance.
+    for (int i = 0; i < 4; ++i) {
+        addRunning("r" + std::to_string(i), i, 8, Millis(300));
+        m_jobs.back().m_record.m_acceptedAt = NOW - Millis(i == 2 ? 300 : 2500);
+    }
+    addJob("urgent", 0, makeStep(1, 8));
+    const TaskPlan made = plan();
+    ASSERT_EQ(made.m_stops.size(), 1U);
+    EXPECT_EQ(made.m_stops[0].m_task.m_job, "r2");
+}
+
 }  // namespace
 }  // namespace pierbank
