--- a/libs/trace/include/pierbank/trace/JobTrace.h
+++ b/libs/trace/include/pierbank/trace/JobTrace.h
@@ -55,6 +55,8 @@
     bool m_isTurnedAway = false;
     /** Of these, given while another gateway accepted a job. */
     std::uint32_t m_neededNot = 0;
+    /** Not taken, and for the caller's whole time no gateway reached the store. */
+    bool m_wasOutOfReach = false;
     std::uint32_t m_evictions = 0;
     /** Core-seconds of runs that were stopped for others. */
     double m_workLost = 0;
@@ -70,6 +72,9 @@
 /** Reads the logs of all gateways, in any order, and tells each job's story. */
 class JobTrace {
 public:
+    /** @param patience how long callers go on asking, as far as the logs don't tell. */
+    explicit JobTrace(Millis patience = Millis(3000)) : m_patience(patience) {}
+
     void take(LogLine line);
     /** Orders what was taken and tells the stories, in the order of the first requests. */
     std::vector<JobStory> tell();
@@ -95,8 +100,20 @@
     void followStopped(const LogLine& line);
     void followEnd(const LogLine& line, Cause cause);
     void countNeedless();
+    void followReach(const LogLine& line);
+    bool wasOutOfReach(const JobStory& story) const;
     Entry& getEntry(std::string_view id);
 
+    /** A time in which a gateway reached the store. */
+    struct Reach {
+        Millis m_from{0};
+        /** Empty while it lasts. */
+        std::optional<Millis> m_until;
+    };
+
+    const Millis m_patience;
+    /** By gateway, in the order of time. */
+    std::map<std::string, std::vector<Reach>> m_reaches;
     std::vector<LogLine> m_lines;
     std::map<std::string, Entry, std::less<>> m_entries;
 };
--- a/libs/trace/src/JobTrace.cpp
+++ b/libs/trace/src/JobTrace.cpp
@@ -60,6 +60,7 @@
     std::stable_sort(m_lines.begin(), m_lines.end(),
                      [](const LogLine& a, const LogLine& b) { return a.m_at < b.m_at; });
     for (const LogLine& line : m_lines) {
+        followReach(line);
         follow(line);
     }
     countNeedless();
@@ -72,6 +73,7 @@
             }
         }
         if (entry.m_story.m_firstAskedAt.has_value()) {
+            entry.m_story.m_wasOutOfReach = wasOutOfReach(entry.m_story);
             stories.push_back(entry.m_story);
         }
     }
@@ -110,6 +112,36 @@
     }
 }
 
+/** A gateway that starts has lost what it was in reach of before. */
+void JobTrace::followReach(const LogLine& line) {
+    std::vector<Reach>& reaches = m_reaches[line.m_node];
+    const bool isLost = line.is("configuration", "store-lost") || line.is("gateway", "started");
+    const bool isReached =
+            line.is("configuration", "store-regained") || line.is("configuration", "in-force");
+    const bool isOpen = !reaches.empty() && !reaches.back().m_until.has_value();
+    if (isLost && isOpen) {
+        reaches.back().m_until = line.m_at;
+    } else if (isReached && !isOpen) {
+        reaches.push_back({line.m_at, std::nullopt});
+    }
+}
+
+bool JobTrace::wasOutOfReach(const JobStory& story) const {
+    if (story.m_acceptedAt.has_value() || !story.m_isTurnedAway) {
+        return false;
+    }
+    const Millis from = *story.m_firstAskedAt;
+    const Millis until = from + m_patience;
+    for (const auto& [node, reaches] : m_reaches) {
+        for (const Reach& reach : reaches) {
+            if (reach.m_from < until && reach.m_until.value_or(until) > from) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 void JobTrace::followAnswer(const LogLine& line) {
     if (line.get("method") != "POST") {
         return;
--- a/libs/trace/test/JobTraceTest.cpp
+++ b/libs/trace/test/JobTraceTest.cpp
@@ -96,6 +96,23 @@
     EXPECT_EQ(stories[0].m_neededNot, 1U);
 }
 
+TEST_F(JobTraceTest, TellsWhetherAnyGatewayReachedTheStoreInACallersTime) {
+    log(100, "g1", "configuration in-force version=1");
+    log(100, "g2", "configuration in-force version=1");
+    log(1000, "g1", "configuration store-lost reason=x");
+    log(1100, "g2", "configuration store-lost reason=x");
+    log(1050, "g1", "intake answered job=early method=POST status=503 took_ms=0 reason=lost");
+    log(1200, "g1", "intake answered job=lost method=POST status=503 took_ms=0 reason=lost");
+    log(2500, "g1", "intake answered job=late method=POST status=503 took_ms=0 reason=lost");
+    log(5000, "g2", "configuration store-regained status=ok");
+    std::map<std::string, bool> outOfReach;
+    for (const JobStory& story : m_trace.tell()) {
+        outOfReach[story.m_id] = story.m_wasOutOfReach;
+    }
+    EXPECT_EQ(outOfReach,
+              (std::map<std::string, bool>{{"early", false}, {"lost", true}, {"late", false}}));
+}
+
 TEST_F(JobTraceTest, OrdersLinesOfSeveralLogs) {
     log(1200, "g2", "jobs over job=a phase=succeeded");
     log(1100, "g2", "jobs placed task=a.0.0.0 run=1 host=h1");
--- a/tools/trace/main.cpp
+++ b/tools/trace/main.cpp
@@ -22,6 +22,7 @@
     std::string m_job;
     bool m_onlyBad = false;
     bool m_onlySum = false;
+    std::int64_t m_patienceMs = 3000;
 };
 
 /** What the table says of one cause. */
@@ -63,6 +64,9 @@
     for (const auto& [reason, count] : story.m_refusals) {
         std::printf(" refused=%ux\"%s\"", count, reason.c_str());
     }
+    if (story.m_wasOutOfReach) {
+        std::printf(" no_gateway_reached_the_store");
+    }
     if (story.m_neededNot > 0) {
         std::printf(" refused_while_another_took=%u", story.m_neededNot);
     }
@@ -74,10 +78,12 @@
     std::uint32_t evictions = 0;
     double workLost = 0;
     std::uint32_t neededNot = 0;
+    std::uint32_t outOfReach = 0;
     for (const JobStory& story : stories) {
         evictions += story.m_evictions;
         workLost += story.m_workLost;
         neededNot += story.m_neededNot;
+        outOfReach += story.m_wasOutOfReach ? 1 : 0;
         if (!isBad(story)) {
             continue;
         }
@@ -98,9 +104,12 @@
                     static_cast<double>(line.m_lost.count()) / 1000.0);
     }
     std::printf(
-            "jobs %zu; evictions %u, work thrown away by them %.0f core-seconds; "
-            "submissions refused while another gateway took one: %u\n",
-            stories.size(), evictions, workLost, neededNot);
+            "jobs %zu; evictions %u, work thrown away by them %.0f core-seconds; submissions "
+            "refused "
+            "while another gateway took one: %u; jobs not taken since no gateway reached the store "
+            "in "
+            "their callers' whole time: %u\n",
+            stories.size(), evictions, workLost, neededNot, outOfReach);
 }
 
 std::optional<TraceOptions> readOptions(int argc, char** argv, int& exit) {
@@ -110,7 +119,9 @@
     shown.add_options()("job", po::value(&options.m_job), "only the job with this id")(
             "bad", po::bool_switch(&options.m_onlyBad),
             "only jobs that were late, failed or not taken")(
-            "sum", po::bool_switch(&options.m_onlySum), "only the table of causes")(
+            "patience-ms", po::value(&options.m_patienceMs),
+            "how long callers go on asking (3000)")("sum", po::bool_switch(&options.m_onlySum),
+                                                    "only the table of causes")(
             "help", "this text")("version", "the version");
     po::options_description all;
     all.add(shown).add_options()("logs", po::value(&options.m_files));
@@ -167,7 +178,7 @@
         if (name != "-") {
             file.open(name);
         }
-        JobTrace trace;
+        JobTrace trace{Millis(options->m_patienceMs)};
         if ((name != "-" && !file) || readLog(name == "-" ? std::cin : file, trace) == 0) {
             std::cerr << "pierbank-trace: " << name << ": no log of a gateway\n";
             return EXIT_USAGE;
