--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -151,7 +151,9 @@
     void applyCancels();
     void addOccurrences();
     void plan();
+    // What it shows to the planner (JobControllerView.cpp).
     TaskPlanner makePlanner() const;
+    TaskPlan makePlan(const std::vector<PlannedJob>& jobs) const;
     std::vector<PlannedJob> listJobs(std::vector<AdvisedWorkers>& advised) const;
     std::vector<WorkerView> viewWorkers() const;
     void wishForAdvice();
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -128,82 +128,10 @@
     }
 }
 
-std::vector<WorkerView> JobController::viewWorkers() const {
-    std::vector<WorkerView> views;
-    for (const auto& [address, host] : m_workers.getHosts()) {
-        if (!host.m_notice.has_value() || host.m_notice->m_life.empty()) {
-            continue;
-        }
-        const WorkerNotice& notice = *host.m_notice;
-        WorkerView view;
-        view.m_id = {address, notice.m_life};
-        view.m_service = notice.m_service;
-        view.m_failureDomain = notice.m_failureDomain;
-        view.m_rack = notice.m_rack;
-        view.m_labels.insert(notice.m_labels.begin(), notice.m_labels.end());
-        view.m_capacity = {notice.m_cpuMillis, notice.m_memoryMb, notice.m_accelerators};
-        const bool isEmptied =
-                m_leavingLives.count(notice.m_life) != 0 || getHold(address) == WorkerHold::DRAIN;
-        if (notice.m_isDraining) {
-            const Millis passed = m_loop.now() - host.m_noticeAt;
-            view.m_leavesIn = std::max(Millis(notice.m_remainingMs) - passed, Millis(0));
-        } else if (isEmptied) {
-            view.m_leavesIn = Millis(0);
-        }
-        view.m_acceptsWork = host.isLinked() && host.m_hasReport && !notice.m_isGone &&
-                             !host.m_isWorkerSilent && !view.m_leavesIn.has_value() &&
-                             getHold(address) == WorkerHold::RELEASE && !isAvoided(address) &&
-                             !isStalled(address);
-        view.m_isSuspect = m_settings.m_judgesHosts && m_health.isSuspect(address, m_loop.now());
-        views.push_back(std::move(view));
-    }
-    return views;
-}
-
-/** @param advised holds what the result points to. */
-std::vector<PlannedJob> JobController::listJobs(std::vector<AdvisedWorkers>& advised) const {
-    std::vector<PlannedJob> jobs;
-    advised.reserve(m_jobs.size());
-    for (const auto& [id, entry] : m_jobs) {
-        if (!entry.m_hasInput) {
-            continue;
-        }
-        PlannedJob job{&entry.m_record, &entry.m_run, nullptr};
-        if (entry.m_record.m_policy.m_advice.has_value()) {
-            advised.push_back(m_advice.getAdvised(id));
-            job.m_advised = &advised.back();
-        }
-        jobs.push_back(job);
-    }
-    return jobs;
-}
-
-namespace {
-
-const std::map<std::string, std::uint32_t>& getGuarantees(const ConfigurationFeed& feed) {
-    static const std::map<std::string, std::uint32_t> NONE;
-    return feed.get() == nullptr ? NONE : feed.get()->m_guarantees;
-}
-
-}  // namespace
-
-TaskPlanner JobController::makePlanner() const {
-    TaskPlannerSettings settings = m_settings.m_planner;
-    settings.m_fragmentationWeight = m_weight;
-    for (const auto& [address, host] : m_workers.getHosts()) {
-        if (m_settings.m_keepsRoom && host.m_notice.has_value()) {
-            const std::string& service = host.m_notice->m_service;
-            settings.m_urgentReserve[service] = m_demand.getReserve(service, m_loop.wallNow());
-        }
-    }
-    return TaskPlanner(settings);
-}
-
 void JobController::plan() {
     wishForAdvice();
     std::vector<AdvisedWorkers> advised;
-    const TaskPlan plan = makePlanner().plan(viewWorkers(), listJobs(advised), estimateRemaining(),
-                                             getGuarantees(m_configuration), m_loop.wallNow());
+    const TaskPlan plan = makePlan(listJobs(advised));
     m_notes.clear();
     for (const PlanNote& note : plan.m_notes) {
         m_notes[note.m_job] = note.m_text;
@@ -217,49 +145,6 @@
     }
 }
 
-TaskPlan JobController::tryPlan(const JobRecord& record) const {
-    std::vector<AdvisedWorkers> advised;
-    std::vector<PlannedJob> jobs = listJobs(advised);
-    const JobRun run = makeJobRun(record);
-    jobs.push_back({&record, &run, nullptr});
-    return makePlanner().plan(viewWorkers(), jobs, estimateRemaining(),
-                              getGuarantees(m_configuration), m_loop.wallNow());
-}
-
-/** For all steps that are not done, so that tickets are there before room is. */
-void JobController::wishForAdvice() {
-    std::vector<AdviceWish> wishes;
-    std::vector<WorkerView> workers;
-    for (const auto& [id, entry] : m_jobs) {
-        const QueuePolicy& policy = entry.m_record.m_policy;
-        if (!entry.m_hasInput || entry.m_run.isOver() || !policy.m_advice.has_value()) {
-            continue;
-        }
-        if (workers.empty()) {
-            workers = viewWorkers();
-        }
-        for (const OccurrenceRun& occurrence : entry.m_run.m_occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
-                if (occurrence.m_steps[step].isDone()) {
-                    continue;
-                }
-                AdviceWish wish{
-                        {id, occurrence.m_number, step}, policy.m_priority, *policy.m_advice, {}};
-                const StepSpec& spec = entry.m_record.m_spec.m_steps[step];
-                for (const WorkerView& worker : workers) {
-                    const bool hasLabel = spec.m_requiredLabel.empty() ||
-                                          worker.m_labels.count(spec.m_requiredLabel) != 0;
-                    if (worker.m_acceptsWork && worker.m_service == policy.m_service && hasLabel) {
-                        wish.m_lives.push_back(worker.m_id.m_life);
-                    }
-                }
-                wishes.push_back(std::move(wish));
-            }
-        }
-    }
-    m_advice.wish(wishes);
-}
-
 void JobController::place(const std::vector<Placement>& placements) {
     // Members of one gang share the number of their run.
     std::map<TaskKey, std::uint32_t> gangRuns;
@@ -390,21 +275,6 @@
     }
 }
 
-std::map<TaskKey, Millis> JobController::estimateRemaining() const {
-    std::map<TaskKey, Millis> remaining;
-    for (const auto& [host, report] : m_reports) {
-        for (const RunningEntry& entry : report.m_report.m_running) {
-            const auto key = TaskKey::parse(entry.m_task);
-            const auto left = key.has_value() ? m_progress.getRemaining(host, *key, m_loop.now())
-                                              : std::nullopt;
-            if (left.has_value()) {
-                remaining[*key] = *left;
-            }
-        }
-    }
-    return remaining;
-}
-
 // Workers that are emptied.
 
 std::string_view toText(WorkerHold hold) {
--- /dev/null
+++ b/test/failures/WorkerFailuresTest.cpp
@@ -0,0 +1,255 @@
+// SPDX-License-Identifier: Apache-2.0
+// Workers and sidecars that crash, hang, leave, fail everything or say what is no longer so.
+#include <gtest/gtest.h>
+
+#include "JobFleetTest.h"
+
+namespace pierbank::testing {
+
+namespace {
+
+constexpr const char* ID = "00000000000000a1";
+constexpr const char* OTHER_ID = "00000000000000b2";
+constexpr const char* SMALL = R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":1,"est_ms":1000})";
+constexpr const char* WHOLE = R"({"count":1,"cpu":8000,"mem_mb":100,"gpu":8,"est_ms":1000})";
+
+class WorkerFailuresTest : public JobFleetTest {};
+
+}  // namespace
+
+TEST_F(WorkerFailuresTest, AWorkerThatCrashesLosesItsRunsWhichBeginAgain) {
+    m_fleet.submit(ID, SMALL, "2000");
+    m_fleet.m_loop.advance(Millis(300));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        if (sidecar.m_worker->countRunning() > 0) {
+            sidecar.m_worker->restart();
+        }
+    }
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(5000)));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
+}
+
+TEST_F(WorkerFailuresTest, ASidecarThatIsKilledFindsTheRunsAgain) {
+    m_fleet.submit(ID, SMALL, "5000");
+    m_fleet.m_loop.advance(Millis(300));
+    for (std::size_t i = 0; i < 4; ++i) {
+        m_fleet.killSidecar(i);
+    }
+    m_fleet.m_loop.advance(Millis(700));
+    for (std::size_t i = 0; i < 4; ++i) {
+        m_fleet.startSidecar(i);
+    }
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(8000)));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 1U);
+}
+
+TEST_F(WorkerFailuresTest, AHostThatIsCutOffLosesItsRunsOnlyWhenTheirLeaseIsOver) {
+    m_fleet.submit(ID, SMALL, "20000");
+    m_fleet.m_loop.advance(Millis(300));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        if (sidecar.m_worker->countRunning() == 0) {
+            continue;
+        }
+        for (auto& gateway : m_fleet.m_gateways) {
+            m_fleet.m_network.cut(gateway.m_name, sidecar.m_name);
+        }
+    }
+    EXPECT_TRUE(m_fleet.m_loop.advanceUntil(
+            Millis(9000), [&] { return m_fleet.m_witness.countStarts(taskOf(ID)) == 2; }));
+}
+
+TEST_F(WorkerFailuresTest, ARunThatStandsStillBeginsElsewhere) {
+    m_fleet.submit(ID, SMALL, "1500");
+    m_fleet.m_loop.advance(Millis(300));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_isHanging = sidecar.m_worker->countRunning() > 0;
+    }
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(6000)));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
+}
+
+TEST_F(WorkerFailuresTest, AGangThatNeverBeginsAlthoughItsMembersAreThereBeginsElsewhere) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_isHanging = true;
+        sidecar.m_worker->m_hangsAtPercent = 0;
+    }
+    m_fleet.submit(ID, R"({"count":2,"cpu":1000,"mem_mb":100,"gpu":4,"est_ms":1000,"gang":true})",
+                   "1000", "/urgent/");
+    m_fleet.m_loop.advance(Millis(300));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_isHanging = sidecar.m_worker->countRunning() > 0;
+    }
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(6000), "/urgent/"));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
+}
+
+/** Found in the log of a standard day: 142 starts were refused for room that was not there. */
+TEST_F(WorkerFailuresTest, ASidecarThatDoesNotKnowItsWorkerYetCallsNoRunAbsent) {
+    m_fleet.submit(ID, SMALL, "60000");
+    m_fleet.m_loop.advance(Millis(300));
+    const auto place = findWorker(taskOf(ID));
+    ASSERT_TRUE(place.has_value());
+    m_fleet.killSidecar(*place);
+    getSidecar(*place).m_isMute = true;
+    m_fleet.startSidecar(*place);
+    m_fleet.m_loop.advance(Millis(500));
+    EXPECT_EQ(m_fleet.ask(0, "DELETE", std::string("/batch/") + ID).m_status, 200U);
+    m_fleet.m_loop.advance(Millis(500));
+    getSidecar(*place).m_isMute = false;
+    m_fleet.beat(*place);
+    m_fleet.m_loop.advance(Millis(500));
+    EXPECT_FALSE(m_fleet.m_witness.isRunning(taskOf(ID)));
+}
+
+TEST_F(WorkerFailuresTest, ARunThatTheLeaderDoesNotKnowOfIsStopped) {
+    const WorkerCall call{getSidecar(1).m_worker->getLife(),
+                          m_fleet.m_gateways[getLeader()].m_core->getLock().getEpoch()};
+    StartCall stray;
+    stray.m_task = taskOf(OTHER_ID);
+    stray.m_run = 1;
+    stray.m_payload = "60000";
+    stray.m_until = getSidecar(1).m_worker->getClock() + Millis(3000);
+    getSidecar(1).m_worker->start(call, stray, [](const RunReply&) {});
+    m_fleet.m_loop.advance(Millis(1500));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(OTHER_ID)), 1U);
+    EXPECT_FALSE(m_fleet.m_witness.isRunning(taskOf(OTHER_ID)));
+}
+
+/** Found by the soak: the sidecar lived and kept its lease, so that the runs counted as running. */
+TEST_F(WorkerFailuresTest, AWorkerThatFallsSilentBesideALivingSidecarIsLost) {
+    m_fleet.submit(ID, SMALL, "2000");
+    m_fleet.m_loop.advance(Millis(300));
+    const auto silent = findWorker(taskOf(ID));
+    ASSERT_TRUE(silent.has_value());
+    getSidecar(*silent).m_worker->m_isSilent = true;
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(14'000)));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
+}
+
+TEST_F(WorkerFailuresTest, AStartThatIsCarriedOutLateRunsOnce) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_startsToDelay = 5;
+    }
+    m_fleet.submit(ID, SMALL, "1000");
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(20'000)));
+}
+
+TEST_F(WorkerFailuresTest, ARefusedStartGoesElsewhereAndFreesTheRoom) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_refusal = "room";
+    }
+    m_fleet.submit(ID, SMALL, "300");
+    m_fleet.m_loop.advance(Millis(1000));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_refusal.clear();
+    }
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(5000)));
+}
+
+TEST_F(WorkerFailuresTest, ADrainingWorkerGetsNoNewWork) {
+    for (std::size_t i = 0; i < 3; ++i) {
+        m_fleet.m_sidecars[i].m_isDraining = true;
+        m_fleet.beat(i);
+    }
+    m_fleet.m_loop.advance(Millis(50));
+    m_fleet.submit(ID, SMALL, "300");
+    m_fleet.m_loop.advance(Millis(200));
+    EXPECT_EQ(m_fleet.m_sidecars[3].m_worker->countRunning(), 1U);
+}
+
+TEST_F(WorkerFailuresTest, EndsAreForgottenByTheWorkerOnlyWhenTheyAreKept) {
+    m_fleet.submit(ID, SMALL, "500");
+    m_fleet.m_loop.advance(Millis(300));
+    m_fleet.m_state.m_isDown = true;
+    m_fleet.m_loop.advance(Millis(1500));
+    std::uint64_t kept = 0;
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        kept += sidecar.m_worker->getLastKept();
+    }
+    EXPECT_EQ(kept, 0U);
+    m_fleet.m_state.m_isDown = false;
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(5000)));
+    m_fleet.m_loop.advance(Millis(1000));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        kept += sidecar.m_worker->getLastKept();
+    }
+    EXPECT_EQ(kept, 1U);
+}
+
+/** The last attempt of a gang goes to none of the hosts that failed a member of it. */
+TEST_F(WorkerFailuresTest, AGangOfTwoAttemptsEndsWellThoughAHostFailsEverything) {
+    for (std::size_t bad = 0; bad < m_fleet.m_sidecars.size(); ++bad) {
+        getSidecar(bad).m_worker->m_failsAll = true;
+        const std::string id = "00000000000000" + std::to_string(80 + bad);
+        m_fleet.submit(id,
+                       R"({"count":3,"cpu":1000,"mem_mb":100,"gpu":4,"est_ms":600,"gang":true})",
+                       "600", "/urgent/");
+        EXPECT_TRUE(m_fleet.waitForState(id, "succeeded", Millis(15'000), "/urgent/")) << bad;
+        getSidecar(bad).m_worker->m_failsAll = false;
+    }
+}
+
+/** A worker crashed and came back; a heartbeat that it sent before is delivered only now. */
+class ADelayedHeartbeatOfAFormerLife : public WorkerFailuresTest {
+protected:
+    void SetUp() override {
+        WorkerFailuresTest::SetUp();
+        m_former = getSidecar(0).m_worker->getLife();
+        getSidecar(0).m_worker->restart();
+        m_fleet.beat(0);
+        m_fleet.m_loop.advance(Millis(300));
+        // One job a worker, so that one runs on the new life.
+        for (int i = 0; i < 4; ++i) {
+            m_fleet.submit(idOfJob(i),
+                           R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":8,"est_ms":9000})", "9000");
+        }
+        m_fleet.m_loop.advance(Millis(300));
+        ASSERT_EQ(getSidecar(0).m_worker->countRunning(), 1U);
+    }
+
+    static std::string idOfJob(int i) { return "00000000000000f" + std::to_string(i); }
+
+    void expectThatAllRanOnce() {
+        for (int i = 0; i < 4; ++i) {
+            EXPECT_TRUE(m_fleet.waitForState(idOfJob(i), "succeeded", Millis(15'000))) << i;
+            EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(idOfJob(i))), 1U) << i;
+        }
+    }
+
+    std::string m_former;
+};
+
+TEST_F(ADelayedHeartbeatOfAFormerLife, DoesNotThrowTheLivingOneAway) {
+    m_fleet.beatLate(0, m_former);
+    m_fleet.m_loop.advance(Millis(300));
+    EXPECT_EQ(getSidecar(0).m_worker->countRunning(), 1U);
+    expectThatAllRanOnce();
+}
+
+TEST_F(ADelayedHeartbeatOfAFormerLife, DoesNotDoSoWhenItsSidecarIsNewEither) {
+    m_fleet.killSidecar(0);
+    getSidecar(0).m_isMute = true;
+    m_fleet.startSidecar(0);
+    m_fleet.beatLate(0, m_former);
+    m_fleet.m_loop.advance(Millis(1500));
+    getSidecar(0).m_isMute = false;
+    m_fleet.beat(0);
+    expectThatAllRanOnce();
+}
+
+TEST_F(ADelayedHeartbeatOfAFormerLife, DoesNotDoSoWhenTheLeaderIsNewToo) {
+    const std::size_t leader = getLeader();
+    m_fleet.killSidecar(0);
+    m_fleet.killGateway(leader);
+    m_fleet.startGateway(leader);
+    getSidecar(0).m_isMute = true;
+    m_fleet.startSidecar(0);
+    m_fleet.beatLate(0, m_former);
+    ASSERT_TRUE(m_fleet.waitForLeader());
+    m_fleet.m_loop.advance(Millis(1000));
+    getSidecar(0).m_isMute = false;
+    m_fleet.beat(0);
+    expectThatAllRanOnce();
+}
+
+}  // namespace pierbank::testing
