Retry-After from what the gateway saw of outages; confirming and routing again stands once

Refused callers are told when to come back by the age of the outage and by how long earlier ones lasted on the mean (past that, half the age more), between 1 and 10 s, and not beyond half of their own time; urgent callers first, the others spread over half as much again. Before, it was 1 s always.

--- a/libs/control/include/pierbank/control/ConfigurationFeed.h
+++ b/libs/control/include/pierbank/control/ConfigurationFeed.h
@@ -20,8 +20,9 @@
     /** Time of one waiting watch. */
     Millis m_watchWait{10'000};
     /**
-     * A store that refuses within this time costs a request little to ask again: some answer in
-     * 4 ms (users' page), over 80 times as slow on bad days. One that takes longer is silent.
+     * A store that refuses within this time costs a request little to ask again. It answers in 4 ms
+     * (users' page); one that takes longer is silent. Without asking, gateways refused for up to
+     * 0.34 s after the store was back.
      */
     Millis m_quickRefusal{100};
     /** Pause before a silent store is asked again; a read that waits finds out when it is back. */
@@ -55,6 +56,9 @@
     /** The store's revision of it. */
     StoreRevision getRevision() const noexcept { return m_revision; }
 
+    /** Called when the store is lost to this gateway (false) or back (true). */
+    void onReach(std::function<void(bool)> callback) { m_onReach = std::move(callback); }
+
     /** The last confirming read failed. */
     bool isLost() const noexcept { return m_isLost; }
     /** It failed without a quick answer: one more read would keep a request waiting for nothing. */
@@ -84,6 +88,8 @@
     const DocumentCodec& m_codec;
     const ConfigurationFeedSettings m_settings;
     Callback m_onChange;
+    std::function<void(bool)> m_onReach = [](bool) {
+    };
     std::optional<QueueConfiguration> m_configuration;
     StoreRevision m_revision = 0;
     StoreRevision m_watchedTo = 0;
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -14,6 +14,7 @@
 #include "pierbank/base/EventLoop.h"
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/Documents.h"
+#include "pierbank/control/RetryAdvice.h"
 #include "pierbank/store/RecordStore.h"
 
 namespace pierbank {
@@ -51,10 +52,11 @@
     /** An outcome that the store does not tell for so long is left to another gateway, or unknown.
      */
     Millis m_commitPatience{1500};
+    RetryAdviceSettings m_retryAdvice;
     /**
      * A submission whose write has no answer after this time is also handed to the leader: a
-     * gateway that has just been cut off from the store does not know it. Above the answers of a
-     * store that is slow (0.24 to 0.33 s).
+     * gateway that has just been cut off from the store does not know it, and held such a job for
+     * 1.5 s and more. Above the answers of a store that is slow (0.24 to 0.33 s).
      */
     Millis m_hedgeAfter{400};
     /** Whether it is. */
@@ -103,6 +105,9 @@
     /** Who is asked when the store can't be reached; it must outlive the intake. */
     void setRelay(IntakeRelay& relay) { m_relay = &relay; }
 
+    /** The store was lost to this gateway, or is back. */
+    void noteReach(bool isReached);
+
     /** `done` is called once. */
     void handle(IntakeRequest request, AnswerCallback done);
 
@@ -110,6 +115,7 @@
     struct Call;
     using CallPtr = std::shared_ptr<Call>;
 
+    void confirmAndRoute(const CallPtr& call);
     void route(const CallPtr& call);
     /** Answers a refusal after a fresh read has confirmed it, or decides anew. */
     void refuse(const CallPtr& call, std::uint32_t status, std::string_view reason);
@@ -143,6 +149,7 @@
     const DocumentCodec& m_codec;
     const IntakeSettings m_settings;
     IntakeRelay* m_relay = nullptr;
+    RetryAdvice m_retryAdvice;
     std::function<void(std::string_view)> m_onWritten = [](std::string_view) {
     };
     /** Pending jobs by queue, and when they were counted. */
--- a/libs/control/src/ConfigurationFeed.cpp
+++ b/libs/control/src/ConfigurationFeed.cpp
@@ -70,6 +70,7 @@
     m_isSilent = !isGood && m_loop.now() - sentAt > m_settings.m_quickRefusal;
     if (isGood == m_isLost) {
         m_isLost = !isGood;
+        m_onReach(isGood);
         logEvent(isGood ? Severity::INFO : Severity::WARNING, "configuration",
                  isGood ? "store-regained" : "store-lost",
                  {{"status", std::string(toText(read.m_status))}, {"reason", read.m_reason}});
--- a/libs/control/src/JobCore.cpp
+++ b/libs/control/src/JobCore.cpp
@@ -34,6 +34,7 @@
             m_lock.abandon();
         }
     });
+    m_configuration.onReach([this](bool isReached) { m_intake.noteReach(isReached); });
     m_intake.setRelay(*this);
     m_jobs.onRelayed(
             [this](const RelayedRequest& request, std::function<void(const RelayedAnswer&)> done) {
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-/** Callers come back after this time; the store is usually back within seconds. */
-constexpr Millis RETRY_AFTER{1000};
 /** With less time left a request is not passed on: the leader needs two calls of the store. */
 constexpr Millis LEAST_RELAY{30};
 /** A job that meets so many changes of the configuration in a row is refused. */
@@ -48,7 +46,8 @@
           m_loop(loop),
           m_configuration(configuration),
           m_codec(codec),
-          m_settings(settings) {}
+          m_settings(settings),
+          m_retryAdvice(settings.m_retryAdvice) {}
 
 JobIntake::~JobIntake() = default;
 
@@ -69,16 +68,29 @@
         answerUnavailable(call, "the store does not answer this gateway");
         return;
     }
+    confirmAndRoute(call);
+}
+
+/** Decides, or decides anew, by a configuration that was read since the request came. */
+void JobIntake::confirmAndRoute(const CallPtr& call) {
     m_configuration.confirm([this, call](bool isGood) {
-        call->m_isConfirmed = isGood;
         if (!isGood || m_configuration.get() == nullptr) {
             answerUnavailable(call, "the configuration can't be confirmed");
             return;
         }
+        call->m_isConfirmed = true;
         route(call);
     });
 }
 
+void JobIntake::noteReach(bool isReached) {
+    if (isReached) {
+        m_retryAdvice.noteRegained(m_loop.now());
+    } else {
+        m_retryAdvice.noteLost(m_loop.now());
+    }
+}
+
 Millis JobIntake::getTimeLeft(const Call& call) const {
     const Millis passed = m_loop.now() - call.m_startedAt;
     // Who passed a request on has kept its margin back already.
@@ -112,14 +124,7 @@
         answer(call, status, "", reason);
         return;
     }
-    m_configuration.confirm([this, call](bool isGood) {
-        if (!isGood) {
-            answerUnavailable(call, "the configuration can't be confirmed");
-            return;
-        }
-        call->m_isConfirmed = true;
-        route(call);
-    });
+    confirmAndRoute(call);
 }
 
 void JobIntake::dispatch(const CallPtr& call) {
@@ -200,14 +205,7 @@
         answerUnavailable(call, "the configuration keeps changing");
         return;
     }
-    m_configuration.confirm([this, call](bool isGood) {
-        if (!isGood) {
-            answerUnavailable(call, "the configuration can't be confirmed");
-            return;
-        }
-        call->m_isConfirmed = true;
-        route(call);
-    });
+    confirmAndRoute(call);
 }
 
 void JobIntake::answerUnavailable(const CallPtr& call, std::string_view reason) {
@@ -278,7 +276,12 @@
     IntakeAnswer answer;
     answer.m_status = status;
     answer.m_body = std::move(body);
-    answer.m_retryAfter = status == HTTP_UNAVAILABLE ? RETRY_AFTER : Millis(0);
+    if (status == HTTP_UNAVAILABLE) {
+        // Before the queue is known, nothing says that it is urgent.
+        const bool isUrgent = !call->m_policy.m_queue.empty() && call->m_policy.m_priority == 0;
+        const RefusedCaller caller{call->m_id, isUrgent, getTimeLeft(*call)};
+        answer.m_retryAfter = m_retryAdvice.advise(caller, m_loop.now());
+    }
     answer.m_reason = reason;
     const auto age = m_configuration.getAge();
     logEvent(status == HTTP_OK ? Severity::INFO : Severity::WARNING, "intake", "answered",
@@ -290,6 +293,7 @@
               {"configuration", std::to_string(m_configuration.getRevision())},
               {"age_ms", age.has_value() ? std::to_string(age->count()) : "-"},
               {"took_ms", std::to_string((m_loop.now() - call->m_startedAt).count())},
+              {"retry_after_ms", std::to_string(answer.m_retryAfter.count())},
               {"reason", answer.m_reason}});
     call->m_done(answer);
 }
