Reserved workers yield to waiting work while hardly half is in use; weighing misses goes

The users' rule: for 3 s nothing may stand idle with twice the room that a waiting job needs while less than half of the capacity is in use. Reserved workers could have done so. A unit that waited 1.8 s gets them while less than 0.55 of some resource is in use. Test: WorkersKeptForUrgentWork.TakeWorkThatWaitedWhileHardlyHalfIsInUse (failed before: the kept worker stayed empty).

It is gone with its switch.

--- a/libs/daemon/src/GatewaySettings.cpp
+++ b/libs/daemon/src/GatewaySettings.cpp
@@ -93,9 +93,6 @@
     planner.m_barsHosts = file.getSwitch({"switches", "bars-hosts"}, true);
     planner.m_movesOffLeaving = file.getSwitch({"switches", "moves-off-leaving"}, true);
     planner.m_copies = file.getSwitch({"switches", "copies"}, true);
-    if (!file.getSwitch({"switches", "weighs-misses"}, true)) {
-        planner.m_missWeight = 0;
-    }
     if (!file.getSwitch({"switches", "waits-for-ends"}, true)) {
         planner.m_waitShare = 0;
     }
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -54,12 +54,6 @@
      * so many core-seconds, and so many times its own work more. */
     double m_lossAllowance = 100.0;
     double m_lossPerOwnWork = 0.7;
-    /**
-     * Work that would miss its objective by giving way counts so many times its whole declared work
-     * more as thrown away, if it then waits for `m_restartWait` before it runs again.
-     */
-    double m_missWeight = 1.0;
-    Millis m_restartWait{1500};
     /** Urgent work waits for running work to end before it preempts: up to this share of its own
      * declared time, and at most `m_maxWait` since it was handed in. */
     double m_waitShare = 0.35;
@@ -83,6 +77,12 @@
      */
     std::map<std::string, std::uint32_t> m_urgentReserve;
     double m_mostReserved = 0.25;
+    /**
+     * While a service's workers are hardly half in use, a unit that waited so long gets reserved
+     * workers too: nothing may stand idle for 3 s beside a job that waits (users' rule).
+     */
+    Millis m_reserveYields{1800};
+    double m_hardlyHalf = 0.55;
     /** Units keep off hosts that failed them, and off suspect ones if a failure costs them much. */
     bool m_barsHosts = true;
     /** Work moves off workers that leave before it would end. */
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -2,6 +2,7 @@
 #include "PlanningPass.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace pierbank {
@@ -53,9 +54,40 @@
 void PlanningPass::reserveForUrgent() {
     for (const auto& [service, accelerators] : m_settings.m_urgentReserve) {
         reserveForUrgent(service, accelerators);
+        if (isHardlyHalfUsed(service)) {
+            m_idleServices.insert(service);
+        }
     }
 }
 
+bool PlanningPass::isHardlyHalfUsed(const std::string& service) const {
+    std::array<double, 3> free{};
+    std::array<double, 3> all{};
+    const auto add = [](std::array<double, 3>& sums, const Resources& resources) {
+        sums[0] += resources.m_cpuMillis;
+        sums[1] += resources.m_memoryMb;
+        sums[2] += resources.m_accelerators;
+    };
+    for (const Room& room : m_rooms) {
+        if (room.m_view->m_service == service) {
+            add(free, room.m_free);
+            add(all, room.m_view->m_capacity);
+        }
+    }
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        if (all.at(i) > 0 && 1.0 - free.at(i) / all.at(i) < m_settings.m_hardlyHalf) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool PlanningPass::mayUseReserved(const WorkUnit& unit) const {
+    const bool isIdle = m_idleServices.count(unit.m_record->m_policy.m_service) != 0;
+    const bool hasWaited = m_wallNow - unit.m_since >= m_settings.m_reserveYields;
+    return unit.isUrgent() || isStarved(unit) || (isIdle && hasWaited);
+}
+
 /** The workers on which the least other work runs, so that the same ones stay kept. */
 void PlanningPass::reserveForUrgent(const std::string& service, std::uint32_t accelerators) {
     std::vector<std::uint32_t> others(m_rooms.size());
@@ -159,26 +191,9 @@
     const bool losesNothing = spec.m_savesProgress || held.m_isCopy;
     const double lost = losesNothing ? 0.0 : std::max(0.0, elapsed);
     occupant.m_loss = getCores(spec.m_need) * (lost + RESTART_MS);
-    if (missesByGivingWay(job, occupant)) {
-        const auto whole = static_cast<double>(spec.m_estimate.count());
-        occupant.m_loss += m_settings.m_missWeight * getCores(spec.m_need) * whole;
-    }
     m_occupants.push_back(std::move(occupant));
 }
 
-/** It is in time as things stand, and would not be if it began again after a wait. */
-bool PlanningPass::missesByGivingWay(const PlannedJob& job, const Occupant& occupant) const {
-    const TaskKey& key = occupant.m_held.m_task;
-    const OccurrenceRun& occurrence = *job.m_run->findOccurrence(key.m_occurrence);
-    const JobSpec& spec = job.m_record->m_spec;
-    const Millis spare = getObjective(*job.m_record, key.m_occurrence) - m_wallNow -
-                         estimateRemainingChain(spec, occurrence);
-    const Millis elapsed = m_wallNow - occupant.m_held.m_placedAt;
-    const Millis kept = occupant.m_spec->m_savesProgress ? elapsed : Millis(0);
-    return !occupant.m_spec->m_isLasting && spare + elapsed >= Millis(0) &&
-           spare + kept < m_settings.m_restartWait;
-}
-
 std::vector<WorkUnit> PlanningPass::collectUnits() const {
     std::vector<WorkUnit> units;
     for (const PlannedJob& job : m_jobs) {
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -97,10 +97,11 @@
     void findGuaranteed();
     void takeRooms();
     void takeRun(const PlannedJob& job, const HeldRun& held);
-    bool missesByGivingWay(const PlannedJob& job, const Occupant& occupant) const;
     void addGangLosses();
     void reserveForUrgent();
     void reserveForUrgent(const std::string& service, std::uint32_t accelerators);
+    bool isHardlyHalfUsed(const std::string& service) const;
+    bool mayUseReserved(const WorkUnit& unit) const;
 
     // Units and their order.
     std::vector<WorkUnit> collectUnits() const;
@@ -196,6 +197,8 @@
     /** Accelerators of the largest worker. */
     std::uint32_t m_largestWorker = 1;
     std::size_t m_claims = 0;
+    /** Services with reserved workers, of which hardly half of some resource is in use. */
+    std::set<std::string> m_idleServices;
     /** Units without priority 0 that found no room, and why: like ones need not be tried. */
     std::map<Likeness, PlanNote> m_roomless;
     TaskPlan m_plan;
--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -39,7 +39,7 @@
 bool PlanningPass::isOpenTo(const WorkUnit& unit, WorkerSlot slot) const {
     const auto& claimedIn = m_rooms[slot].m_claimedIn;
     const StepSpec& spec = unit.getSpec();
-    if (m_rooms[slot].m_isReserved && !unit.isUrgent() && !isStarved(unit)) {
+    if (m_rooms[slot].m_isReserved && !mayUseReserved(unit)) {
         return false;
     }
     return !claimedIn.has_value() || (!spec.m_isLasting && spec.m_estimate < *claimedIn);
