A host that registers is linked at once, whatever hangs on its former life

Change: a host's registration makes the leader connect anew beside what hangs; a link that has been quiet for 0.7 s is given up then (a living sidecar asks each 0.5 s).

Test: ASidecarThatComesBackIsLinkedAsSoonAsItRegisters (failed before, at 300 ms away: it took the pause of 250 ms).

--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -25,6 +25,9 @@
     Millis m_outageGrace{10'000};
     /** Pause before a sidecar that could not be reached is tried again. */
     Millis m_reconnectPause{250};
+    /** A link over which nothing came for longer is not that of a host that registers now: it would
+     * have asked for its lease (0.5 s) meanwhile. */
+    Millis m_quiet{700};
     /** A link over which nothing came for so long is given up. */
     Millis m_silence{2000};
     /** A host out of reach for so long is forgotten; if it lives it registers again. Hosts are
@@ -97,6 +100,7 @@
     void connectLater(const std::string& address);
     void handleLink(const std::string& address, std::shared_ptr<Link> link);
     void handleFrame(const std::string& address, const Frame& frame);
+    void reconnect(Host& host);
     void answerAsk(Host& host, const LeaseAsk& ask);
     void dropLink(const std::string& address, std::string_view why);
     void tick();
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -51,7 +51,12 @@
 }
 
 void WorkerPool::addHost(const std::string& address) {
-    if (m_term == nullptr || m_hosts.count(address) != 0) {
+    if (m_term == nullptr) {
+        return;
+    }
+    const auto known = m_hosts.find(address);
+    if (known != m_hosts.end()) {
+        reconnect(known->second);
         return;
     }
     Host& host = m_hosts[address];
@@ -62,6 +67,20 @@
     connect(address);
 }
 
+/**
+ * A host registers when it starts, and when it has no leader. A link to its former process may say
+ * nothing of that for `m_silence`, and a connection that was begun while it was without power only
+ * goes on when the first packet is sent again, after a second.
+ */
+void WorkerPool::reconnect(Host& host) {
+    const bool isQuiet = m_loop.now() - host.m_heardAt > m_settings.m_quiet;
+    if (host.isLinked() && isQuiet) {
+        dropLink(host.m_address, "registered anew");
+    }
+    host.m_isConnecting = false;
+    connect(host.m_address);
+}
+
 const WorkerPool::Host* WorkerPool::findHost(const std::string& address) const {
     const auto found = m_hosts.find(address);
     return found == m_hosts.end() ? nullptr : &found->second;
@@ -99,6 +118,13 @@
         return;
     }
     found->second.m_isConnecting = false;
+    if (found->second.isLinked()) {
+        // Another try was quicker.
+        if (link != nullptr) {
+            link->close();
+        }
+        return;
+    }
     if (link == nullptr) {
         connectLater(address);
         return;
--- a/test/failures/WorkerFailuresTest.cpp
+++ b/test/failures/WorkerFailuresTest.cpp
@@ -43,6 +43,22 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 1U);
 }
 
+TEST_F(WorkerFailuresTest, ASidecarThatComesBackIsLinkedAsSoonAsItRegisters) {
+    const auto isLinked = [this] {
+        const WorkerPool& workers = m_fleet.m_gateways[getLeader()].m_core->getJobs().getWorkers();
+        const WorkerPool::Host* const host = workers.findHost(getSidecar(0).m_address);
+        return host != nullptr && host->isLinked();
+    };
+    for (const Millis away : {Millis(300), Millis(1250), Millis(3700)}) {
+        m_fleet.killSidecar(0);
+        m_fleet.m_loop.advance(away);
+        EXPECT_FALSE(isLinked());
+        m_fleet.startSidecar(0);
+        EXPECT_TRUE(waitUntil(Millis(120), isLinked)) << away.count();
+        m_fleet.m_loop.advance(Millis(1000));
+    }
+}
+
 TEST_F(WorkerFailuresTest, AHostThatIsCutOffLosesItsRunsOnlyWhenTheirLeaseIsOver) {
     m_fleet.submit(ID, SMALL, "20000");
     m_fleet.m_loop.advance(Millis(300));
