--- a/bench/rounds/bound.py
+++ b/bench/rounds/bound.py
@@ -33,7 +33,8 @@
         else:
             earned += weight * (1 - lost)
     fixed = sum(price for name, _, price in report["prices"] if name in FIXED)
-    return report["G"], earned - fixed, out_of_reach
+    weights = sum(weight for _, weight, _ in report["parts"])
+    return report["G"], earned / weights - fixed, out_of_reach
 
 
 def main():
--- a/libs/trace/include/pierbank/trace/JobTrace.h
+++ b/libs/trace/include/pierbank/trace/JobTrace.h
@@ -114,6 +114,7 @@
     const Millis m_patience;
     /** By gateway, in the order of time. */
     std::map<std::string, std::vector<Reach>> m_reaches;
+    std::map<std::string, Millis> m_lastLines;
     std::vector<LogLine> m_lines;
     std::map<std::string, Entry, std::less<>> m_entries;
 };
--- a/libs/trace/src/JobTrace.cpp
+++ b/libs/trace/src/JobTrace.cpp
@@ -114,6 +114,7 @@
 
 /** A gateway that starts has lost what it was in reach of before. */
 void JobTrace::followReach(const LogLine& line) {
+    m_lastLines[line.m_node] = line.m_at;
     std::vector<Reach>& reaches = m_reaches[line.m_node];
     const bool isLost = line.is("configuration", "store-lost") || line.is("gateway", "started");
     const bool isReached =
@@ -134,7 +135,9 @@
     const Millis until = from + m_patience;
     for (const auto& [node, reaches] : m_reaches) {
         for (const Reach& reach : reaches) {
-            if (reach.m_from < until && reach.m_until.value_or(until) > from) {
+            // A gateway that says nothing more may be gone.
+            const Millis reachedUntil = reach.m_until.value_or(m_lastLines.at(node));
+            if (reach.m_from < until && reachedUntil > from) {
                 return false;
             }
         }
--- a/libs/trace/test/JobTraceTest.cpp
+++ b/libs/trace/test/JobTraceTest.cpp
@@ -99,6 +99,8 @@
 TEST_F(JobTraceTest, TellsWhetherAnyGatewayReachedTheStoreInACallersTime) {
     log(100, "g1", "configuration in-force version=1");
     log(100, "g2", "configuration in-force version=1");
+    // It was replaced, and says nothing more.
+    log(200, "g3", "configuration in-force version=1");
     log(1000, "g1", "configuration store-lost reason=x");
     log(1100, "g2", "configuration store-lost reason=x");
     log(1050, "g1", "intake answered job=early method=POST status=503 took_ms=0 reason=lost");
