Kept workers yield only to jobs that have nothing running, and are the last that other work gets

The users' rule is about jobs that have nothing running.

Change: the first unit of such a job gets a kept worker, others don't; units that differ in that are no longer taken for alike.

--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -79,7 +79,8 @@
     double m_mostReserved = 0.25;
     /**
      * While a service's workers are hardly half in use, a unit that waited so long gets reserved
-     * workers too: nothing may stand idle for 3 s beside a job that waits (users' rule).
+     * workers too, if its job has nothing running: no job may have nothing for 3 s beside room that
+     * stands idle (users' rule).
      */
     Millis m_reserveYields{1800};
     double m_hardlyHalf = 0.55;
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -241,6 +241,7 @@
             spec.m_dataRack,
             static_cast<int>(spec.m_adjacency),
             mayGoFar(unit),
+            mayUseReserved(unit),
             spec.m_estimate};
 }
 
@@ -285,6 +286,7 @@
         room.m_free -= unit.getSpec().getRoomNeed();
         m_plan.m_placements.push_back({unit.getKey(unit.m_indexes[i]), room.m_view->m_id});
     }
+    m_begun.insert(unit.m_record->m_id);
     note(unit, PlanNote::Kind::PLACED,
          "placed: room on " + m_rooms[assignment.front()].m_view->m_id.m_host);
 }
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -91,7 +91,7 @@
     };
     /** What makes two units that find no room alike. */
     using Likeness = std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint32_t,
-                                std::size_t, std::string, std::string, int, bool, Millis>;
+                                std::size_t, std::string, std::string, int, bool, bool, Millis>;
 
     // Set-up.
     void findGuaranteed();
@@ -201,6 +201,8 @@
     std::size_t m_claims = 0;
     /** Services with reserved workers, of which hardly half of some resource is in use. */
     std::set<std::string> m_idleServices;
+    /** Jobs of which this pass has placed something. */
+    std::set<std::string> m_begun;
     /** Units without priority 0 that found no room, and why: like ones need not be tried. */
     std::map<Likeness, PlanNote> m_roomless;
     TaskPlan m_plan;
--- a/libs/job/src/PlanningPassHosts.cpp
+++ b/libs/job/src/PlanningPassHosts.cpp
@@ -41,7 +41,8 @@
 bool PlanningPass::mayUseReserved(const WorkUnit& unit) const {
     const bool isIdle = m_idleServices.count(unit.m_record->m_policy.m_service) != 0;
     const bool hasWaited = m_wallNow - unit.m_since >= m_settings.m_reserveYields;
-    return unit.isUrgent() || isStarved(unit) || (isIdle && hasWaited);
+    const bool hasNothing = unit.m_run->isIdle() && m_begun.count(unit.m_record->m_id) == 0;
+    return unit.isUrgent() || isStarved(unit) || (isIdle && hasWaited && hasNothing);
 }
 
 /** The workers on which the least other work runs, so that the same ones stay kept. */
--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -164,11 +164,13 @@
     return best;
 }
 
-/** Lower is better: fast workers first, then the one with the least room left. */
+/** Lower is better: fast workers that are not kept for others first, then the one with the least
+ * room left. */
 double PlanningPass::rate(const WorkUnit& unit, std::uint32_t index, WorkerSlot slot,
                           const Resources& room) const {
     constexpr double FAILED_HERE = 1000.0;
     constexpr double SLOWNESS = 20.0;
+    constexpr double RESERVED = 100.0;
     Resources left = room;
     left -= unit.getSpec().getRoomNeed();
     const WorkerView& worker = *m_rooms[slot].m_view;
@@ -176,8 +178,9 @@
             unit.getStep().m_tasks[index].m_failedHosts.contains(worker.m_id.m_host);
     const double cpuShare =
             static_cast<double>(left.m_cpuMillis) / std::max(1U, worker.m_capacity.m_cpuMillis);
-    return (hasFailedHere ? FAILED_HERE : 0.0) + SLOWNESS * (worker.m_slowness - 1.0) +
-           left.m_accelerators + cpuShare;
+    const bool isKept = m_rooms[slot].m_isReserved && !unit.isUrgent();
+    return (hasFailedHere ? FAILED_HERE : 0.0) + (isKept ? RESERVED : 0.0) +
+           SLOWNESS * (worker.m_slowness - 1.0) + left.m_accelerators + cpuShare;
 }
 
 std::map<WorkerSlot, std::uint32_t> PlanningPass::countOfStep(const WorkUnit& unit) const {
