Hosts' speeds are learnt from how runs of like work advance; urgent work goes to fast ones

A gang ends with its slowest member, so nearly every urgent gang took 1.25 times its time, while half its time is all that its objective leaves.

Hypothesis: urgent work on fast hosts is in its objective more often; other work has three times its length to spare.

Ruled out: declared times as a base (wrong by up to nine tenths for urgent work); ends of runs (a run's end comes after 10 s, its rate after 2 to 3 s).

Change: ProgressTracker tells once a run how fast it advances; HostSpeeds holds that against the other runs of its step and keeps a fading mean a life; the planner weighs slowness by 20 accelerators of room for urgent work and by -8 for other work. Switch `learns-speeds`.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -16,6 +16,7 @@
 #include "pierbank/control/CertainCommit.h"
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EndLedger.h"
+#include "pierbank/control/HostSpeeds.h"
 #include "pierbank/control/JobTable.h"
 #include "pierbank/control/ProgressTracker.h"
 #include "pierbank/control/UrgentDemand.h"
@@ -43,6 +44,8 @@
     bool m_judgesHosts = true;
     /** Hosts on which nothing advances get no work, and what runs there may begin elsewhere. */
     bool m_seesStalls = true;
+    /** Urgent work goes to hosts that are seen to be fast, other work leaves them free. */
+    bool m_learnsSpeeds = true;
     /** What happens within this time is decided and committed together. */
     Millis m_commitDelay{3};
     /**
@@ -221,6 +224,8 @@
     WorkerPool m_workers;
     WorkerHealth m_health;
     ProgressTracker m_progress;
+    /** By the worker's life: another life may be another machine. */
+    HostSpeeds m_speeds;
     UrgentDemand m_demand;
     AdviceBook m_advice;
     std::function<void()> m_onDisowned;
--- a/libs/control/include/pierbank/control/ProgressTracker.h
+++ b/libs/control/include/pierbank/control/ProgressTracker.h
@@ -24,6 +24,13 @@
     bool m_mayWait = false;
 };
 
+/** How fast a run was seen to advance. */
+struct ProgressRate {
+    TaskKey m_task;
+    /** Percent a second. */
+    double m_rate = 0;
+};
+
 /**
  * What runs advance, as their workers report it. A worker may hold its leases and look well while
  * its runs stand still or crawl; how runs advance is the only sign of that.
@@ -35,8 +42,16 @@
     /** Advance over less than this tells nothing. */
     static constexpr Millis LEAST_SPAN{500};
 
-    /** Takes a host's whole report; runs that it does not list are forgotten. */
-    void note(const std::string& host, const std::vector<ProgressReport>& runs, Millis now);
+    /** Percent over which a run has to be seen to advance before it tells how fast the host is:
+     * reports say whole percents, so that this is off by a twentieth at most. */
+    static constexpr std::uint32_t TELLING_ADVANCE = 20;
+
+    /**
+     * Takes a host's whole report; runs that it does not list are forgotten.
+     * @return for each run, once, how fast it advances.
+     */
+    std::vector<ProgressRate> note(const std::string& host, const std::vector<ProgressReport>& runs,
+                                   Millis now);
     /** The host said nothing for a while: what was seen before is no base to judge by. */
     void forgetHost(const std::string& host) { m_hosts.erase(host); }
     void clear() { m_hosts.clear(); }
@@ -63,10 +78,16 @@
         std::uint32_t m_percent = 0;
         Millis m_changedAt{0};
         Millis m_seenAt{0};
+        /** The first report at which it had begun. */
+        std::uint32_t m_begunPercent = 0;
+        Millis m_begunAt{0};
+        bool m_hasTold = false;
 
         Millis getStalledTime() const { return m_seenAt - m_changedAt; }
         bool isStalled() const;
         std::optional<double> getRate() const;
+        /** Takes a report's percent; a rate when enough was seen for the first time. */
+        std::optional<double> takeRate(Millis now);
     };
     /** A worker runs a few tasks: a look through them is quicker than a map of names. */
     using Host = std::vector<Track>;
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -69,6 +69,7 @@
     m_health.clear();
     m_demand.clear();
     m_progress.clear();
+    m_speeds.clear();
     m_advice.clear();
     m_holds.clear();
     m_leavingLives.clear();
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -81,7 +81,11 @@
             runs.push_back({*key, entry.m_run, entry.m_percent, mayWait});
         }
     }
-    m_progress.note(host, runs, m_loop.now());
+    for (const ProgressRate& rate : m_progress.note(host, runs, m_loop.now())) {
+        TaskKey step = rate.m_task;
+        step.m_index = 0;
+        m_speeds.note({report.m_life, step.toText(), rate.m_rate}, m_loop.now());
+    }
 }
 
 /** Whether the workers of all members of a gang's run say that they run it. */
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -52,6 +52,7 @@
                          !host.m_isWorkerSilent && !view.m_leavesIn.has_value() &&
                          getHold(address) == WorkerHold::RELEASE && !isAvoided(address) &&
                          !isStalled(address);
+    view.m_slowness = m_settings.m_learnsSpeeds ? m_speeds.getSlowness(view.m_id.m_life) : 1.0;
     view.m_isSuspect = m_settings.m_judgesHosts && m_health.isSuspect(address, m_loop.now());
 }
 
--- a/libs/control/src/ProgressTracker.cpp
+++ b/libs/control/src/ProgressTracker.cpp
@@ -26,8 +26,28 @@
     return MILLIS_PER_SECOND * (m_percent - m_firstPercent) / static_cast<double>(span.count());
 }
 
-void ProgressTracker::note(const std::string& host, const std::vector<ProgressReport>& runs,
-                           Millis now) {
+std::optional<double> ProgressTracker::Track::takeRate(Millis now) {
+    if (m_percent == 0 || m_hasTold || m_mayWait) {
+        return std::nullopt;
+    }
+    if (m_begunPercent == 0) {
+        m_begunPercent = m_percent;
+        m_begunAt = now;
+        return std::nullopt;
+    }
+    if (m_percent >= WHOLE || m_percent < m_begunPercent + TELLING_ADVANCE || now <= m_begunAt) {
+        // At the end it may have waited for others.
+        return std::nullopt;
+    }
+    m_hasTold = true;
+    return MILLIS_PER_SECOND * (m_percent - m_begunPercent) /
+           static_cast<double>((now - m_begunAt).count());
+}
+
+std::vector<ProgressRate> ProgressTracker::note(const std::string& host,
+                                                const std::vector<ProgressReport>& runs,
+                                                Millis now) {
+    std::vector<ProgressRate> rates;
     Host next;
     next.reserve(runs.size());
     Host& known = m_hosts[host];
@@ -38,6 +58,7 @@
         if (found == known.end()) {
             next.push_back({run.m_task, run.m_run, run.m_mayWait, run.m_percent, now, run.m_percent,
                             now, now});
+            next.back().takeRate(now);
             continue;
         }
         Track track = std::move(*found);
@@ -51,9 +72,13 @@
             track.m_percent = run.m_percent;
             track.m_changedAt = now;
         }
+        if (const auto rate = track.takeRate(now)) {
+            rates.push_back({track.m_task, *rate});
+        }
         next.push_back(std::move(track));
     }
     known = std::move(next);
+    return rates;
 }
 
 const ProgressTracker::Track* ProgressTracker::find(std::string_view host,
--- /dev/null
+++ b/libs/control/test/HostSpeedsTest.cpp
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/control/HostSpeeds.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cmath>
+#include <random>
+
+namespace pierbank {
+namespace {
+
+/** Hosts of three speeds, on which steps of eight runs of like work run. */
+class HostSpeedsTest : public ::testing::Test {
+protected:
+    static constexpr int HOSTS = 24;
+
+    static std::string getHost(int host) { return "h" + std::to_string(host); }
+
+    static double getSpeed(int host) {
+        constexpr std::array<double, 3> SPEEDS = {0.8, 1.0, 1.25};
+        return SPEEDS.at(static_cast<std::size_t>(host % 3));
+    }
+
+    /** Runs of a step differ by 15 %, steps by a factor of five. */
+    void playSteps(int steps) {
+        std::normal_distribution<double> uneven(0.0, 0.15);
+        std::uniform_int_distribution<int> pick(0, HOSTS - 1);
+        for (int i = 0; i < steps; ++i) {
+            const double work = 10.0 * (1 + i % 5);
+            for (int run = 0; run < 8; ++run) {
+                const int host = pick(m_engine);
+                const double rate = work * getSpeed(host) * std::exp(uneven(m_engine));
+                m_speeds.note({getHost(host), "job.0." + std::to_string(m_steps), rate}, m_now);
+            }
+            ++m_steps;
+            m_now += Millis(500);
+        }
+    }
+
+    HostSpeeds m_speeds;
+    std::mt19937 m_engine{7};
+    Millis m_now{1000};
+    int m_steps = 0;
+};
+
+TEST_F(HostSpeedsTest, AHostThatNothingIsKnownOfIsAMeanOne) {
+    EXPECT_EQ(m_speeds.getSlowness("h0"), 1.0);
+    m_speeds.note({"h0", "job.0.0", 5.0}, m_now);
+    EXPECT_EQ(m_speeds.getSlowness("h0"), 1.0) << "a run alone tells nothing";
+}
+
+TEST_F(HostSpeedsTest, AfterSixRunsAHostFastAndSlowOnesAreToldApart) {
+    playSteps(6 * HOSTS / 8);
+    double fast = 0;
+    double slow = 0;
+    for (int host = 0; host < HOSTS; ++host) {
+        fast += host % 3 == 2 ? m_speeds.getSlowness(getHost(host)) : 0;
+        slow += host % 3 == 0 ? m_speeds.getSlowness(getHost(host)) : 0;
+    }
+    EXPECT_LT(fast / (HOSTS / 3), 0.9);
+    EXPECT_GT(slow / (HOSTS / 3), 1.1);
+}
+
+TEST_F(HostSpeedsTest, AHostThatTurnsSlowIsSeen) {
+    playSteps(30);
+    for (int i = 0; i < 20; ++i) {
+        const std::string step = "late.0." + std::to_string(i);
+        for (const char* host : {"h1", "h4", "h7"}) {
+            m_speeds.note({host, step, 10.0}, m_now);
+        }
+        m_speeds.note({"h2", step, 5.0}, m_now);
+    }
+    EXPECT_GT(m_speeds.getSlowness("h2"), 1.4);
+}
+
+TEST_F(HostSpeedsTest, WhatIsForgottenIsUnknown) {
+    playSteps(30);
+    ASSERT_NE(m_speeds.getSlowness("h2"), 1.0);
+    m_speeds.forgetHost("h2");
+    EXPECT_EQ(m_speeds.getSlowness("h2"), 1.0);
+    EXPECT_EQ(m_speeds.getEvidence("h2"), 0.0);
+}
+
+}  // namespace
+}  // namespace pierbank
--- a/libs/control/test/ProgressTrackerTest.cpp
+++ b/libs/control/test/ProgressTrackerTest.cpp
@@ -61,5 +61,22 @@
     EXPECT_FALSE(tracker.getRate("h", TASK).has_value());
 }
 
+TEST(ProgressTrackerTest, ARunTellsOnceHowFastItAdvances) {
+    ProgressTracker tracker;
+    EXPECT_TRUE(tracker.note("h", {{TASK, 1, 0, false}}, Millis(1000)).empty());
+    EXPECT_TRUE(tracker.note("h", {{TASK, 1, 10, false}}, Millis(2000)).empty());
+    EXPECT_TRUE(tracker.note("h", {{TASK, 1, 25, false}}, Millis(3000)).empty());
+    const auto rates = tracker.note("h", {{TASK, 1, 40, false}}, Millis(4000));
+    ASSERT_EQ(rates.size(), 1U);
+    EXPECT_DOUBLE_EQ(rates[0].m_rate, 15.0) << "from when it had begun";
+    EXPECT_TRUE(tracker.note("h", {{TASK, 1, 70, false}}, Millis(6000)).empty());
+}
+
+TEST(ProgressTrackerTest, AtItsEndARunTellsNothingSinceItMayHaveWaited) {
+    ProgressTracker tracker;
+    tracker.note("h", {{TASK, 1, 60, false}}, Millis(1000));
+    EXPECT_TRUE(tracker.note("h", {{TASK, 1, 100, false}}, Millis(9000)).empty());
+}
+
 }  // namespace
 }  // namespace pierbank
--- a/libs/daemon/src/GatewaySettings.cpp
+++ b/libs/daemon/src/GatewaySettings.cpp
@@ -101,6 +101,7 @@
     }
     core.m_jobs.m_keepsRoom = file.getSwitch({"switches", "keeps-room"}, true);
     core.m_jobs.m_judgesHosts = file.getSwitch({"switches", "judges-hosts"}, true);
+    core.m_jobs.m_learnsSpeeds = file.getSwitch({"switches", "learns-speeds"}, true);
     core.m_jobs.m_seesStalls = file.getSwitch({"switches", "sees-stalls"}, true);
     core.m_intake.m_hedges = file.getSwitch({"switches", "hedges"}, true);
     core.m_intake.m_relays = file.getSwitch({"switches", "relays"}, true);
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -85,6 +85,13 @@
      */
     Millis m_reserveYields{1800};
     double m_hardlyHalf = 0.55;
+    /**
+     * What a worker that takes twice the time counts for in the choice of workers, in accelerators
+     * of room left: urgent work looks for fast ones before it looks for little room left, other
+     * work leaves them to it.
+     */
+    double m_urgentSpeedWeight = 20.0;
+    double m_otherSpeedWeight = -8.0;
     /** Units keep off hosts that failed them, and off suspect ones if a failure costs them much. */
     bool m_barsHosts = true;
     /** Work moves off workers that leave before it would end. */
--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -187,12 +187,11 @@
     return best;
 }
 
-/** Lower is better: fast workers that are not kept for others first, then the one with the least
- * room left. */
+/** Lower is better: workers that are not kept for others first, then those of the right speed with
+ * the least room left. */
 double PlanningPass::rate(const WorkUnit& unit, std::uint32_t index, WorkerSlot slot,
                           const Resources& room) const {
     constexpr double FAILED_HERE = 1000.0;
-    constexpr double SLOWNESS = 20.0;
     constexpr double RESERVED = 100.0;
     Resources left = room;
     left -= unit.getSpec().getRoomNeed();
@@ -202,8 +201,10 @@
     const double cpuShare =
             static_cast<double>(left.m_cpuMillis) / std::max(1U, worker.m_capacity.m_cpuMillis);
     const bool isKept = m_rooms[slot].m_isReserved && !unit.isUrgent();
+    const double speedWeight =
+            unit.isUrgent() ? m_settings.m_urgentSpeedWeight : m_settings.m_otherSpeedWeight;
     return (hasFailedHere ? FAILED_HERE : 0.0) + (isKept ? RESERVED : 0.0) +
-           SLOWNESS * (worker.m_slowness - 1.0) + left.m_accelerators + cpuShare;
+           speedWeight * (worker.m_slowness - 1.0) + left.m_accelerators + cpuShare;
 }
 
 /** The step's tasks by slot, with those that this pass has placed. */
--- a/libs/job/test/TaskPlannerTest.cpp
+++ b/libs/job/test/TaskPlannerTest.cpp
@@ -220,6 +220,18 @@
     EXPECT_EQ(placeMany(2).size(), 4U);
 }
 
+TEST_F(TaskPlannerTest, UrgentWorkGoesToFastWorkersAndOtherWorkLeavesThemFree) {
+    m_workers[0].m_slowness = 1.25;
+    m_workers[2].m_slowness = 0.8;
+    addJob("u", 0, makeStep(1, 4));
+    addJob("o", 1, makeStep(1, 8));
+    const TaskPlan got = plan();
+    ASSERT_EQ(got.m_placements.size(), 2U);
+    EXPECT_EQ(got.m_placements[0].m_task.m_job, "u");
+    EXPECT_EQ(got.m_placements[0].m_worker.m_host, "h2");
+    EXPECT_EQ(got.m_placements[1].m_worker.m_host, "h0");
+}
+
 TEST_F(TaskPlannerTest, WhatKeepsOffItsFormerHostsTellsNothingOfOthersThatMayGoThere) {
     for (int i = 0; i < 3; ++i) {
         addRunning("r" + std::to_string(i), i, 8, Millis(100));
