Others give way on fast workers rather than on slow ones, and the workers kept for urgent work are fast ones

Cause: hosts' speeds were used only where there was room. Where others give way, and for the workers that are kept, the choice was by loss and by other work alone.

Change: where others give way, a slow worker costs three times what it takes longer (core-milliseconds of the member); kept workers are ordered by other work and by 20 accelerators a factor of two in time.

--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -92,6 +92,11 @@
      */
     double m_urgentSpeedWeight = 20.0;
     double m_otherSpeedWeight = -8.0;
+    /**
+     * Where others give way, a slow worker costs so many times what it takes longer: the whole unit
+     * waits for its slowest member.
+     */
+    double m_evictionSpeedWeight = 3.0;
     /** Units keep off hosts that failed them, and off suspect ones if a failure costs them much. */
     bool m_barsHosts = true;
     /** Work moves off workers that leave before it would end. */
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -61,7 +61,11 @@
 }
 
 TaskPlan PlanningPass::run() {
-    for (const WaitingStep& step : collectSteps()) {
+    const std::vector<WaitingStep> steps = collectSteps();
+    for (const WaitingStep& step : steps) {
+        m_plan.m_waiting += step.m_spec->m_isGang ? 1 : step.m_indexes.size();
+    }
+    for (const WaitingStep& step : steps) {
         placeStep(step);
     }
     if (m_settings.m_copies) {
@@ -164,22 +168,19 @@
 }
 
 void PlanningPass::takeRun(const Occupant& run, const WorkerId& worker, bool isStopping) {
-    const auto [begin, end] = m_slots.equal_range(worker.m_host);
-    const auto found = std::find_if(begin, end, [&](const auto& entry) {
-        return m_rooms[entry.second].m_view->m_id.m_life == worker.m_life;
-    });
-    if (found == end) {
+    const auto slot = findSlot(worker);
+    if (!slot.has_value()) {
         return;
     }
     const StepSpec& spec = *run.m_spec;
-    Room& room = m_rooms[found->second];
+    Room& room = m_rooms[*slot];
     room.m_free -= spec.getRoomNeed();
     if (isStopping) {
         room.m_leaving += spec.getRoomNeed();
         return;
     }
     Occupant& occupant = m_occupants.emplace_back(run);
-    occupant.m_slot = found->second;
+    occupant.m_slot = *slot;
     const double elapsed = static_cast<double>((m_wallNow - run.m_placedAt).count());
     // A stop saves all progress of a task that saves any; but each stop costs a stop and a start.
     constexpr double RESTART_MS = 300.0;
@@ -188,6 +189,14 @@
     occupant.m_loss = getCores(spec.m_need) * (lost + RESTART_MS);
 }
 
+std::optional<WorkerSlot> PlanningPass::findSlot(const WorkerId& worker) const {
+    const auto [begin, end] = m_slots.equal_range(worker.m_host);
+    const auto found = std::find_if(begin, end, [&](const auto& entry) {
+        return m_rooms[entry.second].m_view->m_id.m_life == worker.m_life;
+    });
+    return found == end ? std::nullopt : std::optional(found->second);
+}
+
 /** A gang that gives way does so whole. */
 void PlanningPass::addGangLosses() {
     for (const OccupantGroup& group : m_groups) {
@@ -250,7 +259,6 @@
         units.push_back({&step, indexes.subspan(i, size), {}});
         barHosts(units.back());
     }
-    m_plan.m_waiting += units.size();
     for (const WorkUnit& unit : units) {
         placeUnit(unit);
     }
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -142,6 +142,8 @@
         /** Groups of gangs among the victims. */
         std::set<std::size_t> m_gangs;
         double m_loss = 0;
+        /** The loss, and what slow workers cost. */
+        double m_rate = 0;
         /** What the unit's members take so far, and what that would evict, by slot. */
         std::map<WorkerSlot, Resources> m_needed;
         std::vector<std::optional<std::optional<Victims>>> m_victimsOn;
@@ -161,6 +163,7 @@
     void findGuaranteed();
     void takeRooms();
     void takeStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step);
+    std::optional<WorkerSlot> findSlot(const WorkerId& worker) const;
     void takeRun(const Occupant& run, const WorkerId& worker, bool isStopping);
     void addGangLosses();
     void sortOccupants();
@@ -234,6 +237,7 @@
                                               Eviction& eviction) const;
     std::optional<Victims> chooseVictims(const WorkUnit& unit, WorkerSlot slot,
                                          const Resources& need) const;
+    double getDelay(const WorkUnit& unit, WorkerSlot slot) const;
     double getLoss(const Victims& victims, const Eviction& eviction) const;
     bool mayPreempt(const WorkUnit& unit, const Occupant& occupant) const;
     /** A lasting task may be stopped without breaking the promise of its step. */
--- a/libs/job/src/PlanningPassEviction.cpp
+++ b/libs/job/src/PlanningPassEviction.cpp
@@ -87,12 +87,13 @@
     return true;
 }
 
-/** Finds the place where the least work is thrown away, and stops what is in the way there. */
+/** Finds the place where the least work is thrown away, or done slowly, and stops what is in the
+ * way there. */
 bool PlanningPass::preemptFor(const WorkUnit& unit) {
     std::optional<Eviction> best;
     for (const PartNumber part : listParts(unit)) {
         auto eviction = findEviction(unit, part);
-        if (eviction.has_value() && (!best.has_value() || eviction->m_loss < best->m_loss)) {
+        if (eviction.has_value() && (!best.has_value() || eviction->m_rate < best->m_rate)) {
             best = std::move(eviction);
         }
     }
@@ -133,6 +134,7 @@
 bool PlanningPass::addMember(const WorkUnit& unit, PartNumber part, Eviction& eviction) const {
     const StepSpec& spec = unit.getSpec();
     std::optional<WorkerSlot> best;
+    double bestLoss = 0;
     std::pair<double, std::uint32_t> bestRate(std::numeric_limits<double>::max(), 0);
     for (const WorkerSlot slot : unit.m_of->m_eligible->m_slots) {
         const bool isOutside = part != ANY_PART && getPart(unit, slot) != part;
@@ -145,17 +147,20 @@
         if (!victims.has_value()) {
             continue;
         }
-        const std::pair<double, std::uint32_t> rate(getLoss(*victims, eviction),
+        const double loss = getLoss(*victims, eviction);
+        const std::pair<double, std::uint32_t> rate(loss + getDelay(unit, slot),
                                                     m_rooms[slot].m_free.m_accelerators);
         if (rate < bestRate) {
             bestRate = rate;
+            bestLoss = loss;
             best = slot;
         }
     }
     if (!best.has_value()) {
         return false;
     }
-    eviction.m_loss += bestRate.first;
+    eviction.m_loss += bestLoss;
+    eviction.m_rate += bestRate.first;
     for (const std::size_t victim : **eviction.m_victimsOn[*best]) {
         eviction.m_victims.insert(victim);
         if (m_occupants[victim].m_spec->m_isGang) {
@@ -171,6 +176,13 @@
     return true;
 }
 
+/** Core-milliseconds that a member takes longer there than on a mean worker. */
+double PlanningPass::getDelay(const WorkUnit& unit, WorkerSlot slot) const {
+    const StepSpec& spec = unit.getSpec();
+    return m_settings.m_evictionSpeedWeight * getCores(spec.m_need) *
+           static_cast<double>(spec.m_estimate.count()) * (m_rooms[slot].m_view->m_slowness - 1.0);
+}
+
 /** What would give way on a worker to one more member; remembered until one is put there. */
 const std::optional<PlanningPass::Victims>& PlanningPass::findVictims(const WorkUnit& unit,
                                                                       WorkerSlot slot,
--- a/libs/job/src/PlanningPassHosts.cpp
+++ b/libs/job/src/PlanningPassHosts.cpp
@@ -55,14 +55,19 @@
     return *wasIdle && !m_begun[step.m_job];
 }
 
-/** The workers on which the least other work runs, so that the same ones stay kept. */
+/** The workers on which the least other work runs, so that the same ones stay kept, and fast ones.
+ */
 void PlanningPass::reserveForUrgent(const std::string& service, std::uint32_t accelerators) {
-    std::vector<std::uint32_t> others(m_rooms.size());
+    std::vector<double> others(m_rooms.size());
     for (const Occupant& occupant : m_occupants) {
         if (!occupant.m_isUrgent) {
             others[occupant.m_slot] += occupant.m_spec->m_need.m_accelerators;
         }
     }
+    for (WorkerSlot slot = 0; slot < m_rooms.size(); ++slot) {
+        const double slowness = m_rooms[slot].m_view->m_slowness;
+        others[slot] += m_settings.m_urgentSpeedWeight * (slowness - 1.0);
+    }
     std::vector<WorkerSlot> slots;
     double all = 0;
     for (WorkerSlot slot = 0; slot < m_rooms.size(); ++slot) {
--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -219,11 +219,8 @@
     }
     counts.resize(m_rooms.size());
     const auto count = [&](const WorkerId& worker) {
-        const auto [begin, end] = m_slots.equal_range(worker.m_host);
-        for (auto found = begin; found != end; ++found) {
-            if (m_rooms[found->second].m_view->m_id.m_life == worker.m_life) {
-                ++counts[found->second];
-            }
+        if (const auto slot = findSlot(worker)) {
+            ++counts[*slot];
         }
     };
     for (const TaskRun& task : unit.getStep().m_tasks) {
--- a/libs/job/test/TaskPlannerTest.cpp
+++ b/libs/job/test/TaskPlannerTest.cpp
@@ -289,5 +289,30 @@
     }
 }
 
+TEST_F(TaskPlannerTest, OthersGiveWayOnAFastWorkerRatherThanOnASlowOne) {
+    m_guarantees["o"] = 8;
+    for (int i = 0; i < 4; ++i) {
+        addRunning("r" + std::to_string(i), i, 8, Millis(1000));
+    }
+    m_workers[0].m_slowness = 1.25;
+    m_workers[1].m_slowness = 1.25;
+    m_workers[3].m_slowness = 0.8;
+    addJob("u", 0, makeStep(1, 8), NOW - Millis(2000));
+    const TaskPlan got = plan();
+    ASSERT_EQ(got.m_stops.size(), 1U);
+    EXPECT_EQ(got.m_stops[0].m_task.m_job, "r3");
+}
+
+TEST_F(TaskPlannerTest, KeptWorkersAreFastOnes) {
+    m_settings.m_urgentReserve["s"] = 8;
+    m_workers[2].m_slowness = 0.8;
+    addJob("a", 1, makeStep(4, 8));
+    const TaskPlan got = plan();
+    ASSERT_EQ(got.m_placements.size(), 3U);
+    for (const Placement& placement : got.m_placements) {
+        EXPECT_NE(placement.m_worker.m_host, "h2");
+    }
+}
+
 }  // namespace
 }  // namespace pierbank
