Stops of runs are not written before they are sent; the leader hears of a job with its record

Also the leader read each job that a gateway told it of, one more call.

Change: a stop goes out at once and makes no write of its own (a next leader learns of the end from the worker; lasting steps and runs whose order still waits for its commit do as before); InputNotice carries what was written.

Test OnASlowStoreUrgentWorkWaitsForOneWriteOnly, writes of 0.4 s: from acceptance to the start 815 -> 410 ms.

run-ended and run-lost say cores and time, so that thrown-away work can be counted by cause.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -150,7 +150,7 @@
     void handleRunAbsent(const std::string& host, const RunAbsent& absent) override;
     void handleHostLost(const std::string& host) override;
     void handleHostGone(const std::string& host) override;
-    void handleInputNotice(const std::string& key) override;
+    void handleInputNotice(const InputNotice& notice) override;
     void handleRelayed(const std::string& host, const RelayedRequest& request) override;
 
 private:
@@ -188,6 +188,9 @@
     void place(const std::vector<Placement>& placements);
     void placeCopy(const Placement& placement);
     void stop(const Stop& stop);
+    /** Cores that a task takes, accelerators included, rounded; for the log. */
+    static long getWeight(const JobRecord& record, const TaskKey& task);
+    void stopNow(JobEntry& entry, const HeldRun& run);
     void stopRuns(JobEntry& entry, const std::vector<HeldRun>& runs);
     void sendOrder(JobEntry& entry, const HeldRun& run);
     RunOrder makeOrder(const JobEntry& entry, const HeldRun& run) const;
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -104,7 +104,7 @@
     JobIntake& operator=(const JobIntake&) = delete;
 
     /** Called with each key under input/ that was surely written. */
-    void onWritten(std::function<void(std::string_view key)> callback) {
+    void onWritten(std::function<void(std::string_view key, std::string_view value)> callback) {
         m_onWritten = std::move(callback);
     }
 
@@ -156,7 +156,8 @@
     const IntakeSettings m_settings;
     IntakeRelay* m_relay = nullptr;
     RetryAdvice m_retryAdvice;
-    std::function<void(std::string_view)> m_onWritten = [](std::string_view) {
+    std::function<void(std::string_view, std::string_view)> m_onWritten = [](std::string_view,
+                                                                             std::string_view) {
     };
     /** Pending jobs by queue, and when they were counted. */
     std::map<std::string, std::size_t> m_pending;
--- a/libs/control/include/pierbank/control/LeaderLink.h
+++ b/libs/control/include/pierbank/control/LeaderLink.h
@@ -44,8 +44,8 @@
      */
     void relay(RelayedRequest request, Millis patience, AnswerCallback done);
 
-    /** Tells the leader, if one is linked, that a key under input/ was written. */
-    void notify(std::string_view key);
+    /** Tells the leader, if one is linked, what was written under input/. */
+    void notify(std::string_view key, std::string_view value);
 
 private:
     void handleFrame(const Frame& frame);
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -43,8 +43,8 @@
     virtual void handleWorkerChanged(const std::string& host) = 0;
     virtual void handleRunReport(const std::string& host, const RunReport& report) = 0;
     virtual void handleRunAbsent(const std::string& host, const RunAbsent& absent) = 0;
-    /** A gateway wrote this key under input/. */
-    virtual void handleInputNotice(const std::string& key) = 0;
+    /** A gateway has written this under input/. */
+    virtual void handleInputNotice(const InputNotice& notice) = 0;
     /** A gateway that can't reach the store asks for a caller's request to be answered. */
     virtual void handleRelayed(const std::string& host, const RelayedRequest& request) = 0;
     /** Whatever ran there under an earlier grant has surely stopped. */
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -243,15 +243,11 @@
     return order;
 }
 
-namespace {
-
-/** Cores that a task takes, accelerators included, rounded; for the log. */
-long getWeight(const JobRecord& record, const TaskKey& task) {
-    return std::lround(getCores(record.m_spec.m_steps[task.m_step].m_need));
+long JobController::getWeight(const JobRecord& record, const TaskKey& task) {
+    const auto& steps = record.m_spec.m_steps;
+    return task.m_step < steps.size() ? std::lround(getCores(steps[task.m_step].m_need)) : 0;
 }
 
-}  // namespace
-
 void JobController::stop(const Stop& stop) {
     JobEntry& entry = m_jobs.find(stop.m_task.m_job)->second;
     const auto held = entry.m_run.findHeldRun(stop.m_task, stop.m_run);
@@ -268,7 +264,24 @@
               {"ran_ms", std::to_string((m_loop.wallNow() - held->m_placedAt).count())},
               {"cores", std::to_string(getWeight(entry.m_record, stop.m_task))},
               {"why", stop.m_why}});
-    stopRuns(entry, {*held});
+    stopNow(entry, *held);
+}
+
+/**
+ * That a run is being stopped need not be stored: the next leader learns of the end from the
+ * worker, or stops it again. So a stop does not wait for the store, nor is it written, and the
+ * start of what others give way to comes one write sooner (0.41 instead of 0.82 s with writes of
+ * 0.4 s, test). Of a lasting step only so many may be away, whoever stops them; there, and for runs
+ * whose order still waits, the stop waits for the commit.
+ */
+void JobController::stopNow(JobEntry& entry, const HeldRun& run) {
+    const std::string name = run.m_task.toText();
+    if (entry.m_record.m_spec.m_steps[run.m_task.m_step].m_isLasting ||
+        entry.hasPendingMessage(name, run.m_run)) {
+        stopRuns(entry, {run});
+        return;
+    }
+    m_workers.send(run.m_worker.m_host, RunStop{m_epoch, run.m_worker.m_life, name, run.m_run});
 }
 
 /** The runs are marked as stopping already. */
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -134,6 +134,7 @@
               {"how", std::string(toText(how))},
               {"ran_ms",
                isHere ? std::to_string((m_loop.wallNow() - held->m_placedAt).count()) : "-"},
+              {"cores", std::to_string(getWeight(entry.m_record, *key))},
               {"current", effect.m_isCurrent ? "yes" : "no"}});
     if (isHere) {
         const Millis ran = m_loop.wallNow() - held->m_placedAt;
@@ -207,6 +208,8 @@
                      {{"task", run.m_task.toText()},
                       {"run", std::to_string(run.m_run)},
                       {"host", host},
+                      {"ran_ms", std::to_string((m_loop.wallNow() - run.m_placedAt).count())},
+                      {"cores", std::to_string(getWeight(entry.m_record, run.m_task))},
                       {"reason", std::string(why)}});
             takeEffect(entry, applyNotRunning(entry.m_record, entry.m_run, run.m_task, run.m_run,
                                               m_loop.wallNow()));
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -145,17 +145,15 @@
              {{"host", host}, {"value", std::string(word)}});
 }
 
-void JobController::handleInputNotice(const std::string& key) {
-    const bool isKnownJob = key.starts_with(JOB_PREFIX) &&
-                            m_jobs.count(std::string_view(key).substr(JOB_PREFIX.size())) != 0;
-    if (!m_isLoaded || isKnownJob) {
-        return;
+/**
+ * Sooner than the watch, and without a read, which on a slow store would come before each start.
+ * The store's order does not matter here: a record never changes, and a withdrawal is one whenever
+ * it is seen.
+ */
+void JobController::handleInputNotice(const InputNotice& notice) {
+    if (m_isLoaded) {
+        handleInput({notice.m_key, notice.m_value, 0});
     }
-    m_store.read(key, [this, term = std::weak_ptr(m_term)](const StoreRead& read) {
-        if (!term.expired() && read.m_status == StoreStatus::OK) {
-            handleInput(read.m_item);
-        }
-    });
 }
 
 void JobController::handleRelayed(const std::string& host, const RelayedRequest& request) {
--- a/libs/control/src/JobCore.cpp
+++ b/libs/control/src/JobCore.cpp
@@ -18,7 +18,9 @@
           m_waves(m_store, loop, platform.m_fleet, platform.m_codec, m_jobs, settings.m_waves),
           m_leaderLink(loop),
           m_registration(m_store, loop, [this] { return m_leaderLink.isUsable(); }) {
-    m_intake.onWritten([this](std::string_view key) { m_leaderLink.notify(key); });
+    m_intake.onWritten([this](std::string_view key, std::string_view value) {
+        m_leaderLink.notify(key, value);
+    });
     m_configuration.onChange([this] { m_jobs.handleConfiguration(); });
     m_lock.onAcquired([this](StoreRevision epoch) {
         m_jobs.lead(epoch, [this] { return m_lock.getConfirmedAt(); });
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -165,7 +165,8 @@
     transaction.m_conditions = {{std::string(CONFIGURATION_KEY), call->m_configurationRevision},
                                 {getJobKey(call->m_id), 0},
                                 {getRunKey(call->m_id), 0}};
-    transaction.m_puts = {{getJobKey(call->m_id), encodeJobRecord(record), 0}};
+    call->m_written = encodeJobRecord(record);
+    transaction.m_puts = {{getJobKey(call->m_id), call->m_written, 0}};
     CommitPatience patience;
     patience.m_limit = std::clamp(getTimeLeft(*call), Millis(1), m_settings.m_commitPatience);
     CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_isAlive,
@@ -182,7 +183,7 @@
 void JobIntake::handleSubmitted(const CallPtr& call, const StoreCommit& commit) {
     switch (commit.m_status) {
         case StoreStatus::OK:
-            m_onWritten(getJobKey(call->m_id));
+            m_onWritten(getJobKey(call->m_id), call->m_written);
             answer(call, HTTP_OK, "", "accepted at revision " + std::to_string(commit.m_revision));
             return;
         case StoreStatus::CONFLICT:
--- a/libs/control/src/JobIntakeCall.h
+++ b/libs/control/src/JobIntakeCall.h
@@ -22,6 +22,8 @@
     StoreRevision m_configurationRevision = 0;
     /** The configuration was confirmed by a read sent after the request came. */
     bool m_isConfirmed = false;
+    /** The record that goes to the store. */
+    std::string m_written;
     std::uint32_t m_tries = 0;
     bool m_isAnswered = false;
 
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -106,7 +106,7 @@
     CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_isAlive,
                        [this, call](const StoreCommit& commit) {
                            if (commit.m_status == StoreStatus::OK) {
-                               m_onWritten(getCancelKey(call->m_id));
+                               m_onWritten(getCancelKey(call->m_id), "");
                                answer(call, HTTP_OK, "", "withdrawn");
                            } else if (commit.m_status == StoreStatus::CONFLICT) {
                                answer(call, HTTP_OK, "", "the job has just ended");
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -67,8 +67,8 @@
     done(answer);
 }
 
-void LeaderLink::notify(std::string_view key) {
-    m_port.send(InputNotice{std::string(key)});
+void LeaderLink::notify(std::string_view key, std::string_view value) {
+    m_port.send(InputNotice{std::string(key), std::string(value)});
 }
 
 }  // namespace pierbank
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -193,7 +193,7 @@
     } else if (const auto* const absent = std::get_if<RunAbsent>(&frame)) {
         m_listener.handleRunAbsent(address, *absent);
     } else if (const auto* const input = std::get_if<InputNotice>(&frame)) {
-        m_listener.handleInputNotice(input->m_key);
+        m_listener.handleInputNotice(*input);
     } else if (const auto* const request = std::get_if<RelayedRequest>(&frame)) {
         m_listener.handleRelayed(address, *request);
     }
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -150,9 +150,10 @@
     bool operator==(const EndsKept&) const = default;
 };
 
-/** Gateway to leader: this key under input/ was written. A hint: the leader reads it. */
+/** Gateway to leader: this key under input/ is written, the store said so. */
 struct InputNotice {
     std::string m_key;
+    std::string m_value;
     bool operator==(const InputNotice&) const = default;
 };
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -80,7 +80,7 @@
 
 template <typename Archive>
 void describe(Archive& archive, InputNotice& frame) {
-    archive(frame.m_key);
+    archive(frame.m_key, frame.m_value);
 }
 
 namespace {
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -25,7 +25,7 @@
             RunStop{5, "l", "j.0.0.0", 1},
             RunAbsent{"l", "j.0.0.0", 1, "why"},
             EndsKept{"l", 7},
-            InputNotice{"k"},
+            InputNotice{"k", "v"},
             RelayedRequest{1, "POST", "h", "/x", "k", "body", 99},
             RelayedAnswer{1, 200, "body"}};
     return frames;
--- a/test/failures/ScheduleFailuresTest.cpp
+++ b/test/failures/ScheduleFailuresTest.cpp
@@ -236,6 +236,20 @@
     EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(3000), "/urgent/"));
 }
 
+TEST_F(ScheduleFailuresTest, OnASlowStoreUrgentWorkWaitsForOneWriteOnly) {
+    constexpr Millis LATENCY{400};
+    constexpr Millis STOP{150};
+    m_fleet.submit(ID, R"({"count":4,"cpu":8000,"gpu":8,"est_ms":60000})", "60000");
+    ASSERT_TRUE(waitUntil(Millis(2000), [&] { return countMembers(ID, 4) == 4; }));
+    m_fleet.m_state.m_latency = LATENCY;
+    const std::string urgent = idOf(77);
+    ASSERT_EQ(m_fleet.submit(urgent, WHOLE, "1000", "/urgent/", getFollower()).m_status, 200U);
+    const Millis accepted = m_fleet.m_loop.now();
+    ASSERT_TRUE(waitUntil(Millis(5000), [&] { return countMembers(urgent, 1) == 1; }));
+    // The write that places it; 815 ms when the stop was written before it was sent.
+    EXPECT_LE(m_fleet.m_loop.now() - accepted, LATENCY + STOP);
+}
+
 TEST_F(ScheduleFailuresTest, AHostThatIsGoneForLongIsForgottenAndComesBackWhenItStarts) {
     const std::string key = getHostKey(m_fleet.m_sidecars[1].m_address);
     m_fleet.killSidecar(1);
