--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -11,8 +11,6 @@
 
 /** Questions whose answer may still come. */
 constexpr std::size_t MAX_ASKS = 32;
-/** A lease that ends sooner than this starts nothing. */
-constexpr Millis LEAST_LEASE{300};
 /** What runs is reported at least so often, for its progress. */
 constexpr Millis REPORT_INTERVAL{1000};
 /** Former lives that are remembered: a worker that restarts each second for half a minute. */
@@ -274,121 +272,6 @@
     sendNotice();
 }
 
-// Holding the worker's lease, and seeing what runs.
-
-bool WorkerAgent::hasLease() const {
-    return m_leaseUntil - m_loop.now() > LEAST_LEASE && m_clock.has_value();
-}
-
-/** The end of the lease on the worker's clock, at the earliest that the clock may show it. */
-std::optional<Millis> WorkerAgent::getUntil() const {
-    if (!m_clock.has_value() || m_leaseUntil <= m_clock->second) {
-        return std::nullopt;
-    }
-    const auto length = static_cast<double>((m_leaseUntil - m_clock->second).count());
-    const auto least = static_cast<std::int64_t>(length * (1.0 - m_settings.m_clockSlack));
-    return m_clock->first + Millis(least);
-}
-
-Millis WorkerAgent::getHoldWait() const {
-    return m_pacer.isNeeded() ? m_settings.m_pacingWait : m_settings.m_holdWait;
-}
-
-void WorkerAgent::holdLater(Millis pause) {
-    m_loop.cancel(m_holdTimer);
-    m_holdTimer = m_loop.callLater(pause, guarded([this] {
-                                       m_holdTimer = TimerId::NONE;
-                                       if (!m_isHolding) {
-                                           hold(getHoldWait());
-                                       }
-                                   }));
-}
-
-/** A hold that waits is sent one at a time; one that doesn't may overtake it. */
-void WorkerAgent::hold(Millis wait) {
-    if (m_life.empty() || m_leader.getEpoch() == 0) {
-        return;
-    }
-    const bool isWaiting = wait > Millis(0);
-    m_isHolding = m_isHolding || isWaiting;
-    HoldCall call;
-    call.m_lastKept = m_lastKept;
-    call.m_until = getUntil();
-    call.m_wait = wait;
-    const std::uint64_t number = ++m_holdNumber;
-    m_worker.hold(getCall(), call,
-                  [this, number, isWaiting, term = std::weak_ptr(m_term)](const HoldReply& reply) {
-                      if (term.expired()) {
-                          return;
-                      }
-                      if (isWaiting) {
-                          m_isHolding = false;
-                      }
-                      handleHold(reply, number);
-                  });
-}
-
-void WorkerAgent::handleHold(const HoldReply& reply, std::uint64_t number) {
-    if (reply.m_status != WorkerStatus::OK) {
-        logEvent(Severity::WARNING, "agent", "hold-failed",
-                 {{"life", m_life},
-                  {"reason", reply.m_reason},
-                  {"epoch", std::to_string(m_leader.getEpoch())}});
-        holdLater(m_settings.m_pause);
-        return;
-    }
-    const bool isFirst = !m_clock.has_value();
-    const bool wasSilent = isWorkerSilent();
-    m_answeredAt = m_loop.now();
-    if (wasSilent) {
-        ask();
-    }
-    m_clock = {reply.m_clock, m_loop.now()};
-    if (isFirst) {
-        // Before the first report, which would else be taken for the old life's.
-        sendNotice();
-    }
-    // Answers on different connections overtake each other.
-    if (number > m_holdSeen) {
-        m_holdSeen = number;
-        handleLook(reply, number);
-    }
-    if (isFirst) {
-        hold(Millis(0));
-        m_orders.pump();
-    }
-    // A hold would be answered at once while ends are listed: wait until they are kept.
-    if (!m_isHolding) {
-        holdLater(m_ended.empty() ? Millis(0) : m_settings.m_pause);
-    }
-}
-
-void WorkerAgent::handleLook(const HoldReply& reply, std::uint64_t number) {
-    m_running = reply.m_running;
-    m_ended = reply.m_ended;
-    std::erase_if(m_ended, [this](const ListedEnd& end) { return end.m_number <= m_lastKept; });
-    m_orders.handleLook(number);
-    sendReport();
-    pace();
-}
-
-void WorkerAgent::pace() {
-    for (const PaceCall& call : m_pacer.look(m_running, m_loop.now())) {
-        m_worker.pace(getCall(), call,
-                      [this, call, term = std::weak_ptr(m_term)](const RunReply& reply) {
-                          if (term.expired() || reply.m_status == WorkerStatus::OK) {
-                              return;
-                          }
-                          logEvent(Severity::WARNING, "agent", "pace-failed",
-                                   {{"task", call.m_task.toText()},
-                                    {"run", std::to_string(call.m_run)},
-                                    {"percent", std::to_string(call.m_percent)},
-                                    {"reason", reply.m_reason}});
-                          m_pacer.forgetPace({call.m_task, call.m_run});
-                      });
-    }
-}
-
 // OrderContext.
 
 std::optional<Millis> WorkerAgent::getStartLease() const {
--- /dev/null
+++ b/libs/operators/src/BackendAnswers.h
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_OPERATORS_BACKENDANSWERS_H
+#define PIERBANK_OPERATORS_BACKENDANSWERS_H
+
+#include <string>
+#include <utility>
+
+#include "pierbank/operators/JobBackend.h"
+#include "pierbank/operators/JobTables.h"
+
+namespace pierbank {
+
+/** The job of this name or id; null when there is none. */
+inline const JobEntry* findJob(const JobTable& jobs, const std::string& name) {
+    const auto found = jobs.find(toJobId(name));
+    return found == jobs.end() ? nullptr : &found->second;
+}
+
+/** Nothing was changed, for this reason. */
+inline StatementAnswer refuse(std::string why) {
+    return makeAnswer(StatementStatus::REFUSED, std::move(why));
+}
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_OPERATORS_BACKENDANSWERS_H
