--- a/test/failures/WorkerFailuresTest.cpp
+++ b/test/failures/WorkerFailuresTest.cpp
@@ -150,6 +150,36 @@
     EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(20'000)));
 }
 
+TEST_F(WorkerFailuresTest, AStartCarriedOutAfterTheJobWasWithdrawnIsStopped) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_startsToDelay = 5;
+    }
+    m_fleet.submit(ID, SMALL, "60000");
+    m_fleet.m_loop.advance(Millis(200));
+    EXPECT_EQ(m_fleet.ask(0, "DELETE", std::string("/batch/") + ID).m_status, 200U);
+    m_fleet.m_loop.advance(Millis(8000));
+    EXPECT_EQ(m_fleet.m_witness.countRunning(), 0U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(1000)));
+}
+
+TEST_F(WorkerFailuresTest, AStartCarriedOutAfterItsSidecarWasReplacedIsStoppedOnceWithdrawn) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_startsToDelay = 5;
+    }
+    m_fleet.submit(ID, SMALL, "60000");
+    m_fleet.m_loop.advance(Millis(200));
+    for (std::size_t i = 0; i < m_fleet.m_sidecars.size(); ++i) {
+        m_fleet.killSidecar(i);
+    }
+    EXPECT_EQ(m_fleet.ask(0, "DELETE", std::string("/batch/") + ID).m_status, 200U);
+    for (std::size_t i = 0; i < m_fleet.m_sidecars.size(); ++i) {
+        m_fleet.startSidecar(i);
+    }
+    m_fleet.m_loop.advance(Millis(8000));
+    EXPECT_EQ(m_fleet.m_witness.countRunning(), 0U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(1000)));
+}
+
 TEST_F(WorkerFailuresTest, ARefusedStartGoesElsewhereAndFreesTheRoom) {
     for (auto& sidecar : m_fleet.m_sidecars) {
         sidecar.m_worker->m_refusal = "room";
