--- a/test/failures/ScheduleFailuresTest.cpp
+++ b/test/failures/ScheduleFailuresTest.cpp
@@ -236,6 +236,17 @@
     EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(3000), "/urgent/"));
 }
 
+TEST_F(ScheduleFailuresTest, WhileNothingChangesHardlyAnyPlansAreMade) {
+    m_fleet.submit(ID, R"({"count":4,"cpu":8000,"gpu":8,"est_ms":60000})", "60000");
+    ASSERT_TRUE(waitUntil(Millis(2000), [&] { return countMembers(ID, 4) == 4; }));
+    m_fleet.m_loop.advance(Millis(1000));
+    const JobFigures& figures = m_fleet.m_gateways[getLeader()].m_core->getJobs().getFigures();
+    const std::uint64_t before = figures.m_plans;
+    m_fleet.m_loop.advance(Millis(10'000));
+    // One each 500 ms. A plan each 100 ms and for each report would be 140 (worked out).
+    EXPECT_LE(figures.m_plans - before, 21U);
+}
+
 TEST_F(ScheduleFailuresTest, OnASlowStoreUrgentWorkWaitsForOneWriteOnly) {
     constexpr Millis LATENCY{400};
     constexpr Millis STOP{150};
