A gang that no part could hold is refused although a smaller one like it waits

Cause: with reasons asked for, a larger unit took the note of the smaller one that had found no room, so that 'can't run' became 'waits': the demo's 'submit job never' (5x8 on four workers) was taken. Plans without reasons, which are all that the leader carries out, were not touched by it.

Test AGangThatNothingCouldHoldSaysSoAlsoAfterASmallerOneThatWaits failed first.

--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -276,8 +276,11 @@
     }
     const auto known = m_roomless.find(getLikeness(unit));
     if (known != m_roomless.end() && unit.m_indexes.size() >= known->second.m_members) {
-        if (m_input.m_withReasons) {
+        if (unit.m_indexes.size() == known->second.m_members) {
             note(unit, known->second.m_note.m_kind, known->second.m_note.m_text);
+        } else {
+            // A larger one may be too large for any worker.
+            noteWait(unit);
         }
     } else if (!placeOrWait(unit)) {
         noteWait(unit);
--- a/libs/job/test/TaskPlannerTest.cpp
+++ b/libs/job/test/TaskPlannerTest.cpp
@@ -262,6 +262,20 @@
     EXPECT_EQ(got.m_waiting, 2U);
 }
 
+TEST_F(TaskPlannerTest, AGangThatNothingCouldHoldSaysSoAlsoAfterASmallerOneThatWaits) {
+    addRunning("r", 0, 8, Millis(100));
+    StepSpec wide = makeStep(4, 8);
+    wide.m_isGang = true;
+    StepSpec tooWide = makeStep(5, 8);
+    tooWide.m_isGang = true;
+    addJob("a", 1, wide, NOW - Millis(10));
+    addJob("b", 1, tooWide);
+    const TaskPlan got = plan();
+    ASSERT_EQ(got.m_notes.size(), 2U);
+    EXPECT_EQ(got.m_notes[0].m_kind, PlanNote::Kind::WAITS);
+    EXPECT_EQ(got.m_notes[1].m_kind, PlanNote::Kind::CANNOT_RUN);
+}
+
 TEST_F(TaskPlannerTest, WithoutReasonsThePlanIsTheSame) {
     addRunning("r", 0, 8, Millis(100));
     addJob("a", 0, makeStep(3, 8));
