--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -102,8 +102,8 @@
 /**
  * The leader's work: it knows all jobs, decides what runs where, and tells the sidecars. Each
  * decision changes the job in memory, goes to the store in a transaction that expects the leader
- * key's revision, and only when that is known to have taken effect do orders go out and ends count
- * as kept. A leader that was replaced can commit nothing.
+ * key's revision, and only when that is known to have taken effect do starts go out and ends count
+ * as kept; stops go out at once. A leader that was replaced can commit nothing.
  */
 class JobController final : public WorkerPoolListener, public WaveSchedule {
 public:
