Sight for late and refused urgent jobs: what they wait for, which queue was refused, how long a run stood still

Logs could not tell the hypotheses of the incident apart: a refused job had no queue while the configuration could not be confirmed, and nothing said why an accepted one waited. Plans name urgent jobs that wait and for what, one line a change; refusals carry queue and priority of the configuration at hand; a run that is stopped since nothing advances says for how long it stood still; pierbank-trace shows all of it. No decision changes.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -184,6 +184,7 @@
     void updateView(WorkerView& view, const WorkerPool::Host& host) const;
     void wishForAdvice();
     void notePlanTime(Millis took, const TaskPlan& plan);
+    void noteUrgentWaits(const TaskPlan& plan);
     const std::string* findHostOf(const std::string& life) const;
     void place(const std::vector<Placement>& placements);
     void placeCopy(const Placement& placement);
@@ -250,6 +251,8 @@
     Millis m_ordersCheckedAt{0};
     /** What a plan depends on has changed since the last one was made. */
     bool m_isPlanStale = true;
+    /** Urgent jobs that waited in the last plan. */
+    std::set<std::string, std::less<>> m_urgentWaiting;
     /** Units that the last plan left waiting. */
     std::size_t m_waiting = 0;
     Millis m_plannedAt{0};
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -121,6 +121,7 @@
     struct Call;
     using CallPtr = std::shared_ptr<Call>;
 
+    void findLikelyQueue(Call& call) const;
     void confirmAndRoute(const CallPtr& call);
     void route(const CallPtr& call);
     /** Answers a refusal after a fresh read has confirmed it, or decides anew. */
--- a/libs/control/include/pierbank/control/JobTable.h
+++ b/libs/control/include/pierbank/control/JobTable.h
@@ -4,11 +4,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "pierbank/job/JobRun.h"
+#include "pierbank/job/TaskPlanner.h"
 #include "pierbank/store/RecordStore.h"
 #include "pierbank/wire/Frame.h"
 
@@ -33,6 +35,8 @@
     bool m_isCancelAsked = false;
     /** The job's record and cancel are still in the store. */
     bool m_hasInput = true;
+    /** What urgent work waited for in the last plan; empty: it did not. Told in the log. */
+    std::optional<UrgentWait::For> m_waitsFor;
     /** Sent when the next commit of this job is known. */
     std::vector<PendingMessage> m_messages;
     /** Ends of runs that the next commit of this job keeps. */
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -65,6 +65,7 @@
     m_isPlanStale = true;
     m_areViewsStale = true;
     m_waiting = 0;
+    m_urgentWaiting.clear();
     m_earlyCancels.clear();
     m_health.clear();
     m_demand.clear();
@@ -161,6 +162,7 @@
     m_waiting = plan.m_waiting;
     m_plannedAt = m_loop.now();
     notePlanTime(m_plannedAt - begunAt, plan);
+    noteUrgentWaits(plan);
     place(plan.m_placements);
     for (const Placement& copy : plan.m_copies) {
         placeCopy(copy);
@@ -185,6 +187,32 @@
               {"waiting", std::to_string(plan.m_waiting)}});
 }
 
+/** One line each time that an urgent job begins to wait, or for something else. */
+void JobController::noteUrgentWaits(const TaskPlan& plan) {
+    std::set<std::string, std::less<>> waiting;
+    for (const UrgentWait& wait : plan.m_urgentWaits) {
+        waiting.emplace(wait.m_job);
+        JobEntry& entry = m_jobs.find(wait.m_job)->second;
+        if (std::exchange(entry.m_waitsFor, wait.m_for) == wait.m_for) {
+            continue;
+        }
+        logEvent(Severity::INFO, "jobs", "waits",
+                 {{"job", std::string(wait.m_job)},
+                  {"for", std::string(toText(wait.m_for))},
+                  {"guaranteed", wait.m_isGuaranteed ? "yes" : "no"},
+                  {"loss_core_s", std::to_string(std::lround(wait.m_loss))},
+                  {"age_ms",
+                   std::to_string((m_loop.wallNow() - entry.m_record.m_acceptedAt).count())}});
+    }
+    for (const std::string& id : m_urgentWaiting) {
+        const auto found = m_jobs.find(id);
+        if (waiting.count(id) == 0 && found != m_jobs.end()) {
+            found->second.m_waitsFor.reset();
+        }
+    }
+    m_urgentWaiting = std::move(waiting);
+}
+
 void JobController::place(const std::vector<Placement>& placements) {
     // Members of one gang share the number of their run.
     std::map<TaskKey, std::uint32_t> gangRuns;
@@ -326,6 +354,12 @@
                 continue;
             }
             entry.m_run.findTask(run.m_task)->m_failedHosts.add(run.m_worker.m_host);
+            const Millis still = m_progress.getStalledTime(run.m_worker.m_host, run.m_task);
+            logEvent(Severity::WARNING, "health", "run-stalled",
+                     {{"host", run.m_worker.m_host},
+                      {"task", run.m_task.toText()},
+                      {"still_ms", std::to_string(still.count())},
+                      {"ran_ms", std::to_string((m_loop.wallNow() - run.m_placedAt).count())}});
             stop({run.m_task, run.m_run, "nothing advances on " + run.m_worker.m_host});
         }
     }
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -57,6 +57,7 @@
     call->m_done = std::move(done);
     call->m_startedAt = m_loop.now();
     call->m_id = getJobIdOf(call->m_request.m_path);
+    findLikelyQueue(*call);
     const auto age = m_configuration.getAge();
     if (age.has_value() && *age <= m_settings.m_maxConfigurationAge) {
         route(call);
@@ -71,6 +72,17 @@
     confirmAndRoute(call);
 }
 
+void JobIntake::findLikelyQueue(Call& call) const {
+    const QueueConfiguration* const configuration = m_configuration.get();
+    const QueueRoute* const route =
+            configuration == nullptr
+                    ? nullptr
+                    : configuration->findRoute(call.m_request.m_host, call.m_request.m_path);
+    if (route != nullptr) {
+        call.m_likelyPolicy = route->m_policy;
+    }
+}
+
 /** Decides, or decides anew, by a configuration that was read since the request came. */
 void JobIntake::confirmAndRoute(const CallPtr& call) {
     m_configuration.confirm([this, call](bool isGood) {
@@ -285,11 +297,15 @@
     }
     answer.m_reason = reason;
     const auto age = m_configuration.getAge();
+    const bool isRouted = !call->m_policy.m_queue.empty();
+    const QueuePolicy policy =
+            isRouted ? call->m_policy : call->m_likelyPolicy.value_or(QueuePolicy());
     logEvent(status == HTTP_OK ? Severity::INFO : Severity::WARNING, "intake", "answered",
              {{"job", call->m_id},
               {"method", call->m_request.m_method},
               {"status", std::to_string(status)},
-              {"queue", call->m_policy.m_queue},
+              {"queue", policy.m_queue},
+              {"priority", policy.m_queue.empty() ? "" : std::to_string(policy.m_priority)},
               {"organisation", call->m_organisation},
               {"configuration", std::to_string(m_configuration.getRevision())},
               {"age_ms", age.has_value() ? std::to_string(age->count()) : "-"},
--- a/libs/control/src/JobIntakeCall.h
+++ b/libs/control/src/JobIntakeCall.h
@@ -19,6 +19,8 @@
     /** Set by route(). */
     QueuePolicy m_policy;
     std::string m_organisation;
+    /** The queue by the configuration at hand, which nothing may have confirmed. */
+    std::optional<QueuePolicy> m_likelyPolicy;
     StoreRevision m_configurationRevision = 0;
     /** The configuration was confirmed by a read sent after the request came. */
     bool m_isConfirmed = false;
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -134,6 +134,27 @@
     std::string m_text;
 };
 
+/** Why a unit of urgent work got no room at once; the first such unit of its job. */
+struct UrgentWait {
+    enum class For {
+        /** Runs that are being stopped. */
+        STOPS,
+        /** Runs that are about to end by themselves. */
+        ENDS,
+        /** What would have to give way is worth more. */
+        ROOM,
+        /** No workers that it may use could make room. */
+        WORKERS,
+    };
+    std::string_view m_job;
+    For m_for = For::WORKERS;
+    bool m_isGuaranteed = false;
+    /** Core-seconds that give way, or would have to. */
+    double m_loss = 0;
+};
+
+std::string_view toText(UrgentWait::For what);
+
 /** A task's place in its job, by a name that somebody else holds. */
 struct TaskRef {
     std::string_view m_job;
@@ -176,6 +197,8 @@
     std::vector<Stop> m_stops;
     /** Only if they were asked for. */
     std::vector<PlanNote> m_notes;
+    /** Urgent jobs that wait; they name jobs of the input. */
+    std::vector<UrgentWait> m_urgentWaits;
     /** Units that found no place: time alone may change that. */
     std::size_t m_waiting = 0;
 };
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -310,11 +310,20 @@
         // What is being stopped will make room; nobody else gets it meanwhile.
         reserveLeaving(unit, *assignment);
         note(unit, "waits until work that is being stopped has ended");
+        noteUrgentWait(unit, UrgentWait::For::STOPS);
         return true;
     }
     return unit.isUrgent() && (waitFor(unit) || preemptFor(unit));
 }
 
+void PlanningPass::noteUrgentWait(const WorkUnit& unit, UrgentWait::For what, double loss) {
+    const std::string_view job = unit.getRecord().m_id;
+    auto& waits = m_plan.m_urgentWaits;
+    if (unit.isUrgent() && (waits.empty() || waits.back().m_job != job)) {
+        waits.push_back({job, what, unit.m_of->m_isGuaranteed, loss});
+    }
+}
+
 void PlanningPass::commit(const WorkUnit& unit, const Assignment& assignment) {
     --m_plan.m_waiting;
     const bool isCounted = unit.getSpec().m_maxPerWorker > 0;
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -184,6 +184,7 @@
     void placeStep(const WaitingStep& step);
     void placeUnit(const WorkUnit& unit);
     void noteRoomless(const WorkUnit& unit);
+    void noteUrgentWait(const WorkUnit& unit, UrgentWait::For what, double loss = 0);
     bool placeOrWait(const WorkUnit& unit);
     void commit(const WorkUnit& unit, const Assignment& assignment);
     void note(const WorkUnit& unit, PlanNote::Kind kind, std::string text);
--- a/libs/job/src/PlanningPassEviction.cpp
+++ b/libs/job/src/PlanningPassEviction.cpp
@@ -84,6 +84,7 @@
     }
     reserveLeaving(unit, *assignment);
     note(unit, "waits for work that is about to end");
+    noteUrgentWait(unit, UrgentWait::For::ENDS);
     return true;
 }
 
@@ -98,6 +99,8 @@
         }
     }
     if (!best.has_value() || !isWorth(unit, best->m_loss)) {
+        const auto what = best.has_value() ? UrgentWait::For::ROOM : UrgentWait::For::WORKERS;
+        noteUrgentWait(unit, what, best.has_value() ? best->m_loss / MILLIS_PER_SECOND : 0.0);
         return false;
     }
     for (const std::size_t victim : best->m_victims) {
@@ -105,6 +108,7 @@
     }
     reserveLeaving(unit, best->m_assignment);
     note(unit, "waits until work that gives way to it has ended");
+    noteUrgentWait(unit, UrgentWait::For::STOPS, best->m_loss / MILLIS_PER_SECOND);
     return true;
 }
 
--- a/libs/job/src/TaskPlanner.cpp
+++ b/libs/job/src/TaskPlanner.cpp
@@ -27,6 +27,20 @@
 
 }  // namespace
 
+std::string_view toText(UrgentWait::For what) {
+    switch (what) {
+        case UrgentWait::For::STOPS:
+            return "stops";
+        case UrgentWait::For::ENDS:
+            return "ends";
+        case UrgentWait::For::ROOM:
+            return "room";
+        case UrgentWait::For::WORKERS:
+            break;
+    }
+    return "workers";
+}
+
 TaskPlan TaskPlanner::plan(const PlanInput& input) const {
     return PlanningPass(m_settings, input).run();
 }
--- a/libs/job/test/TaskPlannerTest.cpp
+++ b/libs/job/test/TaskPlannerTest.cpp
@@ -135,6 +135,28 @@
     EXPECT_EQ(plan().m_stops.size(), 1U);
 }
 
+TEST_F(TaskPlannerTest, APlanSaysWhatUrgentWorkWaitsFor) {
+    for (int i = 0; i < 4; ++i) {
+        addRunning("a" + std::to_string(i), i, 8, Millis(9000));
+    }
+    addJob("e", 0, makeStep(2, 8));
+    const auto getWaits = [this] {
+        std::vector<std::pair<std::string, std::string>> waits;
+        for (const UrgentWait& wait : plan().m_urgentWaits) {
+            waits.emplace_back(wait.m_job, toText(wait.m_for));
+        }
+        return waits;
+    };
+    using Waits = std::vector<std::pair<std::string, std::string>>;
+    EXPECT_EQ(getWaits(), (Waits{{"e", "room"}})) << "what would give way is worth more";
+    m_guarantees["o"] = 16;
+    EXPECT_EQ(getWaits(), (Waits{{"e", "stops"}}));
+    m_remaining[{"a2", 0, 0, 0}] = Millis(200);
+    EXPECT_EQ(getWaits(), (Waits{{"e", "ends"}}));
+    addJob("f", 0, makeStep(1, 16));
+    EXPECT_EQ(getWaits(), (Waits{{"e", "ends"}, {"f", "workers"}}));
+}
+
 TEST_F(TaskPlannerTest, UrgentWorkWaitsForWorkThatIsAboutToEnd) {
     m_guarantees["o"] = 8;
     for (int i = 0; i < 4; ++i) {
--- a/libs/trace/include/pierbank/trace/JobTrace.h
+++ b/libs/trace/include/pierbank/trace/JobTrace.h
@@ -61,6 +61,8 @@
     /** Core-seconds of runs that were stopped for others. */
     double m_workLost = 0;
     std::vector<std::string> m_failedOn;
+    /** Urgent jobs: what they waited for, in turn (`stops`, `ends`, `room`, `workers`). */
+    std::vector<std::string> m_waitedFor;
     /** By cause, the most that one of its tasks lost. */
     std::array<Millis, CAUSES> m_lost{};
 
--- a/libs/trace/src/JobTrace.cpp
+++ b/libs/trace/src/JobTrace.cpp
@@ -97,6 +97,8 @@
         followAnswer(line);
     } else if (line.is("jobs", "known")) {
         followKnown(line);
+    } else if (line.is("jobs", "waits")) {
+        getEntry(getJobOf(line)).m_story.m_waitedFor.emplace_back(line.get("for"));
     } else if (line.is("jobs", "placed")) {
         followPlaced(line);
     } else if (line.is("jobs", "stopped")) {
@@ -154,7 +156,10 @@
     story.m_firstAskedAt = std::min(story.m_firstAskedAt.value_or(askedAt), askedAt);
     if (!line.get("organisation").empty()) {
         story.m_organisation = line.get("organisation");
+    }
+    if (!line.get("queue").empty()) {
         story.m_queue = line.get("queue");
+        story.m_priority = line.get("priority");
     }
     if (line.get("status") == "200") {
         story.m_acceptedAt = story.m_acceptedAt.value_or(line.m_at);
--- a/libs/trace/test/JobTraceTest.cpp
+++ b/libs/trace/test/JobTraceTest.cpp
@@ -115,6 +115,22 @@
               (std::map<std::string, bool>{{"early", false}, {"lost", true}, {"late", false}}));
 }
 
+TEST_F(JobTraceTest, TellsTheQueueAndPriorityOfAJobThatNobodyTook) {
+    log(1000, "g1",
+        "intake answered job=a method=POST status=503 queue=quick priority=0 organisation=\"\" "
+        "took_ms=0 reason=lost");
+    const JobStory story = tell();
+    EXPECT_EQ(story.m_queue, "quick");
+    EXPECT_EQ(story.m_priority, "0");
+}
+
+TEST_F(JobTraceTest, TellsWhatAnUrgentJobWaitedFor) {
+    accept(1000);
+    log(1010, "g1", "jobs waits job=a for=ends guaranteed=no loss_core_s=0 age_ms=10");
+    log(1400, "g1", "jobs waits job=a for=stops guaranteed=no loss_core_s=30 age_ms=400");
+    EXPECT_EQ(tell().m_waitedFor, (std::vector<std::string>{"ends", "stops"}));
+}
+
 TEST_F(JobTraceTest, OrdersLinesOfSeveralLogs) {
     log(1200, "g2", "jobs over job=a phase=succeeded");
     log(1100, "g2", "jobs placed task=a.0.0.0 run=1 host=h1");
--- a/tools/trace/main.cpp
+++ b/tools/trace/main.cpp
@@ -58,6 +58,9 @@
     if (story.m_evictions > 0) {
         std::printf(" evictions=%u work_lost_core_s=%.1f", story.m_evictions, story.m_workLost);
     }
+    for (const std::string& what : story.m_waitedFor) {
+        std::printf(" waited_for=%s", what.c_str());
+    }
     for (const std::string& host : story.m_failedOn) {
         std::printf(" failed_on=%s", host.c_str());
     }
