--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -289,17 +289,17 @@
     IntakeAnswer answer;
     answer.m_status = status;
     answer.m_body = std::move(body);
+    const bool isRouted = !call->m_policy.m_queue.empty();
+    const QueuePolicy policy =
+            isRouted ? call->m_policy : call->m_likelyPolicy.value_or(QueuePolicy());
     if (status == HTTP_UNAVAILABLE) {
-        // Before the queue is known, nothing says that it is urgent.
-        const bool isUrgent = !call->m_policy.m_queue.empty() && call->m_policy.m_priority == 0;
+        // Who comes back first needs no confirmed configuration: in an outage there is none.
+        const bool isUrgent = !policy.m_queue.empty() && policy.m_priority == 0;
         const RefusedCaller caller{call->m_id, isUrgent, getTimeLeft(*call)};
         answer.m_retryAfter = m_retryAdvice.advise(caller, m_loop.now());
     }
     answer.m_reason = reason;
     const auto age = m_configuration.getAge();
-    const bool isRouted = !call->m_policy.m_queue.empty();
-    const QueuePolicy policy =
-            isRouted ? call->m_policy : call->m_likelyPolicy.value_or(QueuePolicy());
     logEvent(status == HTTP_OK ? Severity::INFO : Severity::WARNING, "intake", "answered",
              {{"job", call->m_id},
               {"method", call->m_request.m_method},
--- a/test/failures/RequestFailuresTest.cpp
+++ b/test/failures/RequestFailuresTest.cpp
@@ -51,6 +51,24 @@
     EXPECT_EQ(answered, 60U);
 }
 
+/**
+ * In outages of more than a second urgent callers were told to come back up to half as much later,
+ * as others are: the gateway could not confirm its configuration, and so did not look which queue
+ * they asked for (`queue=""`, `retry_after_ms=1252` for an urgent job that was refused four times).
+ */
+TEST_F(RequestFailuresTest, InALongOutageUrgentCallersAreToldToComeBackFirst) {
+    m_fleet.m_state.m_isDown = true;
+    m_fleet.m_loop.advance(Millis(4000));
+    Millis urgent{0};
+    Millis others{100'000};
+    for (std::uint64_t i = 0; i < 8; ++i) {
+        urgent = std::max(urgent, m_fleet.submit(idOf(i), SMALL, "100", "/urgent/").m_retryAfter);
+        others = std::min(others, m_fleet.submit(idOf(10 + i), SMALL, "100").m_retryAfter);
+    }
+    EXPECT_GT(urgent, Millis(0));
+    EXPECT_LT(urgent, others);
+}
+
 TEST_F(RequestFailuresTest, WhatIsGivenUpOnIsAnsweredAtOnceWithATimeToComeBack) {
     for (const bool isCut : {false, true}) {
         m_fleet.m_state.m_isDown = !isCut;
