A revoked key's 401 by the leader is no refusal of an own write that may have taken effect

Cause: a gateway whose write got no answer asks the leader. Only its 503 was kept from the caller then, any other refusal was passed on as it was. Now an unknown outcome stays 504 whatever the leader refuses it for, but 410 for a withdrawal. The test failed before (401).

--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -272,8 +272,9 @@
         const bool mayRun = call->m_request.m_method == "POST";
         answer(call, mayRun ? HTTP_TIMEOUT : status, "",
                reason + "; the leader did not answer either");
-    } else if (relayed->m_status == HTTP_UNAVAILABLE && status == HTTP_TIMEOUT) {
-        // The leader did not take it, but an own write may be under way.
+    } else if (status == HTTP_TIMEOUT && relayed->m_status != HTTP_GONE) {
+        // An own write may have taken effect, or may yet: whatever the leader refuses it for now (a
+        // key that was revoked since, too), the job may run.
         answer(call, status, "", reason + "; the leader refused it");
     } else {
         answer(call, relayed->m_status, relayed->m_body, "answered by the leader");
--- a/test/failures/RequestFailuresTest.cpp
+++ b/test/failures/RequestFailuresTest.cpp
@@ -142,6 +142,28 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(idOf(9))), 1U);
 }
 
+/**
+ * A caller was told 401 of a job that ran. Its gateway wrote the job, the store lost the answer and
+ * then turned that gateway away; meanwhile the operators took the key back. The gateway asked the
+ * leader, whose 401 was right for a request of that moment, and passed it on, though its own write
+ * had taken effect 1.2 s before and the job had begun (logs of a day with lost answers, a slow
+ * store and a revoked key).
+ */
+TEST_F(RequestFailuresTest, ARevokedKeyAtTheLeaderIsNoRefusalOfAWriteThatTookEffect) {
+    m_fleet.m_state.m_answersToLose = 100;
+    const std::size_t follower = getFollower();
+    m_fleet.m_loop.callLater(Millis(50), [this, follower] {
+        m_fleet.m_state.m_answersToLose = 0;
+        m_fleet.m_state.m_cutOff.insert(m_fleet.m_gateways[follower].m_name);
+        m_fleet.configure({"key-b"});
+    });
+    const IntakeAnswer answer = m_fleet.submit(idOf(9), SMALL, "300", "/batch/", follower);
+    EXPECT_EQ(answer.m_status, 504U) << answer.m_reason;
+    m_fleet.m_state.m_cutOff.clear();
+    m_fleet.m_loop.advance(Millis(3000));
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(idOf(9))), 1U);
+}
+
 TEST_F(RequestFailuresTest, AJobRunsOnceWhateverGatewaysItsRepeatsComeTo) {
     Random random(7);
     for (std::uint64_t job = 1; job <= 12; ++job) {
