--- a/libs/control/include/pierbank/control/ProgressTracker.h
+++ b/libs/control/include/pierbank/control/ProgressTracker.h
@@ -44,10 +44,9 @@
 public:
     /**
      * Before it was seen to advance, a run stands still when it shows nothing in this share of its
-     * declared time:
-     * it is fifteen times too slow then. Hosts were seen to be slow by up to seven times, declared
-     * times to be off by half. One time for all took runs of an hour, of which a percent takes 36
-     * s, for standing still and began an urgent one 27 times a minute.
+     * declared time: it is fifteen times too slow then. Hosts were seen to be slow by up to seven
+     * times, declared times to be off by half. One time for all took runs of an hour, of which a
+     * percent takes 36 s, for standing still and began an urgent one 27 times a minute (test).
      */
     static constexpr double STALLED_SHARE = 0.15;
     /**
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -100,8 +100,9 @@
 }
 
 /**
- * A run that stands still wherever it is put takes longer than declared: it is not moved without
- * end, and says nothing of its host.
+ * A run that stands still, or fails, wherever it is put takes longer than declared or is itself to
+ * blame: it is not moved without end, and says nothing of its host. The record does not tell the
+ * two apart.
  */
 bool JobController::hasStoodOnSeveralHosts(const JobEntry& entry, const TaskKey& task) {
     constexpr std::size_t SEVERAL = 2;
--- a/libs/trace/src/JobTrace.cpp
+++ b/libs/trace/src/JobTrace.cpp
@@ -159,6 +159,8 @@
     }
     if (!line.get("queue").empty()) {
         story.m_queue = line.get("queue");
+    }
+    if (!line.get("priority").empty()) {
         story.m_priority = line.get("priority");
     }
     if (line.get("status") == "200") {
