Sight for crashes: a sidecar's account of what had begun on its worker, told with each notice

Logs could not tell which runs a worker that crashed had really begun: a start that was refused, or sent to a worker that was gone already, looked like any other. The sidecar alone knows. It logs worker-crashed with the youngest run, and names its last crashes to each leader; a life that said that it would leave is none.

--- a/libs/control/include/pierbank/control/OrderBook.h
+++ b/libs/control/include/pierbank/control/OrderBook.h
@@ -27,6 +27,12 @@
     virtual bool isEnded(const TaskKey& task, std::uint32_t run) const = 0;
     /** Looks at the worker once more. @return number of that look; looks count up. */
     virtual std::uint64_t lookAgain() = 0;
+    /** A start goes out. */
+    virtual void noteSent(const TaskKey& task, std::uint32_t run) = 0;
+    /** The worker said that the run is there. */
+    virtual void noteBegun(const TaskKey& task, std::uint32_t run) = 0;
+    /** The worker surely did not begin it. */
+    virtual void noteRefused(const TaskKey& task, std::uint32_t run) = 0;
     /** The run is not there and never will be. */
     virtual void reportAbsent(const TaskKey& task, std::uint32_t run, std::string_view reason) = 0;
 };
--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -15,6 +15,7 @@
 #include "pierbank/base/EventLoop.h"
 #include "pierbank/control/Documents.h"
 #include "pierbank/control/LeaderPort.h"
+#include "pierbank/control/LifeAccount.h"
 #include "pierbank/control/OrderBook.h"
 #include "pierbank/control/Pacer.h"
 #include "pierbank/control/TaskWorker.h"
@@ -92,6 +93,7 @@
     bool hasLease() const;
     bool isWorkerSilent() const;
     void beginLife(const std::string& life);
+    void endLife();
     bool isFormer(const std::string& life) const;
     /** The worker has answered under the life that its heartbeats name. */
     bool isConfirmed() const { return m_clock.has_value(); }
@@ -102,6 +104,9 @@
     bool isListed(const TaskKey& task, std::uint32_t run) const override;
     bool isEnded(const TaskKey& task, std::uint32_t run) const override;
     std::uint64_t lookAgain() override;
+    void noteSent(const TaskKey& task, std::uint32_t run) override;
+    void noteBegun(const TaskKey& task, std::uint32_t run) override;
+    void noteRefused(const TaskKey& task, std::uint32_t run) override;
     void reportAbsent(const TaskKey& task, std::uint32_t run, std::string_view reason) override;
 
     std::function<void()> guarded(std::function<void()> task);
@@ -118,6 +123,9 @@
     std::deque<std::string> m_formerLives;
     bool m_isGone = false;
     std::optional<WorkerBeat> m_beat;
+    LifeAccount m_account;
+    /** Lives that ended unannounced while this sidecar ran, the latest at the end. */
+    std::deque<WorkerCrash> m_crashes;
 
     std::uint64_t m_askNumber = 0;
     std::map<std::uint64_t, Millis> m_asks;
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -230,6 +230,7 @@
                      {{"task", run.m_task.toText()},
                       {"run", std::to_string(run.m_run)},
                       {"host", host},
+                      {"life", run.m_worker.m_life},
                       {"ran_ms", std::to_string((m_loop.wallNow() - run.m_placedAt).count())},
                       {"cores", std::to_string(getWeight(entry.m_record, run.m_task))},
                       {"reason", std::string(why)}});
--- a/libs/control/src/OrderBook.cpp
+++ b/libs/control/src/OrderBook.cpp
@@ -64,6 +64,7 @@
     start.m_checkpoint = order.m_start.m_checkpoint;
     start.m_ticket = order.m_start.m_ticket;
     start.m_until = until;
+    m_context.noteSent(key.first, key.second);
     m_worker.start(m_context.getCall(), start,
                    [this, key, term = std::weak_ptr(m_term)](const RunReply& reply) {
                        if (!term.expired()) {
@@ -87,9 +88,13 @@
               {"status", std::string(toText(reply.m_status))},
               {"reason", reply.m_reason}});
     if (reply.m_status == WorkerStatus::OK) {
+        m_context.noteBegun(key.first, key.second);
         m_orders.erase(found);
         return;
     }
+    if (reply.m_status == WorkerStatus::REFUSED && order.m_tries == 1) {
+        m_context.noteRefused(key.first, key.second);
+    }
     const bool mayRetry = reply.m_status == WorkerStatus::UNKNOWN || reply.m_reason == "late";
     if (mayRetry && order.m_tries < m_startTries) {
         order.m_isSent = false;
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -15,6 +15,8 @@
 constexpr Millis REPORT_INTERVAL{1000};
 /** Former lives that are remembered: a worker that restarts each second for half a minute. */
 constexpr std::size_t MAX_FORMER_LIVES = 32;
+/** Crashes that leaders are told of; each was passed on long before so many more follow it. */
+constexpr std::size_t MAX_CRASHES = 8;
 
 }  // namespace
 
@@ -173,6 +175,7 @@
     WorkerNotice notice;
     notice.m_life = m_life;
     notice.m_isGone = m_isGone;
+    notice.m_crashes.assign(m_crashes.begin(), m_crashes.end());
     if (m_beat.has_value()) {
         notice.m_service = m_beat->m_service;
         notice.m_failureDomain = m_beat->m_failureDomain;
@@ -224,6 +227,9 @@
     }
     const bool isChanged =
             isNew || !m_beat.has_value() || m_beat->m_isDraining != beat.m_isDraining || m_isGone;
+    if (isNew) {
+        endLife();
+    }
     m_beat = beat;
     if (isNew) {
         beginLife(beat.m_life);
@@ -241,6 +247,24 @@
     return std::find(m_formerLives.begin(), m_formerLives.end(), life) != m_formerLives.end();
 }
 
+/** A life that said that it would leave, or has left, did not crash. */
+void WorkerAgent::endLife() {
+    const bool isAnnounced = m_isGone || (m_beat.has_value() && m_beat->m_isDraining);
+    const std::vector<CrashedRunEntry> runs = m_account.endLife(m_loop.now());
+    if (m_life.empty() || isAnnounced) {
+        return;
+    }
+    logEvent(Severity::WARNING, "agent", "worker-crashed",
+             {{"life", m_life},
+              {"runs", std::to_string(runs.size())},
+              {"youngest", runs.empty() ? "-" : runs.front().m_task},
+              {"youngest_ran_ms", runs.empty() ? "-" : std::to_string(runs.front().m_ranMs)}});
+    m_crashes.push_back({m_life, runs});
+    if (m_crashes.size() > MAX_CRASHES) {
+        m_crashes.pop_front();
+    }
+}
+
 void WorkerAgent::beginLife(const std::string& life) {
     if (!m_life.empty()) {
         m_formerLives.push_back(m_life);
@@ -295,7 +319,20 @@
     return m_holdNumber;
 }
 
+void WorkerAgent::noteSent(const TaskKey& task, std::uint32_t run) {
+    m_account.noteSent({task, run}, m_loop.now());
+}
+
+void WorkerAgent::noteBegun(const TaskKey& task, std::uint32_t run) {
+    m_account.noteBegun({task, run}, m_loop.now());
+}
+
+void WorkerAgent::noteRefused(const TaskKey& task, std::uint32_t run) {
+    m_account.noteNotThere({task, run});
+}
+
 void WorkerAgent::reportAbsent(const TaskKey& task, std::uint32_t run, std::string_view reason) {
+    m_account.noteNotThere({task, run});
     logEvent(Severity::INFO, "agent", "run-absent",
              {{"task", task.toText()},
               {"run", std::to_string(run)},
--- a/libs/control/src/WorkerAgentHold.cpp
+++ b/libs/control/src/WorkerAgentHold.cpp
@@ -68,6 +68,7 @@
 
 void WorkerAgent::handleHold(const HoldReply& reply, std::uint64_t number) {
     if (reply.m_status != WorkerStatus::OK) {
+        m_account.noteNoAnswer(m_loop.now());
         logEvent(Severity::WARNING, "agent", "hold-failed",
                  {{"life", m_life},
                   {"reason", reply.m_reason},
@@ -105,6 +106,7 @@
     m_running = reply.m_running;
     m_ended = reply.m_ended;
     std::erase_if(m_ended, [this](const ListedEnd& end) { return end.m_number <= m_lastKept; });
+    m_account.noteLook(m_running, reply.m_ended, m_loop.now());
     m_orders.handleLook(number);
     sendReport();
     pace();
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -58,6 +58,24 @@
     bool operator==(const LeaderHello&) const = default;
 };
 
+/** One run that had begun, or may have, on a worker that crashed. */
+struct CrashedRunEntry {
+    std::string m_task;
+    std::uint32_t m_run = 0;
+    /** From its start until the worker was first seen not to answer, in milliseconds. */
+    std::uint64_t m_ranMs = 0;
+    /** The worker had said that it runs; else its start was never answered. */
+    bool m_isConfirmed = false;
+    bool operator==(const CrashedRunEntry&) const = default;
+};
+
+/** A life of the worker that another followed although it never said that it would leave. */
+struct WorkerCrash {
+    std::string m_life;
+    std::vector<CrashedRunEntry> m_runs;
+    bool operator==(const WorkerCrash&) const = default;
+};
+
 /** Sidecar to leader: the worker's life and what it has; after each change and when linked. */
 struct WorkerNotice {
     /** Empty while none is known. */
@@ -74,6 +92,8 @@
     bool m_isDraining = false;
     /** Least time that a draining worker stays. */
     std::uint64_t m_remainingMs = 0;
+    /** The last crashes that this sidecar saw, with each notice anew: a leader may be new. */
+    std::vector<WorkerCrash> m_crashes;
     bool operator==(const WorkerNotice&) const = default;
 };
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -35,11 +35,21 @@
     archive(frame.m_epoch, frame.m_node);
 }
 
+template <typename Archive>
+void describe(Archive& archive, CrashedRunEntry& entry) {
+    archive(entry.m_task, entry.m_run, entry.m_ranMs, entry.m_isConfirmed);
+}
+
+template <typename Archive>
+void describe(Archive& archive, WorkerCrash& crash) {
+    archive(crash.m_life, crash.m_runs);
+}
+
 template <typename Archive>
 void describe(Archive& archive, WorkerNotice& frame) {
     archive(frame.m_life, frame.m_isGone, frame.m_service, frame.m_failureDomain, frame.m_rack,
             frame.m_labels, frame.m_cpuMillis, frame.m_memoryMb, frame.m_accelerators,
-            frame.m_isDraining, frame.m_remainingMs);
+            frame.m_isDraining, frame.m_remainingMs, frame.m_crashes);
 }
 
 template <typename Archive>
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -14,12 +14,18 @@
     return report;
 }
 
+WorkerNotice makeNotice() {
+    WorkerNotice notice{"l", true, "s", "d", "r", {"a", "r"}, 1, 2, 3, true, 4, {}};
+    notice.m_crashes.push_back({"k", {{"j.0.0.0", 1, 9, true}}});
+    return notice;
+}
+
 const std::vector<Frame>& getFrames() {
     static const std::vector<Frame> frames = {
             LeaderHello{5, "n"},
             LeaseAsk{9, true},
             LeaseRenewal{1, 2, 3},
-            WorkerNotice{"l", true, "s", "d", "r", {"a", "r"}, 1, 2, 3, true, 4},
+            makeNotice(),
             makeReport(),
             RunOrder{5, "l", "j.0.0.0", 1, std::string("\0\xff", 2), "c", "t", 40, true},
             RunStop{5, "l", "j.0.0.0", 1},
