A task that crashes the workers that start it is given up; its losses are part of the job's record

Cause: a run that was lost with its worker went back to waiting as if it had never begun. Only ends that a worker reports were counted, and a crashed worker reports nothing. Class: evidence that nobody but a third party can give (here the sidecar) is dropped with the state it speaks of.

Ruled out: counting in the path of the other life only (away for longer than the lease, the run is released before); counting in the leader's memory (take-over); counting every loss (hosts that lose power or are cut off would fail innocent jobs).

Change: each loss stays in the task's record with host, life and verdict (open, host lost, beside, suspect, alone). The sidecar names what had begun on a worker that crashed, whenever that is; the verdict reaches whichever leader there is then. Proof: two crashes within 0.3 s of the start, one of them alone; or five of any kind (ten hosts that went whole). With five that may be crashes nothing is started before the verdict. A suspect runs beside as little as can be, never beside another; urgent work and gangs keep off it.

Tests of innocent tasks (a host cut off four times, hosts that lose power by turns, workers that crash by turns, a worker that left as it said) succeed.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -85,6 +86,15 @@
 
 std::string_view toText(WorkerHold hold);
 
+/** How it became known that what ran on a worker runs no more. */
+enum class LossCause {
+    LEASE_LAPSED,
+    OTHER_LIFE,
+    WORKER_LEFT,
+};
+
+std::string_view toText(LossCause cause);
+
 /** What a leader did since it began to lead. */
 struct JobFigures {
     std::uint64_t m_placed = 0;
@@ -205,7 +215,6 @@
     void resendOrders(const std::string& host);
     void resendLostOrders();
     void resendRun(const JobEntry& entry, const HeldRun& run, const RunReport& report);
-    void loseRuns(const std::string& host, const std::string& exceptLife, std::string_view why);
     void noteProgress(const std::string& host, const RunReport& report);
     static bool hasStoodOnSeveralHosts(const JobEntry& entry, const TaskKey& task);
     bool isGangThere(const JobEntry& entry, const TaskKey& member, std::uint32_t run) const;
@@ -213,6 +222,22 @@
     void applyRunEnd(const WorkerId& worker, const EndedEntry& end);
     void takeEffect(JobEntry& entry, const EndEffect& effect);
 
+    // Runs that are lost with their workers (JobControllerLosses.cpp).
+    void loseRuns(const std::string& host, const std::string& exceptLife, LossCause cause);
+    std::optional<LossVerdict> getVerdict(const JobEntry& entry, const HeldRun& run,
+                                          LossCause cause) const;
+    void judgeCrashes(const std::string& host, const WorkerNotice& notice);
+    void judgeCrash(const std::string& host, const WorkerCrash& crash);
+    const TaskRun* findTask(const TaskKey& key) const;
+    void noteLoss(JobEntry& entry, const TaskKey& key, const RunLoss& loss);
+    void settleOpenLosses(const std::string& host, const WorkerNotice& notice);
+    void acquit(const std::string& host, const std::string& life);
+    void refuteLosses(JobEntry& entry, const TaskKey& key, std::uint32_t run);
+    void findOpenLosses();
+    /** Calls `function(entry, key, losses)` for each task that has lost runs. */
+    template <typename Function>
+    void forEachLosses(Function function);
+
     // Committing.
     void commitDirty();
     bool addToTransaction(const std::string& id, JobEntry& entry, StoreTransaction& transaction);
@@ -266,6 +291,10 @@
     std::uint32_t m_weight = 0;
     /** By host. */
     std::map<std::string, WorkerHold> m_holds;
+    /** Lives whose crash was judged in this term. */
+    std::set<std::string> m_judged;
+    /** Hosts on which runs were lost that may have crashed them, or not. */
+    std::set<std::string> m_openHosts;
     /** Lives that are emptied for upkeep. */
     std::set<std::string> m_leavingLives;
     bool m_isCommitting = false;
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -61,6 +61,8 @@
         std::string m_address;
         std::shared_ptr<Link> m_link;
         std::optional<WorkerNotice> m_notice;
+        /** The last life that said that it leaves, or has left: its end is no crash. */
+        std::string m_leavingLife;
         /** When the notice came; the time that a draining worker stays counts from then. */
         Millis m_noticeAt{0};
         /** The running tasks were reported over this link. */
--- /dev/null
+++ b/libs/control/src/JobControllerLosses.cpp
@@ -0,0 +1,245 @@
+// SPDX-License-Identifier: Apache-2.0
+// Runs that are lost with their workers, and what a JobController makes of it.
+#include <algorithm>
+#include <utility>
+
+#include "pierbank/base/Log.h"
+#include "pierbank/control/JobController.h"
+
+namespace pierbank {
+
+std::string_view toText(LossCause cause) {
+    switch (cause) {
+        case LossCause::LEASE_LAPSED:
+            return "the lease of the worker has lapsed";
+        case LossCause::OTHER_LIFE:
+            return "the worker has another life";
+        case LossCause::WORKER_LEFT:
+            break;
+    }
+    return "the worker has left";
+}
+
+template <typename Function>
+void JobController::forEachLosses(Function function) {
+    for (auto& [id, entry] : m_jobs) {
+        if (entry.m_run.isOver()) {
+            continue;
+        }
+        forEachTask(id, entry.m_run, [&, &entry = entry](const TaskKey& key, TaskRun& task) {
+            if (!task.m_losses.isEmpty()) {
+                function(entry, key, task.m_losses);
+            }
+        });
+    }
+}
+
+void JobController::handleHostLost(const std::string& host) {
+    loseRuns(host, "", LossCause::LEASE_LAPSED);
+    stepSoon();
+}
+
+namespace {
+
+const WorkerCrash* findCrash(const WorkerNotice& notice, const std::string& life) {
+    const auto found = std::find_if(notice.m_crashes.begin(), notice.m_crashes.end(),
+                                    [&](const WorkerCrash& crash) { return crash.m_life == life; });
+    return found == notice.m_crashes.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+/**
+ * What was committed to other lives of the host's worker runs no more. Each loss stays in the job's
+ * record: with a run that just went back to waiting, a task that crashes its workers was started 27
+ * times in 81 s.
+ */
+void JobController::loseRuns(const std::string& host, const std::string& exceptLife,
+                             LossCause cause) {
+    for (auto& [id, entry] : m_jobs) {
+        for (const HeldRun& run : listHeldRunsOn(host, id, entry.m_run)) {
+            if (!exceptLife.empty() && run.m_worker.m_life == exceptLife) {
+                continue;
+            }
+            ++m_figures.m_lost;
+            const Millis ran = m_loop.wallNow() - run.m_placedAt;
+            logEvent(Severity::WARNING, "jobs", "run-lost",
+                     {{"task", run.m_task.toText()},
+                      {"run", std::to_string(run.m_run)},
+                      {"host", host},
+                      {"life", run.m_worker.m_life},
+                      {"ran_ms", std::to_string(ran.count())},
+                      {"cores", std::to_string(getWeight(entry.m_record, run.m_task))},
+                      {"reason", std::string(toText(cause))}});
+            if (const auto verdict = getVerdict(entry, run, cause)) {
+                noteLoss(entry, run.m_task, {run.m_worker, run.m_run, *verdict, ran});
+            }
+            takeEffect(entry, applyNotRunning(entry.m_record, entry.m_run, run.m_task, run.m_run,
+                                              m_loop.wallNow()));
+        }
+    }
+}
+
+/** @return nothing for a loss that speaks against nobody, or was judged already. */
+std::optional<LossVerdict> JobController::getVerdict(const JobEntry& entry, const HeldRun& run,
+                                                     LossCause cause) const {
+    const WorkerPool::Host* const host = m_workers.findHost(run.m_worker.m_host);
+    const bool hasLeft = cause == LossCause::WORKER_LEFT || host == nullptr ||
+                         host->m_leavingLife == run.m_worker.m_life ||
+                         m_leavingLives.count(run.m_worker.m_life) != 0;
+    if (hasLeft || entry.hasPendingMessage(run.m_task.toText(), run.m_run)) {
+        return std::nullopt;
+    }
+    if (cause == LossCause::LEASE_LAPSED) {
+        return LossVerdict::OPEN;
+    }
+    const bool isJudged = findCrash(*host->m_notice, run.m_worker.m_life) != nullptr;
+    return isJudged ? std::nullopt : std::optional(LossVerdict::HOST_LOST);
+}
+
+void JobController::judgeCrashes(const std::string& host, const WorkerNotice& notice) {
+    for (const WorkerCrash& crash : notice.m_crashes) {
+        if (m_judged.insert(crash.m_life).second) {
+            judgeCrash(host, crash);
+        }
+    }
+}
+
+const TaskRun* JobController::findTask(const TaskKey& key) const {
+    const auto found = m_jobs.find(key.m_job);
+    return found == m_jobs.end() ? nullptr : found->second.m_run.findTask(key);
+}
+
+/** The verdict may come long after the run was released, and under another leader. */
+void JobController::judgeCrash(const std::string& host, const WorkerCrash& crash) {
+    std::vector<CrashedRun> runs;
+    for (const CrashedRunEntry& entry : crash.m_runs) {
+        if (auto key = TaskKey::parse(entry.m_task)) {
+            const TaskRun* const task = findTask(*key);
+            const bool wasSuspect = task != nullptr && task->m_losses.isSuspect();
+            runs.push_back({std::move(*key), entry.m_run,
+                            Millis(static_cast<std::int64_t>(entry.m_ranMs)), entry.m_isConfirmed,
+                            wasSuspect});
+        }
+    }
+    const std::vector<LossVerdict> verdicts = pierbank::judgeCrash(runs);
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        const CrashedRun& run = runs[i];
+        const TaskRun* const task = findTask(run.m_task);
+        if (task != nullptr && task->m_state != TaskState::DONE && run.m_run <= task->m_lastRun) {
+            noteLoss(m_jobs.find(run.m_task.m_job)->second, run.m_task,
+                     {{host, crash.m_life}, run.m_run, verdicts[i], run.m_ran});
+        }
+    }
+}
+
+void JobController::noteLoss(JobEntry& entry, const TaskKey& key, const RunLoss& loss) {
+    TaskRun* const task = entry.m_run.findTask(key);
+    if (task == nullptr || entry.m_run.isOver() || !task->m_losses.note(loss)) {
+        return;
+    }
+    entry.m_isDirty = true;
+    if (loss.m_verdict == LossVerdict::OPEN) {
+        m_openHosts.insert(loss.m_worker.m_host);
+    }
+    logEvent(Severity::WARNING, "jobs", "loss-judged",
+             {{"task", key.toText()},
+              {"run", std::to_string(loss.m_run)},
+              {"host", loss.m_worker.m_host},
+              {"life", loss.m_worker.m_life},
+              {"ran_ms", std::to_string(loss.m_ran.count())},
+              {"verdict", std::string(toText(loss.m_verdict))},
+              {"losses", std::to_string(task->m_losses.list().size())}});
+    takeEffect(entry, giveUpIfProved(entry.m_run, key, m_loop.wallNow()));
+}
+
+/** Another life answers: what became of the former one is known as far as it ever will be. */
+void JobController::settleOpenLosses(const std::string& host, const WorkerNotice& notice) {
+    if (m_openHosts.count(host) == 0) {
+        return;
+    }
+    const std::string leaving = m_workers.findHost(host)->m_leavingLife;
+    bool isOpen = false;
+    forEachLosses([&](JobEntry& entry, const TaskKey& key, RunLosses& losses) {
+        const std::vector<RunLoss> known(losses.list().begin(), losses.list().end());
+        for (RunLoss loss : known) {
+            if (loss.m_worker.m_host != host || loss.m_verdict != LossVerdict::OPEN) {
+                continue;
+            }
+            if (loss.m_worker.m_life == notice.m_life) {
+                isOpen = true;
+                continue;
+            }
+            // A crash that is told without the run: it had not begun there.
+            const bool isNone = loss.m_worker.m_life == leaving ||
+                                findCrash(notice, loss.m_worker.m_life) != nullptr;
+            if (isNone) {
+                entry.m_isDirty = losses.forgetOpen(loss.m_worker) || entry.m_isDirty;
+            } else {
+                loss.m_verdict = LossVerdict::HOST_LOST;
+                noteLoss(entry, key, loss);
+            }
+        }
+    });
+    if (!isOpen) {
+        m_openHosts.erase(host);
+    }
+}
+
+/** The worker's life goes on after all; or, without a life, its host is gone for good. */
+void JobController::acquit(const std::string& host, const std::string& life) {
+    if (m_openHosts.count(host) == 0) {
+        return;
+    }
+    bool isOpen = false;
+    forEachLosses([&](JobEntry& entry, const TaskKey&, RunLosses& losses) {
+        const std::vector<RunLoss> known(losses.list().begin(), losses.list().end());
+        for (const RunLoss& loss : known) {
+            if (loss.m_worker.m_host != host || loss.m_verdict != LossVerdict::OPEN) {
+                continue;
+            }
+            if (life.empty() || loss.m_worker.m_life == life) {
+                losses.forgetOpen(loss.m_worker);
+                entry.m_isDirty = true;
+            } else {
+                isOpen = true;
+            }
+        }
+    });
+    if (!isOpen) {
+        m_openHosts.erase(host);
+        stepSoon();
+    }
+}
+
+/** What goes on for long after it was lost several times did not crash its workers. */
+void JobController::refuteLosses(JobEntry& entry, const TaskKey& key, std::uint32_t run) {
+    TaskRun* const task = entry.m_run.findTask(key);
+    const bool isRefuted = task != nullptr && task->holdsWorker() && task->m_run == run &&
+                           task->m_losses.isRefutedBy(m_loop.wallNow() - task->m_placedAt);
+    if (isRefuted) {
+        task->m_losses.clear();
+        entry.m_isDirty = true;
+    }
+}
+
+/** A new leader finds in the records what is still open; a host that is forgotten settles it. */
+void JobController::findOpenLosses() {
+    std::set<std::string> unknown;
+    forEachLosses([&](JobEntry&, const TaskKey&, RunLosses& losses) {
+        for (const RunLoss& loss : losses.list()) {
+            if (loss.m_verdict != LossVerdict::OPEN) {
+                continue;
+            }
+            m_openHosts.insert(loss.m_worker.m_host);
+            if (m_workers.findHost(loss.m_worker.m_host) == nullptr) {
+                unknown.insert(loss.m_worker.m_host);
+            }
+        }
+    });
+    for (const std::string& host : unknown) {
+        acquit(host, "");
+    }
+}
+
+}  // namespace pierbank
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -16,9 +16,12 @@
     }
     if (known != nullptr && known->isLinked() && known->m_notice.has_value() &&
         !known->m_notice->m_life.empty()) {
-        const bool isGone = known->m_notice->m_isGone;
-        loseRuns(host, isGone ? std::string() : known->m_notice->m_life,
-                 isGone ? "the worker has left" : "the worker has another life");
+        const WorkerNotice notice = *known->m_notice;
+        // A crash is judged before its runs are released: the next plan has to know of it.
+        judgeCrashes(host, notice);
+        loseRuns(host, notice.m_isGone ? std::string() : notice.m_life,
+                 notice.m_isGone ? LossCause::WORKER_LEFT : LossCause::OTHER_LIFE);
+        settleOpenLosses(host, notice);
         if (known->m_hasReport) {
             resendOrders(host);
         }
@@ -36,6 +39,7 @@
         }
     }
     m_reports[host] = {report, m_loop.now()};
+    acquit(host, report.m_life);
     noteProgress(host, report);
     stopStrays(worker, report);
     sendKept(worker);
@@ -73,6 +77,7 @@
         if (found == m_jobs.end() || !found->second.m_hasInput) {
             continue;
         }
+        refuteLosses(found->second, *key, entry.m_run);
         const auto& steps = found->second.m_record.m_spec.m_steps;
         const bool isLasting = key->m_step >= steps.size() || steps[key->m_step].m_isLasting;
         if (!isLasting) {
@@ -212,34 +217,6 @@
     stepSoon();
 }
 
-void JobController::handleHostLost(const std::string& host) {
-    loseRuns(host, "", "the lease of the worker has lapsed");
-    stepSoon();
-}
-
-/** What was committed to other lives of the host's worker runs no more. */
-void JobController::loseRuns(const std::string& host, const std::string& exceptLife,
-                             std::string_view why) {
-    for (auto& [id, entry] : m_jobs) {
-        for (const HeldRun& run : listHeldRunsOn(host, id, entry.m_run)) {
-            if (!exceptLife.empty() && run.m_worker.m_life == exceptLife) {
-                continue;
-            }
-            ++m_figures.m_lost;
-            logEvent(Severity::WARNING, "jobs", "run-lost",
-                     {{"task", run.m_task.toText()},
-                      {"run", std::to_string(run.m_run)},
-                      {"host", host},
-                      {"life", run.m_worker.m_life},
-                      {"ran_ms", std::to_string((m_loop.wallNow() - run.m_placedAt).count())},
-                      {"cores", std::to_string(getWeight(entry.m_record, run.m_task))},
-                      {"reason", std::string(why)}});
-            takeEffect(entry, applyNotRunning(entry.m_record, entry.m_run, run.m_task, run.m_run,
-                                              m_loop.wallNow()));
-        }
-    }
-}
-
 /** After a new link: what was ordered may not have arrived. */
 void JobController::resendOrders(const std::string& host) {
     const auto report = m_reports.find(host);
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -56,6 +56,7 @@
             }
         }
         blameHosts();
+        findOpenLosses();
         m_watchedTo = input.m_at;
         m_isLoaded = true;
         logEvent(Severity::INFO, "jobs", "loaded",
@@ -366,6 +367,7 @@
 
 void JobController::handleHostGone(const std::string& host) {
     m_reports.erase(host);
+    acquit(host, "");
     m_areViewsStale = true;
     StoreTransaction transaction;
     transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -182,6 +182,9 @@
         answerAsk(host, *ask);
     } else if (const auto* const notice = std::get_if<WorkerNotice>(&frame)) {
         host.m_notice = *notice;
+        if (notice->m_isDraining || notice->m_isGone) {
+            host.m_leavingLife = notice->m_life;
+        }
         host.m_noticeAt = m_loop.now();
         m_listener.handleWorkerChanged(address);
     } else if (const auto* const report = std::get_if<RunReport>(&frame)) {
--- a/libs/job/include/pierbank/job/JobRun.h
+++ b/libs/job/include/pierbank/job/JobRun.h
@@ -2,7 +2,6 @@
 #ifndef PIERBANK_JOB_JOBRUN_H
 #define PIERBANK_JOB_JOBRUN_H
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,30 +9,12 @@
 #include <vector>
 
 #include "pierbank/job/JobSpec.h"
+#include "pierbank/job/RunLosses.h"
+#include "pierbank/job/TaskKey.h"
+#include "pierbank/job/WorkerId.h"
 
 namespace pierbank {
 
-/** One life of a worker: a restarted worker runs nothing of what it ran before. */
-struct WorkerId {
-    /** Address of the host's sidecar; it outlives the worker's lives. */
-    std::string m_host;
-    std::string m_life;
-    auto operator<=>(const WorkerId&) const = default;
-};
-
-/** A task's place in its job. */
-struct TaskKey {
-    std::string m_job;
-    std::uint32_t m_occurrence = 0;
-    std::uint32_t m_step = 0;
-    std::uint32_t m_index = 0;
-
-    /** `JOB.OCCURRENCE.STEP.INDEX`, as workers know it. */
-    std::string toText() const;
-    static std::optional<TaskKey> parse(std::string_view text);
-    auto operator<=>(const TaskKey&) const = default;
-};
-
 /**
  * The hosts on which a task's runs failed, the last ones first. Kept as one text, names apart by
  * blanks, so that records with just one name are read as well.
@@ -83,6 +64,8 @@
     std::uint32_t m_failedRun = 0;
     /** The next run goes elsewhere if it can. */
     FailedHosts m_failedHosts;
+    /** Runs that were lost with their workers. */
+    RunLosses m_losses;
 
     bool holdsWorker() const noexcept {
         return m_state == TaskState::PLACED || m_state == TaskState::STOPPING;
@@ -260,6 +243,9 @@
 EndEffect applyNotRunning(const JobRecord& record, JobRun& run, const TaskKey& key,
                           std::uint32_t number, Millis wallNow);
 
+/** Ends a job one of whose tasks is known to crash workers; the reason names them. */
+EndEffect giveUpIfProved(JobRun& run, const TaskKey& key, Millis wallNow);
+
 /** Withdraws a job. @return the runs that have to be stopped. */
 std::vector<HeldRun> applyCancel(const std::string& id, JobRun& run, Millis wallNow);
 
--- /dev/null
+++ b/libs/job/include/pierbank/job/RunLosses.h
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_JOB_RUNLOSSES_H
+#define PIERBANK_JOB_RUNLOSSES_H
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pierbank/base/Clock.h"
+#include "pierbank/job/TaskKey.h"
+#include "pierbank/job/WorkerId.h"
+
+namespace pierbank {
+
+/** What is known of how a run was lost with its worker. */
+enum class LossVerdict : std::uint8_t {
+    /** Its lease lapsed, and its worker has not been heard of since: a cut, a pause or a crash. */
+    OPEN,
+    /** The whole host went, sidecar and all, which tells little of the task. */
+    HOST_LOST,
+    /** Its worker crashed, and another run there had begun just before. */
+    BESIDE,
+    /** Its worker crashed, and it is one of those that may have done it. */
+    SUSPECT,
+    /** Its worker crashed, and nothing of any other job had begun there. */
+    ALONE,
+};
+
+constexpr LossVerdict lastOf(LossVerdict) {
+    return LossVerdict::ALONE;
+}
+
+std::string_view toText(LossVerdict verdict);
+
+/** A run that was lost with its worker. */
+struct RunLoss {
+    WorkerId m_worker;
+    std::uint32_t m_run = 0;
+    LossVerdict m_verdict = LossVerdict::OPEN;
+    /** From its start until its worker did not answer any more, as far as it is known. */
+    Millis m_ran{0};
+    bool operator==(const RunLoss&) const = default;
+};
+
+/** A run that had begun on a worker that crashed, as the worker's sidecar saw it. */
+struct CrashedRun {
+    TaskKey m_task;
+    std::uint32_t m_run = 0;
+    Millis m_ran{0};
+    /** The worker had said that it runs; else its start was never answered. */
+    bool m_isConfirmed = false;
+    /** Earlier crashes spoke against its task. */
+    bool m_wasSuspect = false;
+};
+
+/**
+ * Whom a crash speaks against: whoever was suspect before, else what had begun just before, else
+ * all.
+ * @return a verdict for each run, in their order.
+ */
+std::vector<LossVerdict> judgeCrash(std::span<const CrashedRun> runs);
+
+/**
+ * The runs of one task that were lost with their workers. It lies in the job's record, since what a
+ * leader counts in its memory goes with the leader; and by lives of workers, since the same crash
+ * may be told again, late, and to another leader.
+ *
+ * A task that crashes each worker that starts it may be started twice more after three crashes
+ * (users' rule), so five losses of which any may be a crash are the most that are risked. Two are
+ * enough where a task crashed its workers at once, one of them alone: nine such tasks beside 80
+ * ordinary jobs took down 30 workers with that rule, 34 with three instead of two, 45 without it
+ * (CrashFailuresTest, OrdinaryJobsBesideThem; the ordinary jobs took the same time).
+ */
+class RunLosses {
+public:
+    /** Adds a loss, or what has become known of one. @return whether that is news. */
+    bool note(const RunLoss& loss);
+    /** That life of a worker goes on, or never began the run: an open loss was none. */
+    bool forgetOpen(const WorkerId& worker);
+    /** A run of the task went on for so long that its earlier crashes were not its doing. */
+    bool isRefutedBy(Millis age) const;
+    void clear() { m_list.clear(); }
+
+    bool isEmpty() const noexcept { return m_list.empty(); }
+    /** It may crash the next worker: nothing else should have to be there. */
+    bool isSuspect() const;
+    /** A run of a suspect that is not older than the ones that were lost. */
+    bool isRisk(Millis age) const;
+    /** It is known well enough that the task crashes workers. */
+    bool isProof() const;
+    /** Not started before it is known how the open losses came about. */
+    bool mustWait() const;
+    /** The evidence: lives and hosts, for people. */
+    std::string describe() const;
+
+    std::span<const RunLoss> list() const { return m_list; }
+    /** What the record holds. */
+    std::vector<RunLoss> m_list;
+
+private:
+    unsigned weigh(bool withOpen) const;
+    Millis getLongest() const;
+};
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_JOB_RUNLOSSES_H
--- a/libs/job/src/JobCodec.cpp
+++ b/libs/job/src/JobCodec.cpp
@@ -57,12 +57,18 @@
     archive(value.m_host, value.m_life);
 }
 
+/** A row a task, as leaders before wrote them. */
 template <typename Archive>
 void describe(Archive& archive, TaskRun& value) {
     archive(value.m_state, value.m_run, value.m_lastRun, value.m_worker, value.m_placedAt,
             value.m_checkpoint, value.m_failures, value.m_failedRun, value.m_failedHosts.m_text);
 }
 
+template <typename Archive>
+void describe(Archive& archive, RunLoss& value) {
+    archive(value.m_worker, value.m_run, value.m_verdict, value.m_ran);
+}
+
 template <typename Archive>
 void describe(Archive& archive, TaskCopy& value) {
     archive(value.m_index, value.m_run, value.m_worker, value.m_placedAt, value.m_isStopping);
@@ -75,12 +81,23 @@
     std::uint32_t m_failures = 0;
     std::uint32_t m_failedRun = 0;
     std::string m_failedHosts;
+    std::vector<RunLoss> m_losses;
 };
 
-template <typename Archive>
-void describe(Archive& archive, RareTaskFields& value) {
+void describe(ArchiveWriter& archive, RareTaskFields& value) {
+    archive(value.m_index, value.m_checkpoint, value.m_failures, value.m_failedRun,
+            value.m_failedHosts, value.m_losses);
+}
+
+/** Leaders before did not write losses. */
+void describe(ArchiveReader& archive, RareTaskFields& value) {
+    constexpr std::size_t FIELDS_WITHOUT_LOSSES = 5;
+    const bool hasLosses = archive.getSize() != FIELDS_WITHOUT_LOSSES;
     archive(value.m_index, value.m_checkpoint, value.m_failures, value.m_failedRun,
             value.m_failedHosts);
+    if (hasLosses) {
+        archive(value.m_losses);
+    }
 }
 
 /**
@@ -131,10 +148,11 @@
         columns.m_workerOf.push_back(place);
         columns.m_placedAfter.push_back(task.m_placedAt - columns.m_firstPlacedAt);
         const bool hasRare = !task.m_checkpoint.empty() || task.m_failures != 0 ||
-                             task.m_failedRun != 0 || !task.m_failedHosts.isEmpty();
+                             task.m_failedRun != 0 || !task.m_failedHosts.isEmpty() ||
+                             !task.m_losses.isEmpty();
         if (hasRare) {
             columns.m_rare.push_back({i, task.m_checkpoint, task.m_failures, task.m_failedRun,
-                                      task.m_failedHosts.m_text});
+                                      task.m_failedHosts.m_text, task.m_losses.m_list});
         }
     }
     return columns;
@@ -171,6 +189,7 @@
         task.m_failures = rare.m_failures;
         task.m_failedRun = rare.m_failedRun;
         task.m_failedHosts.m_text = rare.m_failedHosts;
+        task.m_losses.m_list = rare.m_losses;
     }
     return true;
 }
--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -365,6 +365,22 @@
     return applyEnd(record, run, key, number, RunEnd::LAPSED, "", wallNow);
 }
 
+EndEffect giveUpIfProved(JobRun& run, const TaskKey& key, Millis wallNow) {
+    EndEffect effect;
+    const TaskRun* const task = run.findTask(key);
+    if (task == nullptr || run.isOver() || !task->m_losses.isProof()) {
+        return effect;
+    }
+    finish(run, JobPhase::FAILED,
+           "task " + key.toText() +
+                   " crashes the workers that start it: " + task->m_losses.describe(),
+           wallNow);
+    effect.m_isCurrent = true;
+    effect.m_endsJob = true;
+    effect.m_toStop = stopAll(key.m_job, run);
+    return effect;
+}
+
 std::vector<HeldRun> applyCancel(const std::string& id, JobRun& run, Millis wallNow) {
     if (run.isOver()) {
         return {};
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -153,6 +153,7 @@
             occupant.m_run = task.m_run;
             occupant.m_placedAt = task.m_placedAt;
             takeRun(occupant, task.m_worker, task.m_state == TaskState::STOPPING);
+            noteRisk(task);
         }
     }
     occupant.m_isCopy = true;
@@ -167,6 +168,14 @@
     }
 }
 
+void PlanningPass::noteRisk(const TaskRun& task) {
+    const auto slot = findSlot(task.m_worker);
+    if (slot.has_value() && task.m_losses.isRisk(m_wallNow - task.m_placedAt)) {
+        m_rooms[*slot].m_isAtRisk = true;
+        m_hasRisks = true;
+    }
+}
+
 void PlanningPass::takeRun(const Occupant& run, const WorkerId& worker, bool isStopping) {
     const auto slot = findSlot(worker);
     if (!slot.has_value()) {
@@ -175,6 +184,7 @@
     const StepSpec& spec = *run.m_spec;
     Room& room = m_rooms[*slot];
     room.m_free -= spec.getRoomNeed();
+    ++room.m_runs;
     if (isStopping) {
         room.m_leaving += spec.getRoomNeed();
         return;
@@ -259,7 +269,8 @@
         units.push_back({&step, indexes.subspan(i, size), {}});
         barHosts(units.back());
     }
-    for (const WorkUnit& unit : units) {
+    for (WorkUnit& unit : units) {
+        keepOffRisks(unit);
         placeUnit(unit);
     }
 }
@@ -290,7 +301,7 @@
 
 /** What keeps off some hosts tells nothing of others that may go there. */
 void PlanningPass::noteRoomless(const WorkUnit& unit) {
-    if (!unit.m_barred.empty()) {
+    if (!unit.m_barred.empty() || unit.m_keepsOffRisks) {
         return;
     }
     Roomless& roomless = m_roomless[getLikeness(unit)];
@@ -333,6 +344,9 @@
     for (std::size_t i = 0; i < assignment.size(); ++i) {
         Room& room = m_rooms[assignment[i]];
         room.m_free -= unit.getSpec().getRoomNeed();
+        ++room.m_runs;
+        room.m_isAtRisk = room.m_isAtRisk || unit.m_isSuspect;
+        m_hasRisks = m_hasRisks || unit.m_isSuspect;
         m_plan.m_placements.push_back({unit.getKey(unit.m_indexes[i]), room.m_view->m_id});
         if (isCounted) {
             ++m_stepCounts.at(&unit.getStep())[assignment[i]];
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -68,6 +68,10 @@
     std::span<const std::uint32_t> m_indexes;
     /** Workers that it keeps off although they could hold it. */
     std::vector<WorkerSlot> m_barred;
+    /** One of its tasks may crash its worker. */
+    bool m_isSuspect = false;
+    /** It keeps off workers on which a suspect is about to run, as it is then. */
+    bool m_keepsOffRisks = false;
 
     const JobRecord& getRecord() const { return *m_of->m_record; }
     const StepSpec& getSpec() const { return *m_of->m_spec; }
@@ -100,6 +104,10 @@
         std::optional<Millis> m_claimedIn;
         /** Kept for urgent work that will come. */
         bool m_isReserved = false;
+        /** A run on it may crash it. */
+        bool m_isAtRisk = false;
+        /** Runs that hold it, those that this pass places included. */
+        std::size_t m_runs = 0;
         PartNumber m_host = ANY_PART;
         PartNumber m_rack = ANY_PART;
         PartNumber m_failureDomain = ANY_PART;
@@ -165,6 +173,7 @@
     void takeStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step);
     std::optional<WorkerSlot> findSlot(const WorkerId& worker) const;
     void takeRun(const Occupant& run, const WorkerId& worker, bool isStopping);
+    void noteRisk(const TaskRun& task);
     void addGangLosses();
     void sortOccupants();
 
@@ -172,6 +181,7 @@
     std::vector<WaitingStep> collectSteps();
     void collectStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step,
                      std::vector<WaitingStep>& steps);
+    void noteOpenLosses(const JobRecord& record);
     static Millis getObjective(const JobRecord& record, std::uint32_t occurrence);
     std::uint32_t chooseBand(const WaitingStep& step, const OccurrenceRun& occurrence) const;
     WaitingStep makeStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step);
@@ -199,6 +209,7 @@
     bool mayUseReserved(const WorkUnit& unit) const;
     bool hasNothingRunning(const WaitingStep& step) const;
     void barHosts(WorkUnit& unit);
+    void keepOffRisks(WorkUnit& unit);
     bool isLastAttempt(const WorkUnit& unit) const;
     bool isRisk(const WorkUnit& unit, WorkerSlot slot) const;
     bool couldHold(const WorkUnit& unit);
@@ -288,6 +299,8 @@
     std::size_t m_claims = 0;
     /** Services with reserved workers, of which hardly half of some resource is in use. */
     std::set<std::string> m_idleServices;
+    /** Some worker is at risk. */
+    bool m_hasRisks = false;
     /** By place of the job: this pass has placed something of it. */
     std::vector<bool> m_begun;
     /** By place of the job: nothing of it ran when the pass began; worked out when asked for. */
--- a/libs/job/src/PlanningPassClaims.cpp
+++ b/libs/job/src/PlanningPassClaims.cpp
@@ -107,7 +107,8 @@
         const StepSpec& spec = *occupant.m_spec;
         const bool mayCopy = spec.m_mayCopy && !spec.m_isGang && !spec.m_isLasting &&
                              !occupant.m_isCopy && !occupant.m_isPreempted &&
-                             !occupant.m_step->hasCopy(occupant.m_index);
+                             !occupant.m_step->hasCopy(occupant.m_index) &&
+                             !occupant.m_step->m_tasks[occupant.m_index].m_losses.isSuspect();
         if (mayCopy && isSlow(occupant)) {
             copyElsewhere(occupant);
         }
--- a/libs/job/src/PlanningPassHosts.cpp
+++ b/libs/job/src/PlanningPassHosts.cpp
@@ -112,6 +112,23 @@
     return assign(unit, rooms).has_value();
 }
 
+/**
+ * What may crash its worker runs beside as little as can be and never beside another such: so a
+ * second crash proves something, and costs nobody else. Urgent work and gangs keep off it too, as
+ * long as others could hold them.
+ */
+void PlanningPass::keepOffRisks(WorkUnit& unit) {
+    const auto& tasks = unit.getStep().m_tasks;
+    unit.m_isSuspect =
+            std::any_of(unit.m_indexes.begin(), unit.m_indexes.end(),
+                        [&](std::uint32_t index) { return tasks[index].m_losses.isSuspect(); });
+    const bool isDear = unit.m_isSuspect || unit.isUrgent() || unit.m_indexes.size() > 1;
+    unit.m_keepsOffRisks = m_hasRisks && isDear;
+    if (unit.m_keepsOffRisks && !couldHold(unit)) {
+        unit.m_keepsOffRisks = false;
+    }
+}
+
 /** All members keep off a host that failed one of them, as long as others could hold the unit. */
 void PlanningPass::barHosts(WorkUnit& unit) {
     unit.m_barred.clear();
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -55,12 +55,33 @@
         !isStepReady(record, occurrence, step)) {
         return;
     }
+    const auto mustWait = [&](std::uint32_t index) {
+        return run.m_tasks[index].m_losses.mustWait();
+    };
+    if (std::any_of(waiting.begin(), waiting.end(), mustWait)) {
+        noteOpenLosses(record);
+        if (isGang) {
+            return;
+        }
+        std::erase_if(waiting, mustWait);
+    }
+    if (waiting.empty()) {
+        return;
+    }
     WaitingStep found = makeStep(job, occurrence, step);
     found.m_indexes = std::move(waiting);
     found.m_weighedObjective = weighObjective(found);
     steps.push_back(std::move(found));
 }
 
+void PlanningPass::noteOpenLosses(const JobRecord& record) {
+    if (m_input.m_withReasons) {
+        m_plan.m_notes.push_back({record.m_id, PlanNote::Kind::WAITS,
+                                  "waits: so many workers of a task were lost that it is not "
+                                  "started before it is known whether it crashed them"});
+    }
+}
+
 WaitingStep PlanningPass::makeStep(std::size_t job, const OccurrenceRun& occurrence,
                                    std::uint32_t step) {
     const PlannedJob& planned = m_input.m_jobs[job];
--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -28,7 +28,8 @@
 }
 
 bool PlanningPass::isBarred(const WorkUnit& unit, WorkerSlot slot) const {
-    return std::find(unit.m_barred.begin(), unit.m_barred.end(), slot) != unit.m_barred.end();
+    return (unit.m_keepsOffRisks && m_rooms[slot].m_isAtRisk) ||
+           std::find(unit.m_barred.begin(), unit.m_barred.end(), slot) != unit.m_barred.end();
 }
 
 bool PlanningPass::isAllowed(const WorkUnit& unit, WorkerSlot slot) const {
@@ -200,10 +201,16 @@
             unit.getStep().m_tasks[index].m_failedHosts.contains(worker.m_id.m_host);
     const double cpuShare =
             static_cast<double>(left.m_cpuMillis) / std::max(1U, worker.m_capacity.m_cpuMillis);
+    // One that runs beside a suspect goes with it.
+    constexpr double AT_RISK = 500.0;
+    constexpr double NEIGHBOUR_OF_SUSPECT = 50.0;
+    const double risk = (m_rooms[slot].m_isAtRisk ? AT_RISK : 0.0) +
+                        (unit.m_isSuspect ? NEIGHBOUR_OF_SUSPECT : 0.0) *
+                                static_cast<double>(m_rooms[slot].m_runs);
     const bool isKept = m_rooms[slot].m_isReserved && !unit.isUrgent();
     const double speedWeight =
             unit.isUrgent() ? m_settings.m_urgentSpeedWeight : m_settings.m_otherSpeedWeight;
-    return (hasFailedHere ? FAILED_HERE : 0.0) + (isKept ? RESERVED : 0.0) +
+    return (hasFailedHere ? FAILED_HERE : 0.0) + risk + (isKept ? RESERVED : 0.0) +
            speedWeight * (worker.m_slowness - 1.0) + left.m_accelerators + cpuShare;
 }
 
--- /dev/null
+++ b/libs/job/src/RunLosses.cpp
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/job/RunLosses.h"
+
+#include <algorithm>
+#include <array>
+
+namespace pierbank {
+
+namespace {
+
+/** Five crashes: the three and two of the users' rule. */
+constexpr unsigned PROOF = 10;
+constexpr unsigned CRASH_WEIGHT = 2;
+/** Ten hosts that went under one task: a task that takes the host along is given up too. */
+constexpr unsigned HOST_WEIGHT = 1;
+constexpr std::size_t MAX_LOSSES = 10;
+/** A worker that goes so soon after a start went by it: a sidecar sees within milliseconds that
+ * its connections break. */
+constexpr Millis QUICK{300};
+constexpr std::size_t QUICK_CRASHES = 2;
+/** Of runs that began lately, one is blamed before others if it began in half their time. */
+constexpr Millis LATELY{2000};
+/** Two crashes beside others' quick starts are no chance any more. */
+constexpr std::size_t SEVERAL = 2;
+/** A suspect's run is a risk for so long, and twice as long as any that was lost. */
+constexpr Millis RISK{1000};
+/** A run refutes crashes if it goes on for so long, and four times as long as any that was lost. */
+constexpr Millis REFUTED_AFTER{60'000};
+
+constexpr std::array<std::string_view, 5> VERDICT_NAMES = {"open", "host-lost", "beside", "suspect",
+                                                           "alone"};
+
+bool isBlamed(const RunLoss& loss) {
+    return loss.m_verdict == LossVerdict::SUSPECT || loss.m_verdict == LossVerdict::ALONE;
+}
+
+/** How long the run has gone on that began last, of those that the worker said it runs. */
+Millis findYoungest(std::span<const CrashedRun> runs) {
+    Millis youngest = Millis::max();
+    for (const CrashedRun& run : runs) {
+        youngest = run.m_isConfirmed ? std::min(youngest, run.m_ran) : youngest;
+    }
+    return youngest;
+}
+
+}  // namespace
+
+std::string_view toText(LossVerdict verdict) {
+    return VERDICT_NAMES.at(static_cast<std::size_t>(verdict));
+}
+
+std::vector<LossVerdict> judgeCrash(std::span<const CrashedRun> runs) {
+    const auto isOfFirstJob = [&](const CrashedRun& run) {
+        return run.m_task.m_job == runs.front().m_task.m_job;
+    };
+    if (std::all_of(runs.begin(), runs.end(), isOfFirstJob)) {
+        return std::vector<LossVerdict>(runs.size(), LossVerdict::ALONE);
+    }
+    const bool hasSuspects = std::any_of(runs.begin(), runs.end(),
+                                         [](const CrashedRun& run) { return run.m_wasSuspect; });
+    const Millis youngest = findYoungest(runs);
+    const bool isKnown = youngest != Millis::max();
+    const Millis most =
+            isKnown && youngest <= LATELY ? std::max(QUICK, 2 * youngest) : Millis::max();
+    std::vector<LossVerdict> verdicts;
+    for (const CrashedRun& run : runs) {
+        const bool isLate = run.m_ran > most || (isKnown && !run.m_isConfirmed);
+        const bool isLikely = hasSuspects ? run.m_wasSuspect : !isLate;
+        verdicts.push_back(isLikely ? LossVerdict::SUSPECT : LossVerdict::BESIDE);
+    }
+    return verdicts;
+}
+
+bool RunLosses::note(const RunLoss& loss) {
+    const auto known = std::find_if(m_list.begin(), m_list.end(), [&](const RunLoss& one) {
+        return one.m_worker == loss.m_worker;
+    });
+    if (known != m_list.end()) {
+        const bool isNews =
+                known->m_verdict < loss.m_verdict && known->m_verdict <= LossVerdict::HOST_LOST;
+        if (isNews) {
+            *known = loss;
+        }
+        return isNews;
+    }
+    m_list.push_back(loss);
+    if (m_list.size() > MAX_LOSSES) {
+        m_list.erase(m_list.begin());
+    }
+    return true;
+}
+
+bool RunLosses::forgetOpen(const WorkerId& worker) {
+    return std::erase_if(m_list, [&](const RunLoss& loss) {
+               return loss.m_verdict == LossVerdict::OPEN && loss.m_worker == worker;
+           }) != 0;
+}
+
+Millis RunLosses::getLongest() const {
+    Millis longest{0};
+    for (const RunLoss& loss : m_list) {
+        const bool isCrash = loss.m_verdict > LossVerdict::HOST_LOST;
+        longest = isCrash ? std::max(longest, loss.m_ran) : longest;
+    }
+    return longest;
+}
+
+bool RunLosses::isRefutedBy(Millis age) const {
+    constexpr int TIMES = 4;
+    return !m_list.empty() && age > REFUTED_AFTER + TIMES * getLongest();
+}
+
+bool RunLosses::isSuspect() const {
+    const auto beside = std::count_if(m_list.begin(), m_list.end(), [](const RunLoss& loss) {
+        return loss.m_verdict == LossVerdict::BESIDE;
+    });
+    return std::any_of(m_list.begin(), m_list.end(), isBlamed) ||
+           static_cast<std::size_t>(beside) >= SEVERAL;
+}
+
+bool RunLosses::isRisk(Millis age) const {
+    constexpr int TIMES = 2;
+    return isSuspect() && age <= RISK + TIMES * getLongest();
+}
+
+unsigned RunLosses::weigh(bool withOpen) const {
+    unsigned weight = 0;
+    for (const RunLoss& loss : m_list) {
+        if (loss.m_verdict == LossVerdict::HOST_LOST) {
+            weight += HOST_WEIGHT;
+        } else if (withOpen || loss.m_verdict != LossVerdict::OPEN) {
+            weight += CRASH_WEIGHT;
+        }
+    }
+    return weight;
+}
+
+/**
+ * Two crashes at the very start, one of them with nothing else there, are no chance: workers that
+ * fail by themselves do so at any time. Of later crashes all are needed that the users' rule
+ * leaves, since a long run meets more of the fleet's own faults.
+ */
+bool RunLosses::isProof() const {
+    std::size_t quick = 0;
+    bool wasAlone = false;
+    for (const RunLoss& loss : m_list) {
+        const bool isQuick = isBlamed(loss) && loss.m_ran <= QUICK;
+        quick += isQuick ? 1 : 0;
+        wasAlone = wasAlone || (isQuick && loss.m_verdict == LossVerdict::ALONE);
+    }
+    return (quick >= QUICK_CRASHES && wasAlone) || weigh(false) >= PROOF;
+}
+
+bool RunLosses::mustWait() const {
+    return weigh(true) >= PROOF;
+}
+
+std::string RunLosses::describe() const {
+    std::string text;
+    for (const RunLoss& loss : m_list) {
+        text.append(text.empty() ? "" : ", ").append(loss.m_worker.m_life);
+        text.append(" on ")
+                .append(loss.m_worker.m_host)
+                .append(" (")
+                .append(toText(loss.m_verdict));
+        text.append(" after ").append(std::to_string(loss.m_ran.count())).append(" ms)");
+    }
+    return text;
+}
+
+}  // namespace pierbank
--- a/test/failures/CrashFailuresTest.cpp
+++ b/test/failures/CrashFailuresTest.cpp
@@ -77,4 +77,220 @@
     EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
 }
 
+TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughWorkersAreBackAtOnce) {
+    stayAwayFor(Millis(100));
+    m_fleet.submit(ID, SMALL, "x10", "/urgent/");
+    m_fleet.m_loop.advance(Millis(60'000));
+    EXPECT_LE(countStarts(), MOST_STARTS);
+    EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
+}
+
+/** Nothing tells at the first crash whose doing it was; the users' rule leaves five starts. */
+TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughItWorksForAWhileFirst) {
+    m_fleet.submit(ID, SMALL, "x1500", "/urgent/");
+    m_fleet.m_loop.advance(Millis(90'000));
+    EXPECT_LE(countStarts(), MOST_STARTS);
+    EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
+}
+
+TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpAsAMemberOfAGang) {
+    m_fleet.submit(ID, R"({"count":4,"cpu":1000,"mem_mb":100,"gpu":4,"est_ms":3000,"gang":true})",
+                   "x10/2/8000", "/urgent/");
+    m_fleet.m_loop.advance(Millis(120'000));
+    EXPECT_LE(countStarts(2), MOST_STARTS);
+    EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
+}
+
+TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpAsOneOfManyOfItsStep) {
+    m_fleet.submit(ID, R"({"count":8,"cpu":1000,"mem_mb":100,"gpu":1,"est_ms":3000})",
+                   "x10/5/3000");
+    m_fleet.m_loop.advance(Millis(120'000));
+    EXPECT_LE(countStarts(5), MOST_STARTS);
+    EXPECT_EQ(m_fleet.getState(ID), "failed");
+}
+
+TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughItLasts) {
+    m_fleet.submit(
+            ID, R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":1,"est_ms":1000,"long_running":true})",
+            "x10");
+    m_fleet.m_loop.advance(Millis(90'000));
+    EXPECT_LE(countStarts(), MOST_STARTS);
+    EXPECT_EQ(m_fleet.getState(ID), "failed");
+}
+
+/** Then nobody can tell whether the worker went or the whole host. */
+TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughOneSidecarIsKilledBeforeItCanTell) {
+    m_fleet.submit(ID, SMALL, "x10", "/urgent/");
+    ASSERT_TRUE(waitUntil(Millis(2000), [&] { return countStarts() == 1; }));
+    m_fleet.m_loop.advance(Millis(500));
+    for (std::size_t i = 0; i < m_fleet.m_sidecars.size(); ++i) {
+        if (getSidecar(i).m_worker->isDown()) {
+            m_fleet.killSidecar(i);
+            m_fleet.startSidecar(i);
+        }
+    }
+    m_fleet.m_loop.advance(Millis(90'000));
+    EXPECT_LE(countStarts(), MOST_STARTS);
+    EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
+}
+
+TEST_F(ATaskThatCrashesEveryWorker, IsNamedWithTheEvidenceToWhoAsksWhy) {
+    m_fleet.submit(ID, SMALL, "x10", "/urgent/");
+    m_fleet.m_loop.advance(Millis(30'000));
+    const StatementAnswer answer = m_fleet.state(getLeader(), std::string("why job ") + ID);
+    EXPECT_NE(answer.m_message.find("crashes the workers that start it"), std::string::npos)
+            << answer.m_message;
+}
+
+namespace {
+
+/** Such tasks beside ordinary jobs of 3 s. */
+class OrdinaryJobsBesideThem : public ATaskThatCrashesEveryWorker {
+protected:
+    void handIn(int ordinary, int crashing, const char* step) {
+        m_ordinary = ordinary;
+        m_crashing = crashing;
+        for (int i = 0; i < ordinary; ++i) {
+            m_fleet.submit(idOf('c', i), step, "3000");
+            if (i % (ordinary / crashing) == 0 && i / (ordinary / crashing) < crashing) {
+                m_fleet.submit(idOf('d', i / (ordinary / crashing)), step, "x10");
+            }
+        }
+    }
+
+    static std::string idOf(char kind, int number) {
+        return std::string("0000000000000") + kind + std::to_string(10 + number);
+    }
+
+    /** @return how long it takes from now until all ordinary jobs have run. */
+    Millis measureOrdinary() {
+        constexpr Millis LIMIT{120'000};
+        const Millis begin = m_fleet.m_loop.now();
+        waitUntil(LIMIT, [&] {
+            for (int i = 0; i < m_ordinary; ++i) {
+                if (!m_fleet.m_witness.isDone(taskOf(idOf('c', i)))) {
+                    return false;
+                }
+            }
+            return true;
+        });
+        return m_fleet.m_loop.now() - begin;
+    }
+
+    void expectVerdicts() {
+        constexpr Millis LONG{30'000};
+        m_fleet.m_loop.advance(LONG);
+        for (int i = 0; i < m_ordinary; ++i) {
+            EXPECT_EQ(m_fleet.getState(idOf('c', i)), "succeeded") << i;
+        }
+        for (int i = 0; i < m_crashing; ++i) {
+            EXPECT_EQ(m_fleet.getState(idOf('d', i)), "failed") << i;
+            EXPECT_LE(m_fleet.m_witness.countStarts(taskOf(idOf('d', i))), MOST_STARTS) << i;
+        }
+    }
+
+    int m_ordinary = 0;
+    int m_crashing = 0;
+};
+
+}  // namespace
+
+/** Before, not all of the twenty came through in two minutes. */
+TEST_F(OrdinaryJobsBesideThem, AllSucceedInTenSeconds) {
+    handIn(20, 3, SMALL);
+    EXPECT_LE(measureOrdinary(), Millis(10'000));
+    expectVerdicts();
+}
+
+TEST_F(OrdinaryJobsBesideThem, AllSucceedOnAFullFleetToo) {
+    handIn(60, 6, R"({"count":1,"cpu":4000,"mem_mb":100,"gpu":4,"est_ms":3000})");
+    const Millis took = measureOrdinary();
+    RecordProperty("took_ms", std::to_string(took.count()));
+    EXPECT_LE(took, Millis(30'000));
+    expectVerdicts();
+}
+
+namespace {
+
+/** Jobs that do nothing wrong on workers that go for reasons of their own. */
+class AnInnocentTask : public JobFleetTest {
+protected:
+    void handIn(int jobs, const char* length) {
+        for (int i = 0; i < jobs; ++i) {
+            m_fleet.submit(idOf(i), SMALL, length);
+        }
+    }
+
+    static std::string idOf(int number) { return "000000000000e0" + std::to_string(10 + number); }
+
+    void expectAllSucceed(int jobs) {
+        for (int i = 0; i < jobs; ++i) {
+            EXPECT_TRUE(m_fleet.waitForState(idOf(i), "succeeded", Millis(60'000))) << i;
+        }
+    }
+};
+
+}  // namespace
+
+TEST_F(AnInnocentTask, SucceedsThoughItsHostIsCutOffFourTimes) {
+    handIn(1, "20000");
+    for (int cut = 0; cut < 4; ++cut) {
+        std::optional<std::size_t> place;
+        ASSERT_TRUE(waitUntil(Millis(20'000), [&] {
+            place = findWorker(taskOf(idOf(0)));
+            return place.has_value();
+        }));
+        m_fleet.m_loop.advance(Millis(500));
+        for (const auto& gateway : m_fleet.m_gateways) {
+            m_fleet.m_network.cut(gateway.m_name, getSidecar(*place).m_name);
+        }
+        m_fleet.m_loop.advance(Millis(9000));
+        for (const auto& gateway : m_fleet.m_gateways) {
+            m_fleet.m_network.heal(gateway.m_name, getSidecar(*place).m_name);
+        }
+    }
+    expectAllSucceed(1);
+}
+
+/** Sidecar and worker go at once. */
+TEST_F(AnInnocentTask, SucceedsThoughHostsLosePowerByTurns) {
+    handIn(20, "3000");
+    for (std::size_t turn = 0; turn < 12; ++turn) {
+        const std::size_t place = turn % m_fleet.m_sidecars.size();
+        m_fleet.killSidecar(place);
+        getSidecar(place).m_worker->crash();
+        m_fleet.m_loop.advance(Millis(1500));
+        m_fleet.startSidecar(place);
+        m_fleet.m_loop.advance(Millis(500));
+    }
+    expectAllSucceed(20);
+}
+
+/** The workers alone go, at any time of what they run. */
+TEST_F(AnInnocentTask, SucceedsThoughWorkersCrashByTurns) {
+    handIn(20, "3000");
+    for (std::size_t turn = 0; turn < 12; ++turn) {
+        getSidecar(turn % m_fleet.m_sidecars.size()).m_worker->crash();
+        m_fleet.m_loop.advance(Millis(2300));
+    }
+    expectAllSucceed(20);
+}
+
+TEST_F(AnInnocentTask, IsNoSuspectForAWorkerThatLeftAsItSaid) {
+    handIn(1, "60000");
+    m_fleet.m_loop.advance(Millis(300));
+    const auto place = findWorker(taskOf(idOf(0)));
+    ASSERT_TRUE(place.has_value());
+    getSidecar(*place).m_isDraining = true;
+    getSidecar(*place).m_remaining = Millis(60'000);
+    m_fleet.beat(*place);
+    m_fleet.m_loop.advance(Millis(100));
+    getSidecar(*place).m_isDraining = false;
+    getSidecar(*place).m_worker->restart();
+    m_fleet.beat(*place);
+    m_fleet.m_loop.advance(Millis(1000));
+    const JobTable& jobs = m_fleet.m_gateways[getLeader()].m_core->getJobs().getJobs();
+    EXPECT_TRUE(jobs.at(idOf(0)).m_run.findTask(taskOf(idOf(0)))->m_losses.isEmpty());
+}
+
 }  // namespace pierbank::testing
