Urgent work is no longer placed on a worker at whose address nothing listens

Cause, from the incident's timeline: a worker had crashed; its sidecar was refused 15 looks in a row, and told the leader only after 3 s without an answer. Two tasks of an urgent job were placed on it meanwhile and waited 2.6 s for its next life. Ruled out: releasing at once what had run there (a cut can refuse connections too, so a refusal proves no end). Change: such a worker counts as silent at once: no new work, no new lease. Test failed before.

--- a/libs/control/include/pierbank/control/TaskWorker.h
+++ b/libs/control/include/pierbank/control/TaskWorker.h
@@ -68,6 +68,8 @@
     std::vector<ListedRun> m_running;
     std::vector<ListedEnd> m_ended;
     std::string m_reason;
+    /** Nothing listens at the worker's address. */
+    bool m_isNobodyThere = false;
 };
 
 /** What a sidecar asks of hold(). */
--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -87,6 +87,7 @@
     void hold(Millis wait);
     void handleHold(const HoldReply& reply, std::uint64_t number);
     void handleLook(const HoldReply& reply, std::uint64_t number);
+    void noteNobodyThere(bool isNobodyThere);
     void pace();
     Millis getHoldWait() const;
     std::optional<Millis> getUntil() const;
@@ -139,6 +140,8 @@
     bool m_isHolding = false;
     /** When the worker last answered a hold, or began its life here. */
     Millis m_answeredAt{0};
+    /** The last look found nothing that listens. */
+    bool m_isNobodyThere = false;
     TimerId m_holdTimer = TimerId::NONE;
     std::vector<ListedRun> m_running;
     std::vector<ListedEnd> m_ended;
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -97,7 +97,8 @@
 }
 
 bool WorkerAgent::isWorkerSilent() const {
-    return !m_life.empty() && m_loop.now() - m_answeredAt > m_settings.m_workerSilence;
+    const bool isLong = m_loop.now() - m_answeredAt > m_settings.m_workerSilence;
+    return !m_life.empty() && (m_isNobodyThere || isLong);
 }
 
 void WorkerAgent::handleRenewal(const LeaseRenewal& renewal) {
@@ -274,6 +275,7 @@
     }
     m_life = life;
     m_isGone = false;
+    m_isNobodyThere = false;
     m_answeredAt = m_loop.now();
     m_term = std::make_shared<bool>(true);
     m_isHolding = false;
--- a/libs/control/src/WorkerAgentHold.cpp
+++ b/libs/control/src/WorkerAgentHold.cpp
@@ -69,6 +69,7 @@
 void WorkerAgent::handleHold(const HoldReply& reply, std::uint64_t number) {
     if (reply.m_status != WorkerStatus::OK) {
         m_account.noteNoAnswer(m_loop.now());
+        noteNobodyThere(reply.m_isNobodyThere);
         logEvent(Severity::WARNING, "agent", "hold-failed",
                  {{"life", m_life},
                   {"reason", reply.m_reason},
@@ -79,6 +80,7 @@
     const bool isFirst = !m_clock.has_value();
     const bool wasSilent = isWorkerSilent();
     m_answeredAt = m_loop.now();
+    m_isNobodyThere = false;
     if (wasSilent) {
         ask();
     }
@@ -102,6 +104,18 @@
     }
 }
 
+/**
+ * That nothing listens proves no end (a cut may refuse too), but no new work should come: jobs that
+ * were placed on such a worker waited for its next life, 2.6 s in the case that showed it.
+ */
+void WorkerAgent::noteNobodyThere(bool isNobodyThere) {
+    const bool wasSilent = isWorkerSilent();
+    m_isNobodyThere = isNobodyThere;
+    if (!wasSilent && isWorkerSilent()) {
+        ask();
+    }
+}
+
 void WorkerAgent::handleLook(const HoldReply& reply, std::uint64_t number) {
     m_running = reply.m_running;
     m_ended = reply.m_ended;
--- a/test/failures/WorkerFailuresTest.cpp
+++ b/test/failures/WorkerFailuresTest.cpp
@@ -221,6 +221,23 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 2U);
 }
 
+/**
+ * An urgent caller's job began 2.6 s late: its worker had crashed 0.7 s before it was placed there,
+ * and refused its start as it had refused 15 looks before. The sidecar knew; it told the leader
+ * only after 3 s of silence, which is right for a worker that may just be slow to answer.
+ */
+TEST_F(WorkerFailuresTest, AWorkerAtWhoseAddressNothingListensGetsNoNewWork) {
+    m_fleet.submit(ID, SMALL, "60000");
+    m_fleet.m_loop.advance(Millis(300));
+    const auto place = findWorker(taskOf(ID));
+    ASSERT_TRUE(place.has_value());
+    getSidecar(*place).m_worker->crash();
+    m_fleet.m_loop.advance(Millis(300));
+    m_fleet.submit(OTHER_ID, SMALL, "1000", "/urgent/");
+    m_fleet.m_loop.advance(Millis(100));
+    EXPECT_TRUE(m_fleet.m_witness.isRunning(taskOf(OTHER_ID)));
+}
+
 TEST_F(WorkerFailuresTest, AStartThatIsCarriedOutLateRunsOnce) {
     for (auto& sidecar : m_fleet.m_sidecars) {
         sidecar.m_worker->m_startsToDelay = 5;
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -232,6 +232,7 @@
             HoldReply reply;
             reply.m_status = checked.m_status;
             reply.m_reason = checked.m_reason;
+            reply.m_isNobodyThere = m_isDown;
             done(reply);
             return;
         }
