A worker's room may shrink and grow while it runs

Cause: the sidecar passed heartbeats on only with another life or draining; the planner took room that is over-committed for empty room as soon as something in it is stopped (free room saturates at zero), and starts refused for want of room were made again 100 times a second. Seen before: six runs at once where two had room; seven beside an urgent one; a guaranteed unit that was not placed after one pass of stops (AGuaranteeIsReclaimedHoweverBusyTheRacksAre with shrinking rooms, falsified after 39 cases); 300 refused starts in 3 s.

Change: any news in a heartbeat goes to the leader, with the most that the life ever had; ends and stops first make up for the room that is gone; what runs beyond it goes on (stopping it would throw work away for nobody); a worker that refused for want of room is left alone until it says something new or 100 ms, doubling to 2 s; "can't run" is judged by the whole room; show workers has shrunk_by.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -20,6 +20,7 @@
 #include "pierbank/control/HostSpeeds.h"
 #include "pierbank/control/JobTable.h"
 #include "pierbank/control/ProgressTracker.h"
+#include "pierbank/control/RoomRefusals.h"
 #include "pierbank/control/UrgentDemand.h"
 #include "pierbank/control/WaveController.h"
 #include "pierbank/control/WorkerHealth.h"
@@ -254,6 +255,7 @@
     const JobControllerSettings m_settings;
     WorkerPool m_workers;
     WorkerHealth m_health;
+    RoomRefusals m_roomRefusals;
     ProgressTracker m_progress;
     /** By the worker's life: another life may be another machine. */
     HostSpeeds m_speeds;
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -68,6 +68,7 @@
     m_urgentWaiting.clear();
     m_earlyCancels.clear();
     m_health.clear();
+    m_roomRefusals.clear();
     m_demand.clear();
     m_progress.clear();
     m_speeds.clear();
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -10,6 +10,7 @@
 
 void JobController::handleWorkerChanged(const std::string& host) {
     m_areViewsStale = true;
+    m_roomRefusals.forget(host);
     const WorkerPool::Host* const known = m_workers.findHost(host);
     if (known == nullptr || !known->isLinked()) {
         m_progress.forgetHost(host);
@@ -45,6 +46,7 @@
     sendKept(worker);
     // What runs only goes on: the next plan that is due sees how far.
     if (isNews) {
+        m_roomRefusals.forget(host);
         stepSoon();
     }
 }
@@ -209,6 +211,9 @@
               {"run", std::to_string(absent.m_run)},
               {"host", host},
               {"reason", absent.m_reason}});
+    if (absent.m_reason == "room") {
+        m_roomRefusals.note(host, m_loop.now());
+    }
     if (absent.m_reason == "ticket") {
         m_advice.dropTicket({key->m_job, key->m_occurrence, key->m_step}, absent.m_life);
     }
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -33,6 +33,8 @@
         view.m_rack = notice.m_rack;
         view.m_labels.insert(notice.m_labels.begin(), notice.m_labels.end());
         view.m_capacity = {notice.m_cpuMillis, notice.m_memoryMb, notice.m_accelerators};
+        view.m_wholeCapacity = {notice.m_wholeCpuMillis, notice.m_wholeMemoryMb,
+                                notice.m_wholeAccelerators};
     }
 }
 
@@ -51,7 +53,7 @@
     view.m_acceptsWork = host.isLinked() && host.m_hasReport && !notice.m_isGone &&
                          !host.m_isWorkerSilent && !view.m_leavesIn.has_value() &&
                          getHold(address) == WorkerHold::RELEASE && !isAvoided(address) &&
-                         !isStalled(address);
+                         !isStalled(address) && !m_roomRefusals.isPaused(address, m_loop.now());
     view.m_slowness = m_settings.m_learnsSpeeds ? m_speeds.getSlowness(view.m_id.m_life) : 1.0;
     view.m_isSuspect = m_settings.m_judgesHosts && m_health.isSuspect(address, m_loop.now());
 }
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -185,6 +185,9 @@
         notice.m_cpuMillis = m_beat->m_capacity.m_cpuMillis;
         notice.m_memoryMb = m_beat->m_capacity.m_memoryMb;
         notice.m_accelerators = m_beat->m_capacity.m_accelerators;
+        notice.m_wholeCpuMillis = m_wholeCapacity.m_cpuMillis;
+        notice.m_wholeMemoryMb = m_wholeCapacity.m_memoryMb;
+        notice.m_wholeAccelerators = m_wholeCapacity.m_accelerators;
         notice.m_isDraining = m_beat->m_isDraining;
         notice.m_remainingMs = static_cast<std::uint64_t>(m_beat->m_remaining.count());
     }
@@ -226,11 +229,12 @@
     if (!isNew && m_beat.has_value() && beat.m_sequence <= m_beat->m_sequence) {
         return;
     }
-    const bool isChanged =
-            isNew || !m_beat.has_value() || m_beat->m_isDraining != beat.m_isDraining || m_isGone;
+    const bool isChanged = isNew || m_isGone || isNews(beat);
     if (isNew) {
         endLife();
+        m_wholeCapacity = Resources();
     }
+    m_wholeCapacity = takeMost(m_wholeCapacity, beat.m_capacity);
     m_beat = beat;
     if (isNew) {
         beginLife(beat.m_life);
@@ -239,11 +243,25 @@
         logEvent(Severity::INFO, "agent", "worker",
                  {{"life", m_life},
                   {"draining", beat.m_isDraining ? "yes" : "no"},
-                  {"remaining_ms", std::to_string(beat.m_remaining.count())}});
+                  {"remaining_ms", std::to_string(beat.m_remaining.count())},
+                  {"accelerators", std::to_string(beat.m_capacity.m_accelerators)},
+                  {"of", std::to_string(m_wholeCapacity.m_accelerators)},
+                  {"cpu_millis", std::to_string(beat.m_capacity.m_cpuMillis)},
+                  {"memory_mb", std::to_string(beat.m_capacity.m_memoryMb)}});
         sendNotice();
     }
 }
 
+/**
+ * A room may shrink and grow within one life. Told only with the life or the draining, six runs of
+ * one accelerator were begun on a worker that had two left.
+ */
+bool WorkerAgent::isNews(const WorkerBeat& beat) const {
+    return !m_beat.has_value() || m_beat->m_isDraining != beat.m_isDraining ||
+           m_beat->m_capacity != beat.m_capacity || m_beat->m_service != beat.m_service ||
+           m_beat->m_labels != beat.m_labels || m_beat->m_failureDomain != beat.m_failureDomain;
+}
+
 bool WorkerAgent::isFormer(const std::string& life) const {
     return std::find(m_formerLives.begin(), m_formerLives.end(), life) != m_formerLives.end();
 }
--- a/libs/job/include/pierbank/job/JobSpec.h
+++ b/libs/job/include/pierbank/job/JobSpec.h
@@ -40,6 +40,12 @@
     bool operator==(const Resources&) const = default;
 };
 
+/** Of each kind the larger amount. */
+inline Resources takeMost(const Resources& a, const Resources& b) noexcept {
+    return {std::max(a.m_cpuMillis, b.m_cpuMillis), std::max(a.m_memoryMb, b.m_memoryMb),
+            std::max(a.m_accelerators, b.m_accelerators)};
+}
+
 /** A number of equal tasks of a job. */
 struct StepSpec {
     std::uint32_t m_tasks = 1;
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -24,6 +24,8 @@
     std::string m_rack;
     std::set<std::string, std::less<>> m_labels;
     Resources m_capacity;
+    /** What it had before its room shrank, and may have again; less than m_capacity for unknown. */
+    Resources m_wholeCapacity;
     /** New runs may be placed on it. */
     bool m_acceptsWork = false;
     /** It leaves, in this time at the earliest, and what runs there dies; empty: it stays. */
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -55,6 +55,7 @@
     numberParts();
     findGuaranteed();
     takeRooms();
+    findOvercommitted();
     addGangLosses();
     sortOccupants();
     reserveForUrgent();
@@ -183,7 +184,7 @@
     }
     const StepSpec& spec = *run.m_spec;
     Room& room = m_rooms[*slot];
-    room.m_free -= spec.getRoomNeed();
+    room.m_over += spec.getRoomNeed();
     ++room.m_runs;
     if (isStopping) {
         room.m_leaving += spec.getRoomNeed();
@@ -199,6 +200,18 @@
     occupant.m_loss = getCores(spec.m_need) * (lost + RESTART_MS);
 }
 
+/** Until here m_over holds all that runs. */
+void PlanningPass::findOvercommitted() {
+    for (Room& room : m_rooms) {
+        const Resources used = room.m_over;
+        room.m_free -= used;
+        room.m_over -= room.m_view->m_capacity;
+        const Resources stopping = room.m_leaving;
+        room.m_leaving = Resources();
+        giveBack(room.m_leaving, room.m_over, stopping);
+    }
+}
+
 std::optional<WorkerSlot> PlanningPass::findSlot(const WorkerId& worker) const {
     const auto [begin, end] = m_slots.equal_range(worker.m_host);
     const auto found = std::find_if(begin, end, [&](const auto& entry) {
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -100,6 +100,8 @@
         Resources m_free;
         /** What stops will free. */
         Resources m_leaving;
+        /** What runs beyond the room since that has shrunk: ends of as much free nothing. */
+        Resources m_over;
         /** A starved unit begins here in this time; only what ends before may start. */
         std::optional<Millis> m_claimedIn;
         /** Kept for urgent work that will come. */
@@ -176,6 +178,7 @@
     void noteRisk(const TaskRun& task);
     void addGangLosses();
     void sortOccupants();
+    void findOvercommitted();
 
     // Units and their order (PlanningPassOrder.cpp).
     std::vector<WaitingStep> collectSteps();
@@ -259,6 +262,9 @@
         return static_cast<std::size_t>(&occupant - m_occupants.data());
     }
     void reserveLeaving(const WorkUnit& unit, const Assignment& assignment);
+    void addLeaving(WorkerSlot slot, const Resources& need);
+    /** Adds to a room what an end frees, after what makes up for the room that is gone. */
+    static void giveBack(Resources& room, Resources& over, Resources need);
     TaskKey getKey(const Occupant& occupant) const;
     const JobRecord& getRecord(const Occupant& occupant) const;
     std::optional<Millis> getRemaining(const Occupant& occupant) const;
--- a/libs/job/src/PlanningPassClaims.cpp
+++ b/libs/job/src/PlanningPassClaims.cpp
@@ -55,8 +55,11 @@
     });
     const auto assignAfter = [&](std::size_t count) {
         std::vector<Resources> rooms = getRooms(unit, true);
+        std::map<WorkerSlot, Resources> over;
         for (std::size_t i = 0; i < count; ++i) {
-            rooms[ends[i].second->m_slot] += ends[i].second->m_spec->getRoomNeed();
+            const WorkerSlot slot = ends[i].second->m_slot;
+            Resources& gone = over.try_emplace(slot, m_rooms[slot].m_over).first->second;
+            giveBack(rooms[slot], gone, ends[i].second->m_spec->getRoomNeed());
         }
         return assign(unit, rooms);
     };
--- a/libs/job/src/PlanningPassEviction.cpp
+++ b/libs/job/src/PlanningPassEviction.cpp
@@ -60,12 +60,13 @@
         if (isBarred(unit, slot) || !isOpenTo(unit, slot)) {
             continue;
         }
+        Resources over = m_rooms[slot].m_over;
         for (const std::size_t i : m_occupantsOn[slot]) {
             const Occupant& occupant = m_occupants[i];
             const bool isTaken = occupant.m_isPreempted || occupant.m_isAwaited;
             const auto remaining = isTaken ? std::nullopt : getRemaining(occupant);
             if (remaining.has_value() && *remaining <= budget) {
-                rooms[slot] += occupant.m_spec->getRoomNeed();
+                giveBack(rooms[slot], over, occupant.m_spec->getRoomNeed());
                 ending.push_back(i);
             }
         }
@@ -79,7 +80,7 @@
         if (std::find(assignment->begin(), assignment->end(), occupant.m_slot) !=
             assignment->end()) {
             occupant.m_isAwaited = true;
-            m_rooms[occupant.m_slot].m_leaving += occupant.m_spec->getRoomNeed();
+            addLeaving(occupant.m_slot, occupant.m_spec->getRoomNeed());
         }
     }
     reserveLeaving(unit, *assignment);
@@ -207,13 +208,14 @@
                                                                  const Resources& need) const {
     Resources room = m_rooms[slot].m_free;
     room += m_rooms[slot].m_leaving;
+    Resources over = m_rooms[slot].m_over;
     Victims victims;
     for (const std::size_t candidate : m_occupantsOn[slot]) {
         if (need.fitsInto(room)) {
             break;
         }
         if (mayPreempt(unit, m_occupants[candidate])) {
-            room += m_occupants[candidate].m_spec->getRoomNeed();
+            giveBack(room, over, m_occupants[candidate].m_spec->getRoomNeed());
             victims.push_back(candidate);
         }
     }
@@ -262,11 +264,22 @@
             continue;
         }
         occupant.m_isPreempted = true;
-        m_rooms[occupant.m_slot].m_leaving += occupant.m_spec->getRoomNeed();
+        addLeaving(occupant.m_slot, occupant.m_spec->getRoomNeed());
         m_plan.m_stops.push_back({getKey(occupant), occupant.m_run, why});
     }
 }
 
+void PlanningPass::giveBack(Resources& room, Resources& over, Resources need) {
+    const Resources before = over;
+    over -= need;
+    need -= before;
+    room += need;
+}
+
+void PlanningPass::addLeaving(WorkerSlot slot, const Resources& need) {
+    giveBack(m_rooms[slot].m_leaving, m_rooms[slot].m_over, need);
+}
+
 void PlanningPass::reserveLeaving(const WorkUnit& unit, const Assignment& assignment) {
     for (const WorkerSlot slot : assignment) {
         Room& room = m_rooms[slot];
--- a/libs/job/src/PlanningPassReasons.cpp
+++ b/libs/job/src/PlanningPassReasons.cpp
@@ -16,9 +16,14 @@
            std::to_string(need.m_memoryMb) + " MB)";
 }
 
+Resources getWhole(const WorkerView& worker) {
+    return takeMost(worker.m_capacity, worker.m_wholeCapacity);
+}
+
 }  // namespace
 
-/** Whether the workers that are known could hold the whole unit if nothing else ran. */
+/** Whether the workers that are known could hold the whole unit if nothing else ran, and their
+ * rooms were as large as they have been. */
 bool PlanningPass::canEverHold(const WorkUnit& unit) const {
     const StepSpec& spec = unit.getSpec();
     const std::uint64_t limit =
@@ -29,7 +34,7 @@
         const bool mayHold =
                 worker.m_service == unit.getRecord().m_policy.m_service &&
                 (spec.m_requiredLabel.empty() || worker.m_labels.count(spec.m_requiredLabel) != 0);
-        Resources room = mayHold ? worker.m_capacity : Resources();
+        Resources room = mayHold ? getWhole(worker) : Resources();
         std::uint64_t held = 0;
         while (held < limit && held < unit.m_indexes.size() && spec.getRoomNeed().fitsInto(room)) {
             room -= spec.getRoomNeed();
@@ -61,6 +66,7 @@
     std::size_t labelled = 0;
     std::size_t allowed = 0;
     std::size_t holding = 0;
+    std::size_t holdingNow = 0;
     std::uint64_t free = 0;
     std::uint32_t mostFree = 0;
     for (WorkerSlot slot = 0; slot < m_rooms.size(); ++slot) {
@@ -68,10 +74,12 @@
         const bool isOfService = worker.m_service == service;
         const bool hasLabel =
                 spec.m_requiredLabel.empty() || worker.m_labels.count(spec.m_requiredLabel) != 0;
-        const bool holds = spec.getRoomNeed().fitsInto(worker.m_capacity);
+        const bool holds = spec.getRoomNeed().fitsInto(getWhole(worker));
+        const bool holdsNow = spec.getRoomNeed().fitsInto(worker.m_capacity);
         ofService += isOfService ? 1 : 0;
         labelled += isOfService && hasLabel ? 1 : 0;
         holding += isOfService && hasLabel && holds ? 1 : 0;
+        holdingNow += isOfService && hasLabel && holdsNow ? 1 : 0;
         if (isAllowed(unit, slot)) {
             ++allowed;
             free += m_rooms[slot].m_free.m_accelerators;
@@ -92,6 +100,10 @@
         return "can't run: no part of the topology holds " + describeNeed(unit) + " within " +
                std::string(toText(spec.m_adjacency)) + "; ask for a smaller shape or a wider part";
     }
+    if (holdingNow == 0) {
+        return "waits: the rooms of the " + std::to_string(holding) + " workers that could hold " +
+               describeNeed(unit) + " have shrunk; they may grow again";
+    }
     if (unit.m_of->m_needsAdvice && allowed == 0) {
         return "waits: no worker has been advised for it so far";
     }
--- a/libs/operators/src/JobTables.cpp
+++ b/libs/operators/src/JobTables.cpp
@@ -134,18 +134,20 @@
 Table makeWorkerTable(const JobController& jobs) {
     std::map<std::string, Resources> used = sumUsed(jobs.getJobs());
     Table table;
-    table.m_columns = {"name", "domain", "rack", "state", "accelerators", "used", "cores_used"};
+    table.m_columns = {"name",         "domain", "rack",       "state",
+                       "accelerators", "used",   "cores_used", "shrunk_by"};
     for (const auto& [address, host] : jobs.getWorkers().getHosts()) {
         if (!isKnown(host)) {
             continue;
         }
         const WorkerNotice& notice = *host.m_notice;
-        table.m_rows.push_back({Cell::ofText(toHostName(address)),
-                                Cell::ofText(notice.m_failureDomain), Cell::ofText(notice.m_rack),
-                                Cell::ofText(describeWorker(jobs, host)),
-                                Cell::ofNumber(notice.m_accelerators),
-                                Cell::ofNumber(used[address].m_accelerators),
-                                Cell::ofNumber(used[address].m_cpuMillis / MILLIS_PER_CORE)});
+        table.m_rows.push_back(
+                {Cell::ofText(toHostName(address)), Cell::ofText(notice.m_failureDomain),
+                 Cell::ofText(notice.m_rack), Cell::ofText(describeWorker(jobs, host)),
+                 Cell::ofNumber(notice.m_accelerators),
+                 Cell::ofNumber(used[address].m_accelerators),
+                 Cell::ofNumber(used[address].m_cpuMillis / MILLIS_PER_CORE),
+                 Cell::ofNumber(notice.m_wholeAccelerators - notice.m_accelerators)});
     }
     return table;
 }
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -89,6 +89,10 @@
     std::uint32_t m_cpuMillis = 0;
     std::uint32_t m_memoryMb = 0;
     std::uint32_t m_accelerators = 0;
+    /** The most that it had in this life; its room may have shrunk since, and may grow again. */
+    std::uint32_t m_wholeCpuMillis = 0;
+    std::uint32_t m_wholeMemoryMb = 0;
+    std::uint32_t m_wholeAccelerators = 0;
     bool m_isDraining = false;
     /** Least time that a draining worker stays. */
     std::uint64_t m_remainingMs = 0;
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -144,6 +144,7 @@
         return checked;
     }
     if (!m_refusal.empty()) {
+        ++m_refused;
         return {WorkerStatus::REFUSED, m_refusal};
     }
     if (start.m_until <= getClock()) {
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -69,6 +69,8 @@
     Millis m_startDelay{2000};
     /** Every start is refused with this word; empty: none. */
     std::string m_refusal;
+    /** How many starts were refused so. */
+    std::size_t m_refused = 0;
     /** Its runs stand still, while it looks well. */
     bool m_isHanging = false;
     /** Of their work, what runs that stand still show as done. */
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -47,6 +47,8 @@
         std::unique_ptr<Registration> m_registration;
         std::uint64_t m_sequence = 0;
         bool m_isDraining = false;
+        /** What its worker's heartbeats say that it has. */
+        Resources m_capacity{8000, 8000, 8};
         /** Its worker sends no heartbeats. */
         bool m_isMute = false;
         /** While it drains: the least time that it stays. */
