Time that a machine was suspended counts: the loop's clock is CLOCK_BOOTTIME, overdue timers run first on waking

Cause: now() was the steady clock, which stands still while a machine is suspended. GLib's timers stand still too, so that on each turn the loop compares the two clocks, and runs what is overdue before it handles what has arrived. Before, the process woke with up to a whole interval left on each timer.

Tried and taken out again: the sidecar stopping by itself what outlived its lease, since no test needed it.

--- a/libs/base/include/pierbank/base/Clock.h
+++ b/libs/base/include/pierbank/base/Clock.h
@@ -16,7 +16,10 @@
 public:
     virtual ~Clock() = default;
 
-    /** Monotonic instant; only differences between two values of one process have a meaning. */
+    /**
+     * Monotonic instant, which goes on while the machine is suspended; only differences between two
+     * values of one process have a meaning.
+     */
     virtual Millis now() const noexcept = 0;
 
     /** Time since the Unix epoch; for audit entries and records, never for leases. */
--- a/libs/base/include/pierbank/base/GlibEventLoop.h
+++ b/libs/base/include/pierbank/base/GlibEventLoop.h
@@ -7,13 +7,21 @@
 #include <unordered_map>
 
 #include "pierbank/base/EventLoop.h"
+#include "pierbank/base/MachineClocks.h"
 
 namespace pierbank {
 
-/** EventLoop on GLib's default main context. Made once, by main(), on the main thread. */
+/**
+ * EventLoop on GLib's default main context. Made once, by main(), on the main thread.
+ *
+ * While a machine is suspended GLib's timers stand still with its steady clock, and now() goes on.
+ * When it wakes, the timers that are overdue by now() run before anything that has arrived is
+ * handled.
+ */
 class GlibEventLoop final : public EventLoop {
 public:
-    GlibEventLoop();
+    /** @param clocks must outlive the loop; null for the machine's own. */
+    explicit GlibEventLoop(const MachineClocks* clocks = nullptr);
     ~GlibEventLoop() override;
     GlibEventLoop(const GlibEventLoop&) = delete;
     GlibEventLoop& operator=(const GlibEventLoop&) = delete;
@@ -34,11 +42,28 @@
 
 private:
     struct Timer;
+    struct WakeSource;
+    struct Pending {
+        guint m_source = 0;
+        /** By now(). */
+        Millis m_due{0};
+        Timer* m_timer = nullptr;
+    };
+
     static gboolean fire(gpointer data);
+    void addWakeSource();
+    Millis getSuspended() const noexcept;
+    bool hasWoken() const noexcept;
+    void catchUp();
+    bool runOverdue(Millis until);
 
+    const MachineClocks& m_clocks;
     GMainLoop* m_loop;
+    GSource* m_wakeSource = nullptr;
+    /** Time that the machine was suspended since it started, as far as it was noticed. */
+    Millis m_suspended{0};
     std::uint64_t m_nextTimer = 1;
-    std::unordered_map<std::uint64_t, guint> m_sources;
+    std::unordered_map<std::uint64_t, Pending> m_timers;
 };
 
 }  // namespace pierbank
--- a/model/check.sh
+++ b/model/check.sh
@@ -46,9 +46,13 @@
 verify holds schedule.pml MAX_LAPSES=2 MAX_CUTS=1 MAX_RUNS=2
 verify holds schedule.pml MAX_LAPSES=1 MAX_CUTS=2 MAX_RUNS=2
 for mutant in NO_EPOCH NO_LEASE_WAIT GRANT_FROM_ARRIVAL NO_BAR ACK_BEFORE_COMMIT \
-    ORDER_BEFORE_COMMIT START_WITHOUT_END STALE_ORDER NO_GRACE_WAIT; do
+    ORDER_BEFORE_COMMIT START_WITHOUT_END STALE_ORDER NO_GRACE_WAIT STEADY_CLOCK; do
     verify refuted schedule.pml MAX_LAPSES=1 MAX_CUTS=1 MAX_RUNS=2 "MUTANT_$mutant"
 done
+verify holds crashes.pml
+for mutant in COUNT_IN_MEMORY FORGET_LAPSED NO_WAIT TOLD_TWICE COUNT_BEFORE_COMMIT; do
+    verify refuted crashes.pml "MUTANT_$mutant"
+done
 verify holds intake.pml
 for mutant in NO_CONFIGURATION REFUSE_UNKNOWN ACCEPT_EARLY; do
     verify refuted intake.pml "MUTANT_$mutant"
--- a/model/schedule.pml
+++ b/model/schedule.pml
@@ -8,7 +8,7 @@
  *
  * Mutants (-D): MUTANT_NO_EPOCH, MUTANT_NO_LEASE_WAIT, MUTANT_GRANT_FROM_ARRIVAL, MUTANT_NO_BAR,
  * MUTANT_ACK_BEFORE_COMMIT, MUTANT_ORDER_BEFORE_COMMIT, MUTANT_START_WITHOUT_END,
- * MUTANT_STALE_ORDER, MUTANT_NO_GRACE_WAIT.
+ * MUTANT_STALE_ORDER, MUTANT_NO_GRACE_WAIT, MUTANT_STEADY_CLOCK.
  */
 #ifndef MAX_LAPSES
 #define MAX_LAPSES 2      /* of the leader key */
@@ -30,6 +30,13 @@
 #define NOBODY_ELSE_GRANTS (fence[w] == epoch || silentTo + 1 >= epoch)
 #endif
 
+/* So much time has passed that the worker's lease has lapsed, by the leader's clock. */
+#ifdef MUTANT_STEADY_CLOCK
+#define HAS_LAPSED (!lease[w] || isSuspended[w])
+#else
+#define HAS_LAPSED (!lease[w])
+#endif
+
 #define WAITING 0
 #define PLACED 1
 #define DONE 2
@@ -63,6 +70,9 @@
 
 byte lapses = 0;
 byte cuts = 0;
+#ifdef MUTANT_STEADY_CLOCK
+bool isSuspended[2];      /* its sidecar's machine was suspended for longer than the lease */
+#endif
 
 /* A worker carries a start out. */
 inline begin(w, number, epoch, until) {
@@ -101,6 +111,12 @@
     :: atomic { cuts < MAX_CUTS && lease[0] ->
         /* The lease ends: the worker kills what runs, whatever anybody thinks. */
         cuts++; lease[0] = false; runs[0] = 0; round[0]++ }
+#ifdef MUTANT_STEADY_CLOCK
+    :: atomic { cuts < MAX_CUTS && lease[0] ->
+        /* Its clock stood still meanwhile: it goes on renewing the worker by the lease of before. With a
+         * clock that counts suspensions this is the lapse above. */
+        cuts++; isSuspended[0] = true }
+#endif
     :: atomic { grantIsOnItsWay[0] ->
         grantIsOnItsWay[0] = false;
         if
@@ -231,7 +247,7 @@
 #ifdef MUTANT_NO_LEASE_WAIT
     :: atomic { epoch != 0 && state == PLACED && isOrdered ->
 #else
-    :: atomic { epoch != 0 && state == PLACED && !lease[w] && NOBODY_ELSE_GRANTS ->
+    :: atomic { epoch != 0 && state == PLACED && HAS_LAPSED && NOBODY_ELSE_GRANTS ->
         round[w]++;
 #endif
         /* So much time has passed that the worker's lease has surely lapsed: what ran there runs no
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -85,7 +85,27 @@
     });
 }
 
+void FakeTaskWorker::suspend() {
+    m_suspendedAt = m_loop.now();
+    for (const auto& [task, run] : m_runs) {
+        m_witness.noteStop(task, m_name);
+    }
+}
+
+void FakeTaskWorker::wake() {
+    const Millis time = m_loop.now() - *m_suspendedAt;
+    m_suspendedAt.reset();
+    m_clockOffset += time;
+    for (auto& [task, run] : m_runs) {
+        run.m_startedAt += time;
+        run.m_endsAt += time;
+    }
+}
+
 RunReply FakeTaskWorker::checkCall(const WorkerCall& call) {
+    if (m_suspendedAt.has_value()) {
+        return {WorkerStatus::UNKNOWN, "suspended"};
+    }
     if (m_isDown) {
         return {WorkerStatus::REFUSED, "connection refused"};
     }
@@ -246,7 +266,7 @@
         m_loop.callLater(std::min(wait, Millis(100)), [this, done, life = m_life] {
             HoldReply broken;
             broken.m_reason = "connection terminated";
-            done(life == m_life ? look() : broken);
+            done(life == m_life && !m_suspendedAt.has_value() ? look() : broken);
         });
     });
 }
@@ -305,6 +325,9 @@
 void FakeTaskWorker::tick() {
     std::vector<std::pair<TaskKey, RunEnd>> ends;
     for (const auto& [task, run] : m_runs) {
+        if (m_suspendedAt.has_value()) {
+            break;
+        }
         if (getClock() >= m_until) {
             ends.emplace_back(task, RunEnd::LAPSED);
         } else if (m_loop.now() >= run.m_endsAt && !m_isHanging) {
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -62,7 +62,11 @@
     /** The same, but nothing listens before `m_awayAfterCrash` has passed. */
     void crash();
     Millis m_awayAfterCrash{3000};
+    /** Its machine is suspended: it does nothing, and its steady clock stands still. */
+    void suspend();
+    void wake();
     bool isDown() const { return m_isDown; }
+    bool isSuspended() const { return m_suspendedAt.has_value(); }
     const std::string& getLife() const { return m_life; }
     /** So many of the next starts are carried out this much later and not answered. */
     unsigned m_startsToDelay = 0;
@@ -124,6 +128,7 @@
     const std::string m_name;
     std::string m_life;
     bool m_isDown = false;
+    std::optional<Millis> m_suspendedAt;
     unsigned m_lives = 0;
     Millis m_clockOffset{0};
     Millis m_until{0};
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -125,7 +125,8 @@
 
 void JobFleet::beat(std::size_t place) {
     Sidecar& sidecar = m_sidecars[place];
-    if (sidecar.m_agent == nullptr || sidecar.m_isMute || sidecar.m_worker->isDown()) {
+    if (sidecar.m_agent == nullptr || sidecar.m_isMute || sidecar.m_worker->isDown() ||
+        sidecar.m_worker->isSuspended()) {
         return;
     }
     ++sidecar.m_sequence;
--- a/test/support/ManualEventLoop.cpp
+++ b/test/support/ManualEventLoop.cpp
@@ -50,12 +50,16 @@
 TimerId ProcessLoop::callLater(Millis delay, Task task) {
     const std::uint64_t id = m_nextTimer++;
     m_tasks[id] = std::move(task);
+    runLater(id, delay);
+    return TimerId(id);
+}
+
+void ProcessLoop::runLater(std::uint64_t id, Millis delay) {
     m_base.callLater(delay, [this, alive = m_isAlive, id] {
         if (*alive) {
             run(id);
         }
     });
-    return TimerId(id);
 }
 
 void ProcessLoop::cancel(TimerId timer) noexcept {
@@ -64,7 +68,7 @@
 
 void ProcessLoop::run(std::uint64_t id) {
     if (m_isFrozen) {
-        m_late.push_back(id);
+        m_late.emplace_back(id, m_base.now());
         return;
     }
     const auto found = m_tasks.find(id);
@@ -76,10 +80,22 @@
     task();
 }
 
+void ProcessLoop::freeze() {
+    m_isFrozen = true;
+    m_frozenAt = m_base.now();
+}
+
 void ProcessLoop::thaw() {
     m_isFrozen = false;
-    for (const std::uint64_t id : std::exchange(m_late, {})) {
-        run(id);
+    if (m_standsStill) {
+        m_notCounted += m_base.now() - m_frozenAt;
+    }
+    for (const auto& [id, due] : std::exchange(m_late, {})) {
+        if (m_standsStill) {
+            runLater(id, due - m_frozenAt);
+        } else {
+            run(id);
+        }
     }
 }
 
--- a/test/support/ManualEventLoop.h
+++ b/test/support/ManualEventLoop.h
@@ -38,6 +38,9 @@
 /**
  * The loop of one process of a test with several. A frozen process runs nothing; what was due
  * meanwhile runs late, when it is thawed. A dead one never runs anything again.
+ *
+ * On a machine that was suspended GlibEventLoop does the same: its clock counts the time, and what
+ * is overdue runs first. With `m_standsStill` the loop has the other steady clock, which does not.
  */
 class ProcessLoop final : public EventLoop {
 public:
@@ -46,23 +49,28 @@
     ProcessLoop(const ProcessLoop&) = delete;
     ProcessLoop& operator=(const ProcessLoop&) = delete;
 
-    Millis now() const noexcept override { return m_base.now(); }
+    Millis now() const noexcept override { return m_base.now() - m_notCounted; }
     Millis wallNow() const noexcept override { return m_base.wallNow(); }
     TimerId callLater(Millis delay, Task task) override;
     void cancel(TimerId timer) noexcept override;
 
-    void freeze() { m_isFrozen = true; }
+    void freeze();
     void thaw();
     bool isFrozen() const { return m_isFrozen; }
+    bool m_standsStill = false;
 
 private:
     void run(std::uint64_t id);
+    void runLater(std::uint64_t id, Millis delay);
 
     ManualEventLoop& m_base;
     std::uint64_t m_nextTimer = 1;
     std::map<std::uint64_t, Task> m_tasks;
-    std::vector<std::uint64_t> m_late;
+    /** Tasks that were due while frozen, and when. */
+    std::vector<std::pair<std::uint64_t, Millis>> m_late;
     bool m_isFrozen = false;
+    Millis m_frozenAt{0};
+    Millis m_notCounted{0};
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
