What others write is read whole or not at all; a bad row costs no good one

A run record that can't be read was taken for a job that had not begun: the store refused the next decision, the leader stepped down, and so did each after it.

The leader decides nothing about a job whose run it can't read, and its callers get 503.

--- a/build.sh
+++ b/build.sh
@@ -69,8 +69,9 @@
     cmake -S . -B "$OUT/fuzz" -G Ninja -DPIERBANK_FUZZ=ON -DCMAKE_BUILD_TYPE=None \
         -DCMAKE_CXX_COMPILER=clang++ >/dev/null
     ninja -C "$OUT/fuzz" --quiet decoders-fuzz
+    rm -rf "$OUT/fuzz/found" && mkdir -p "$OUT/fuzz/found"
     "$OUT/fuzz/decoders-fuzz" -seed=1 -runs=100000 -max_len=512 -verbosity=0 \
-        >"$OUT/fuzz.log" 2>&1 || { tail -n 40 "$OUT/fuzz.log"; return 1; }
+        "$OUT/fuzz/found" fuzz/corpus >"$OUT/fuzz.log" 2>&1 || { tail -n 40 "$OUT/fuzz.log"; return 1; }
 }
 
 # Prints a heading, runs a check, and says how it ended.
--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -3,13 +3,53 @@
 //     out/fuzz/decoders-fuzz -max_len=4096
 #include <cstdint>
 #include <cstdlib>
+#include <nlohmann/json.hpp>
 #include <string_view>
 
 #include "pierbank/adapter/Documents.h"
+#include "pierbank/adapter/Json.h"
 #include "pierbank/job/JobCodec.h"
 #include "pierbank/statement/Statement.h"
 #include "pierbank/wire/FrameCodec.h"
 
+namespace {
+
+void require(bool holds) {
+    if (!holds) {
+        std::abort();
+    }
+}
+
+/** Whatever stands beside them: good rows hold, and no row is taken that lacks what it is known by.
+ */
+void checkRows(std::string_view bytes, const pierbank::DocumentCodec& documents) {
+    const nlohmann::json row = pierbank::adapter::parseJson(bytes);
+    if (row.is_discarded()) {
+        return;
+    }
+    const nlohmann::json good = {{"name", "r"}, {"host", "h"}, {"path_prefix", "/p/"}};
+    const nlohmann::json owner = {{"name", "t"}, {"api_keys", {"k"}}};
+    const nlohmann::json whole = {
+            {"version", 1}, {"routes", {row, good, row}}, {"tenants", {row, row, owner}}};
+    pierbank::Findings findings;
+    const auto read = documents.readConfiguration(pierbank::adapter::dumpJson(whole), findings);
+    require(read.has_value() && read->findRoute("h", "/p/x") != nullptr);
+    require(read->m_organisationsByKey.count("k") == 1);
+    for (const pierbank::QueueRoute& route : read->m_routes) {
+        require(!route.m_host.empty() && !route.m_pathPrefix.empty());
+    }
+}
+
+/** A beat is read whole or not at all. */
+void checkBeat(std::string_view bytes, const pierbank::DocumentCodec& documents) {
+    pierbank::Findings findings;
+    const auto beat = documents.readBeat("life", bytes, findings);
+    require(beat.has_value() == findings.isEmpty());
+    require(!beat.has_value() || !beat->m_service.empty());
+}
+
+}  // namespace
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     const std::string_view bytes(reinterpret_cast<const char*>(data), size);
     pierbank::Reason reason;
@@ -25,7 +65,8 @@
     pierbank::Findings findings;
     documents.readConfiguration(bytes, findings);
     documents.readJob(bytes, findings);
-    documents.readBeat("life", bytes, findings);
+    checkBeat(bytes, documents);
+    checkRows(bytes, documents);
     documents.readWave(bytes, findings);
     const auto statement = pierbank::parseStatement(bytes);
     if (!statement.m_statement.has_value() && statement.m_error.m_message.empty()) {
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -269,6 +269,8 @@
     StoreRevision m_epoch = 0;
     StoreRevision m_watchedTo = 0;
     JobTable m_jobs;
+    /** Jobs whose run in the store can't be read. */
+    std::set<std::string> m_unreadable;
     /** Withdrawals of jobs that are not known yet. */
     std::set<std::string> m_earlyCancels;
     EndLedger m_ledger;
--- a/libs/control/src/ConfigurationFeed.cpp
+++ b/libs/control/src/ConfigurationFeed.cpp
@@ -109,6 +109,11 @@
                       {"findings", findings.toText()}});
             return;
         }
+        if (!findings.isEmpty()) {
+            logEvent(Severity::ERROR, "configuration", "rows-left-out",
+                     {{"revision", std::to_string(item.m_revision)},
+                      {"findings", findings.toText()}});
+        }
         if (m_configuration.has_value() && configuration->m_version < m_configuration->m_version) {
             return;
         }
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -74,6 +74,7 @@
     m_speeds.clear();
     m_advice.clear();
     m_holds.clear();
+    m_unreadable.clear();
     m_judged.clear();
     m_openHosts.clear();
     m_leavingLives.clear();
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -187,7 +187,7 @@
 
 void JobController::addJob(const StoreItem& item) {
     const std::string id = item.m_key.substr(JOB_PREFIX.size());
-    if (m_jobs.count(id) != 0) {
+    if (m_jobs.count(id) != 0 || m_unreadable.count(id) != 0) {
         return;
     }
     auto record = decodeJobRecord(item.m_value);
@@ -216,7 +216,11 @@
     const std::string id = item.m_key.substr(RUN_PREFIX.size());
     auto run = decodeJobRun(item.m_value);
     if (!run.has_value()) {
+        // It may run, or be done: nothing can be decided about it, and what is known stays as it
+        // is.
         logEvent(Severity::ERROR, "jobs", "unreadable-run", {{"job", id}});
+        m_jobs.erase(id);
+        m_unreadable.insert(id);
         return;
     }
     const auto [place, isNew] = m_jobs.try_emplace(id);
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -53,6 +53,10 @@
                          return;
                      }
                      const auto run = isSecond ? decodeJobRun(read.m_item.m_value) : std::nullopt;
+                     if (isSecond && !run.has_value()) {
+                         answerUnavailable(call, "the job's state can't be read");
+                         return;
+                     }
                      const JobPhase phase = run.has_value() ? run->m_phase : JobPhase::PENDING;
                      answer(call, HTTP_OK, m_codec.writePhase(phase), "read from the store");
                  });
@@ -70,6 +74,10 @@
                          return;
                      }
                      const auto run = isAbsent ? std::nullopt : decodeJobRun(read.m_item.m_value);
+                     if (!isAbsent && !run.has_value()) {
+                         answerUnavailable(call, "the job's state can't be read");
+                         return;
+                     }
                      if (run.has_value() && run->isOver()) {
                          answer(call, HTTP_OK, "", "the job was over already");
                          return;
--- a/libs/control/src/LifeAccount.cpp
+++ b/libs/control/src/LifeAccount.cpp
@@ -40,8 +40,8 @@
 /** A start without an answer may still take effect, so only what was there can be missing. */
 void LifeAccount::forgetMissing(std::span<const ListedRun> running) {
     for (auto& [key, run] : m_runs) {
-        const bool isListed =
-                std::any_of(running.begin(), running.end(), [&](const ListedRun& listed) {
+        const bool isListed = std::any_of(
+                running.begin(), running.end(), [&, &key = key](const ListedRun& listed) {
                     return listed.m_run == key.second && listed.m_task == key.first;
                 });
         run.m_missed = isListed || !run.m_isConfirmed ? 0 : run.m_missed + 1;
--- a/test/failures/JobFailuresTest.cpp
+++ b/test/failures/JobFailuresTest.cpp
@@ -339,4 +339,26 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 1U);
 }
 
+/**
+ * Another writer's bytes under a job's run. The leader took the job for one that had not begun; its
+ * next decision about it expected a record that was not there, so that the store refused it, the
+ * leader stepped down, and so did each one after it.
+ */
+TEST_F(JobFailuresTest, ARunRecordThatCannotBeReadCostsNoOtherJobAndNoLeader) {
+    m_fleet.submit(ID, SMALL, "60000");
+    m_fleet.m_loop.advance(Millis(500));
+    m_fleet.m_state.put(getRunKey(ID), "not a record");
+    m_fleet.killGateway(getLeader());
+    ASSERT_TRUE(m_fleet.waitForLeader());
+    const std::size_t leader = getLeader();
+    const StoreRevision epoch = m_fleet.m_gateways[leader].m_core->getLock().getEpoch();
+    m_fleet.submit(OTHER_ID, SMALL, "1000", "/batch/", leader);
+    EXPECT_TRUE(m_fleet.waitForState(OTHER_ID, "succeeded", Millis(5000), "/batch/", leader));
+    EXPECT_EQ(m_fleet.getState(ID, "/batch/", leader), "503") << "what is not known is not told";
+    EXPECT_EQ(m_fleet.ask(leader, "DELETE", std::string("/batch/") + ID).m_status, 503U);
+    m_fleet.m_loop.advance(Millis(5000));
+    EXPECT_EQ(m_fleet.m_gateways[leader].m_core->getLock().getEpoch(), epoch);
+    EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 1U) << "it may have ended well";
+}
+
 }  // namespace pierbank::testing
