--- a/test/failures/JobFailuresTest.cpp
+++ b/test/failures/JobFailuresTest.cpp
@@ -339,6 +339,34 @@
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 1U);
 }
 
+/** Every machine at the same moment, at each of many moments around the acceptance; the store alone
+ * stays. */
+TEST_F(JobFailuresTest, AJobAcceptedJustBeforeEverythingLosesPowerRunsWhenItIsBack) {
+    for (int round = 0; round < 12; ++round) {
+        const std::string id = "00000000000000" + std::to_string(10 + round);
+        const std::size_t gateway = static_cast<std::size_t>(round) % 3;
+        ASSERT_EQ(m_fleet.submit(id, SMALL, "500", "/batch/", gateway).m_status, 200U);
+        m_fleet.m_loop.advance(Millis(7 * round));
+        for (std::size_t i = 0; i < m_fleet.m_gateways.size(); ++i) {
+            m_fleet.killGateway(i);
+        }
+        for (std::size_t i = 0; i < m_fleet.m_sidecars.size(); ++i) {
+            m_fleet.killSidecar(i);
+            getSidecar(i).m_worker->restart();
+        }
+        m_fleet.m_loop.advance(Millis(800));
+        for (std::size_t i = 0; i < m_fleet.m_sidecars.size(); ++i) {
+            m_fleet.startSidecar(i);
+        }
+        for (std::size_t i = 0; i < m_fleet.m_gateways.size(); ++i) {
+            m_fleet.startGateway(i);
+        }
+        m_fleet.m_loop.advance(Millis(1500));
+        EXPECT_TRUE(m_fleet.waitForState(id, "succeeded", Millis(15'000), "/batch/", gateway))
+                << round;
+    }
+}
+
 /**
  * Another writer's bytes under a job's run. The leader took the job for one that had not begun; its
  * next decision about it expected a record that was not there, so that the store refused it, the
