After three crashes a task has two more starts, however these end; a crash that only a dead sidecar saw counts beside others

Found by thinking the rule through: it counts starts after the third crash, not crashes. So the third crash's run number bounds the task's run numbers; a run that goes on is left to refute it. A host that went whole counts as one crash beside two that were seen, since its sidecar could not tell. A draining worker that went without saying goodbye counts, but makes nobody suspect (it said nothing of it before: a crasher on a draining worker went unseen). The test of a worker that left is now two, one for each; the first sends the goodbye that a real worker sends, and still asserts that nothing is on record.

--- a/libs/control/src/JobControllerLosses.cpp
+++ b/libs/control/src/JobControllerLosses.cpp
@@ -76,6 +76,7 @@
             }
             takeEffect(entry, applyNotRunning(entry.m_record, entry.m_run, run.m_task, run.m_run,
                                               m_loop.wallNow()));
+            takeEffect(entry, giveUpIfProved(entry.m_run, run.m_task, m_loop.wallNow()));
         }
     }
 }
@@ -127,8 +128,9 @@
         const CrashedRun& run = runs[i];
         const TaskRun* const task = findTask(run.m_task);
         if (task != nullptr && task->m_state != TaskState::DONE && run.m_run <= task->m_lastRun) {
+            const LossVerdict verdict = crash.m_wasLeaving ? LossVerdict::BESIDE : verdicts[i];
             noteLoss(m_jobs.find(run.m_task.m_job)->second, run.m_task,
-                     {{host, crash.m_life}, run.m_run, verdicts[i], run.m_ran});
+                     {{host, crash.m_life}, run.m_run, verdict, run.m_ran});
         }
     }
 }
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -172,6 +172,7 @@
     if (effect.m_isCurrent) {
         entry.m_ends.emplace_back(worker, end.m_number);
         takeEffect(entry, effect);
+        takeEffect(entry, giveUpIfProved(entry.m_run, *key, m_loop.wallNow()));
     } else if (entry.m_isDirty || entry.m_isCommitting) {
         // A gang's other members: what makes this end old is not committed yet.
         entry.m_ends.emplace_back(worker, end.m_number);
@@ -219,6 +220,7 @@
     }
     takeEffect(entry,
                applyNotRunning(entry.m_record, entry.m_run, *key, absent.m_run, m_loop.wallNow()));
+    takeEffect(entry, giveUpIfProved(entry.m_run, *key, m_loop.wallNow()));
     stepSoon();
 }
 
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -266,19 +266,20 @@
     return std::find(m_formerLives.begin(), m_formerLives.end(), life) != m_formerLives.end();
 }
 
-/** A life that said that it would leave, or has left, did not crash. */
+/** A life that said goodbye did not crash. */
 void WorkerAgent::endLife() {
-    const bool isAnnounced = m_isGone || (m_beat.has_value() && m_beat->m_isDraining);
+    const bool wasLeaving = m_beat.has_value() && m_beat->m_isDraining;
     const std::vector<CrashedRunEntry> runs = m_account.endLife(m_loop.now());
-    if (m_life.empty() || isAnnounced) {
+    if (m_life.empty() || m_isGone) {
         return;
     }
     logEvent(Severity::WARNING, "agent", "worker-crashed",
              {{"life", m_life},
+              {"draining", wasLeaving ? "yes" : "no"},
               {"runs", std::to_string(runs.size())},
               {"youngest", runs.empty() ? "-" : runs.front().m_task},
               {"youngest_ran_ms", runs.empty() ? "-" : std::to_string(runs.front().m_ranMs)}});
-    m_crashes.push_back({m_life, runs});
+    m_crashes.push_back({m_life, wasLeaving, runs});
     if (m_crashes.size() > MAX_CRASHES) {
         m_crashes.pop_front();
     }
--- a/libs/job/include/pierbank/job/RunLosses.h
+++ b/libs/job/include/pierbank/job/RunLosses.h
@@ -90,8 +90,14 @@
     bool isRisk(Millis age) const;
     /** It is known well enough that the task crashes workers. */
     bool isProof() const;
+    /**
+     * The starts are used up that the users' rule leaves after the third crash, however they ended.
+     * @param lastRun number of the task's last run; runs count up with each start.
+     * @param withOpen open losses count as crashes.
+     */
+    bool isExhausted(std::uint32_t lastRun, bool withOpen) const;
     /** Not started before it is known how the open losses came about. */
-    bool mustWait() const;
+    bool mustWait(std::uint32_t lastRun) const;
     /** The evidence: lives and hosts, for people. */
     std::string describe() const;
 
@@ -100,6 +106,7 @@
     std::vector<RunLoss> m_list;
 
 private:
+    bool isCrash(const RunLoss& loss, bool withOpen) const;
     unsigned weigh(bool withOpen) const;
     Millis getLongest() const;
 };
--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -368,7 +368,13 @@
 EndEffect giveUpIfProved(JobRun& run, const TaskKey& key, Millis wallNow) {
     EndEffect effect;
     const TaskRun* const task = run.findTask(key);
-    if (task == nullptr || run.isOver() || !task->m_losses.isProof()) {
+    if (task == nullptr || run.isOver()) {
+        return effect;
+    }
+    // A run that goes on may still refute what is known; the next start may not.
+    const bool isExhausted = task->m_state == TaskState::WAITING &&
+                             task->m_losses.isExhausted(task->m_lastRun, false);
+    if (!isExhausted && !task->m_losses.isProof()) {
         return effect;
     }
     finish(run, JobPhase::FAILED,
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -56,7 +56,8 @@
         return;
     }
     const auto mustWait = [&](std::uint32_t index) {
-        return run.m_tasks[index].m_losses.mustWait();
+        const TaskRun& task = run.m_tasks[index];
+        return task.m_losses.mustWait(task.m_lastRun);
     };
     if (std::any_of(waiting.begin(), waiting.end(), mustWait)) {
         noteOpenLosses(record);
--- a/libs/job/src/RunLosses.cpp
+++ b/libs/job/src/RunLosses.cpp
@@ -14,6 +14,8 @@
 /** Ten hosts that went under one task: a task that takes the host along is given up too. */
 constexpr unsigned HOST_WEIGHT = 1;
 constexpr std::size_t MAX_LOSSES = 10;
+constexpr std::size_t CRASHES = 3;
+constexpr std::uint32_t STARTS_AFTER = 2;
 /** A worker that goes so soon after a start went by it: a sidecar sees within milliseconds that
  * its connections break. */
 constexpr Millis QUICK{300};
@@ -123,18 +125,41 @@
     return isSuspect() && age <= RISK + TIMES * getLongest();
 }
 
+/** A host that went whole counts as one beside crashes that were seen: its sidecar could not tell.
+ */
+bool RunLosses::isCrash(const RunLoss& loss, bool withOpen) const {
+    if (loss.m_verdict == LossVerdict::OPEN) {
+        return withOpen;
+    }
+    const auto seen = std::count_if(m_list.begin(), m_list.end(), [](const RunLoss& one) {
+        return one.m_verdict > LossVerdict::HOST_LOST;
+    });
+    return loss.m_verdict > LossVerdict::HOST_LOST || static_cast<std::size_t>(seen) >= SEVERAL;
+}
+
 unsigned RunLosses::weigh(bool withOpen) const {
     unsigned weight = 0;
     for (const RunLoss& loss : m_list) {
-        if (loss.m_verdict == LossVerdict::HOST_LOST) {
-            weight += HOST_WEIGHT;
-        } else if (withOpen || loss.m_verdict != LossVerdict::OPEN) {
+        if (isCrash(loss, withOpen)) {
             weight += CRASH_WEIGHT;
+        } else if (loss.m_verdict == LossVerdict::HOST_LOST) {
+            weight += HOST_WEIGHT;
         }
     }
     return weight;
 }
 
+bool RunLosses::isExhausted(std::uint32_t lastRun, bool withOpen) const {
+    std::vector<std::uint32_t> runs;
+    for (const RunLoss& loss : m_list) {
+        if (isCrash(loss, withOpen)) {
+            runs.push_back(loss.m_run);
+        }
+    }
+    std::sort(runs.begin(), runs.end());
+    return runs.size() >= CRASHES && lastRun >= runs[CRASHES - 1] + STARTS_AFTER;
+}
+
 /**
  * Two crashes at the very start, one of them with nothing else there, are no chance: workers that
  * fail by themselves do so at any time. Of later crashes all are needed that the users' rule
@@ -151,8 +176,8 @@
     return (quick >= QUICK_CRASHES && wasAlone) || weigh(false) >= PROOF;
 }
 
-bool RunLosses::mustWait() const {
-    return weigh(true) >= PROOF;
+bool RunLosses::mustWait(std::uint32_t lastRun) const {
+    return weigh(true) >= PROOF || isExhausted(lastRun, true);
 }
 
 std::string RunLosses::describe() const {
--- a/libs/job/test/RunLossesTest.cpp
+++ b/libs/job/test/RunLossesTest.cpp
@@ -93,15 +93,48 @@
     EXPECT_TRUE(m_losses.isProof());
 }
 
+/** A host that went whole may have been taken along: beside crashes it counts as one. */
+TEST_F(RunLossesTest, ACrashThatOnlyADeadSidecarSawCountsWhereOthersWereSeen) {
+    lose(LossVerdict::SUSPECT);
+    lose(LossVerdict::HOST_LOST);
+    lose(LossVerdict::ALONE);
+    lose(LossVerdict::SUSPECT);
+    EXPECT_FALSE(m_losses.isProof());
+    lose(LossVerdict::HOST_LOST);
+    EXPECT_TRUE(m_losses.isProof());
+}
+
+/** The rule counts starts after the third crash, however they end: given way, moved, lapsed. */
+TEST_F(RunLossesTest, AfterThreeCrashesTwoMoreStartsAreAllThereAre) {
+    lose(LossVerdict::SUSPECT);
+    lose(LossVerdict::ALONE);
+    EXPECT_FALSE(m_losses.isExhausted(9, false));
+    lose(LossVerdict::BESIDE);
+    EXPECT_FALSE(m_losses.isExhausted(3, false));
+    EXPECT_FALSE(m_losses.isExhausted(4, false));
+    EXPECT_TRUE(m_losses.isExhausted(5, false));
+    EXPECT_FALSE(m_losses.isProof()) << "the run that goes on may still refute it";
+}
+
+TEST_F(RunLossesTest, OpenLossesCountForStartsOnly) {
+    for (int i = 0; i < 3; ++i) {
+        lose(LossVerdict::OPEN);
+    }
+    EXPECT_TRUE(m_losses.isExhausted(5, true));
+    EXPECT_FALSE(m_losses.isExhausted(5, false));
+    EXPECT_TRUE(m_losses.mustWait(5));
+    EXPECT_FALSE(m_losses.mustWait(4));
+}
+
 TEST_F(RunLossesTest, WithFiveThatMayBeCrashesTheTaskWaitsForTheVerdict) {
     for (int i = 0; i < 5; ++i) {
-        EXPECT_FALSE(m_losses.mustWait()) << i;
+        EXPECT_FALSE(m_losses.mustWait(m_number)) << i;
         lose(LossVerdict::OPEN);
     }
-    EXPECT_TRUE(m_losses.mustWait());
+    EXPECT_TRUE(m_losses.mustWait(m_number));
     EXPECT_FALSE(m_losses.isProof());
     EXPECT_TRUE(m_losses.forgetOpen(makeWorker(3)));
-    EXPECT_FALSE(m_losses.mustWait());
+    EXPECT_FALSE(m_losses.mustWait(m_number));
 }
 
 TEST_F(RunLossesTest, AVerdictCountsOnceHoweverOftenItIsTold) {
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -69,9 +69,11 @@
     bool operator==(const CrashedRunEntry&) const = default;
 };
 
-/** A life of the worker that another followed although it never said that it would leave. */
+/** A life of the worker that another followed although it never said goodbye. */
 struct WorkerCrash {
     std::string m_life;
+    /** It was draining, so that it may have gone for that. */
+    bool m_wasLeaving = false;
     std::vector<CrashedRunEntry> m_runs;
     bool operator==(const WorkerCrash&) const = default;
 };
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -42,7 +42,7 @@
 
 template <typename Archive>
 void describe(Archive& archive, WorkerCrash& crash) {
-    archive(crash.m_life, crash.m_runs);
+    archive(crash.m_life, crash.m_wasLeaving, crash.m_runs);
 }
 
 template <typename Archive>
--- a/test/failures/CrashFailuresTest.cpp
+++ b/test/failures/CrashFailuresTest.cpp
@@ -134,6 +134,24 @@
     EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
 }
 
+/** It works for 1.5 s before it crashes its worker, and is made to give way before that after the
+ * third. */
+TEST_F(ATaskThatCrashesEveryWorker, IsNotStartedOnBecauseItGaveWayBetween) {
+    m_fleet.submit(ID, R"({"count":1,"cpu":8000,"mem_mb":100,"gpu":8,"est_ms":60000})", "x1500");
+    int urgent = 0;
+    for (int i = 0; i < 6000; ++i) {
+        m_fleet.m_loop.advance(Millis(20));
+        if (countStarts() > 3 && m_fleet.m_witness.isRunning(taskOf(ID)) && urgent < 60) {
+            m_fleet.submit(
+                    "00000000000000" + std::to_string(10 + urgent++),
+                    R"({"count":10,"cpu":8000,"mem_mb":100,"gpu":8,"est_ms":20,"gang":true})", "20",
+                    "/urgent/");
+        }
+    }
+    EXPECT_LE(countStarts(), MOST_STARTS);
+    EXPECT_EQ(m_fleet.getState(ID), "failed");
+}
+
 TEST_F(ATaskThatCrashesEveryWorker, IsNamedWithTheEvidenceToWhoAsksWhy) {
     m_fleet.submit(ID, SMALL, "x10", "/urgent/");
     m_fleet.m_loop.advance(Millis(30'000));
@@ -276,21 +294,49 @@
     expectAllSucceed(20);
 }
 
-TEST_F(AnInnocentTask, IsNoSuspectForAWorkerThatLeftAsItSaid) {
-    handIn(1, "60000");
-    m_fleet.m_loop.advance(Millis(300));
-    const auto place = findWorker(taskOf(idOf(0)));
-    ASSERT_TRUE(place.has_value());
-    getSidecar(*place).m_isDraining = true;
-    getSidecar(*place).m_remaining = Millis(60'000);
-    m_fleet.beat(*place);
-    m_fleet.m_loop.advance(Millis(100));
-    getSidecar(*place).m_isDraining = false;
-    getSidecar(*place).m_worker->restart();
-    m_fleet.beat(*place);
-    m_fleet.m_loop.advance(Millis(1000));
-    const JobTable& jobs = m_fleet.m_gateways[getLeader()].m_core->getJobs().getJobs();
-    EXPECT_TRUE(jobs.at(idOf(0)).m_run.findTask(taskOf(idOf(0)))->m_losses.isEmpty());
+namespace {
+
+/** A job of a minute on a worker that says that it leaves, and then is there under another life. */
+class ATaskOnAWorkerThatLeaves : public AnInnocentTask {
+protected:
+    const RunLosses& loseIt(bool saysGoodbye) {
+        handIn(1, "60000");
+        m_fleet.m_loop.advance(Millis(300));
+        JobFleet::Sidecar& sidecar = getSidecar(findWorker(taskOf(idOf(0))).value_or(0));
+        sidecar.m_isDraining = true;
+        sidecar.m_remaining = Millis(60'000);
+        beatAll();
+        m_fleet.m_loop.advance(Millis(100));
+        if (saysGoodbye) {
+            sidecar.m_agent->handleLeave(sidecar.m_worker->getLife());
+        }
+        sidecar.m_isDraining = false;
+        sidecar.m_worker->restart();
+        beatAll();
+        m_fleet.m_loop.advance(Millis(1000));
+        const JobTable& jobs = m_fleet.m_gateways[getLeader()].m_core->getJobs().getJobs();
+        return jobs.at(idOf(0)).m_run.findTask(taskOf(idOf(0)))->m_losses;
+    }
+
+    void beatAll() {
+        for (std::size_t i = 0; i < m_fleet.m_sidecars.size(); ++i) {
+            m_fleet.beat(i);
+        }
+    }
+};
+
+}  // namespace
+
+TEST_F(ATaskOnAWorkerThatLeaves, IsNoSuspectWhenItLeftAsItSaid) {
+    EXPECT_TRUE(loseIt(true).isEmpty());
+}
+
+/** It may have crashed before its time, or have gone at once as its machine was taken away. */
+TEST_F(ATaskOnAWorkerThatLeaves, IsNoSuspectWhenItWentWithoutAWordButItCounts) {
+    const RunLosses& losses = loseIt(false);
+    ASSERT_EQ(losses.list().size(), 1U);
+    EXPECT_EQ(losses.list().front().m_verdict, LossVerdict::BESIDE);
+    EXPECT_FALSE(losses.isSuspect());
 }
 
 }  // namespace pierbank::testing
