--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -198,6 +198,8 @@
     void notePlanTime(Millis took, const TaskPlan& plan);
     void noteUrgentWaits(const TaskPlan& plan);
     const std::string* findHostOf(const std::string& life) const;
+
+    // What becomes of a plan (JobControllerOrders.cpp).
     void place(const std::vector<Placement>& placements);
     void placeCopy(const Placement& placement);
     void stop(const Stop& stop);
@@ -235,9 +237,10 @@
     void acquit(const std::string& host, const std::string& life);
     void refuteLosses(JobEntry& entry, const TaskKey& key, std::uint32_t run);
     void findOpenLosses();
-    /** Calls `function(entry, key, losses)` for each task that has lost runs. */
+    void forgetOpenLoss(JobEntry& entry, const TaskKey& key, const RunLoss& loss);
+    /** Calls `function(entry, key, loss)` for each open loss of the jobs that are not over. */
     template <typename Function>
-    void forEachLosses(Function function);
+    void forEachOpenLoss(Function function);
 
     // Committing.
     void commitDirty();
--- a/libs/control/src/JobControllerLosses.cpp
+++ b/libs/control/src/JobControllerLosses.cpp
@@ -21,14 +21,19 @@
 }
 
 template <typename Function>
-void JobController::forEachLosses(Function function) {
+void JobController::forEachOpenLoss(Function function) {
     for (auto& [id, entry] : m_jobs) {
         if (entry.m_run.isOver()) {
             continue;
         }
         forEachTask(id, entry.m_run, [&, &entry = entry](const TaskKey& key, TaskRun& task) {
-            if (!task.m_losses.isEmpty()) {
-                function(entry, key, task.m_losses);
+            // A copy: what is done about one may take it off the list.
+            const std::vector<RunLoss> known(task.m_losses.list().begin(),
+                                             task.m_losses.list().end());
+            for (const RunLoss& loss : known) {
+                if (loss.m_verdict == LossVerdict::OPEN) {
+                    function(entry, key, loss);
+                }
             }
         });
     }
@@ -155,6 +160,12 @@
     takeEffect(entry, giveUpIfProved(entry.m_run, key, m_loop.wallNow()));
 }
 
+/** An open loss turns out to be none. */
+void JobController::forgetOpenLoss(JobEntry& entry, const TaskKey& key, const RunLoss& loss) {
+    entry.m_run.findTask(key)->m_losses.forgetOpen(loss.m_worker);
+    entry.m_isDirty = true;
+}
+
 /** Another life answers: what became of the former one is known as far as it ever will be. */
 void JobController::settleOpenLosses(const std::string& host, const WorkerNotice& notice) {
     if (m_openHosts.count(host) == 0) {
@@ -162,25 +173,19 @@
     }
     const std::string leaving = m_workers.findHost(host)->m_leavingLife;
     bool isOpen = false;
-    forEachLosses([&](JobEntry& entry, const TaskKey& key, RunLosses& losses) {
-        const std::vector<RunLoss> known(losses.list().begin(), losses.list().end());
-        for (RunLoss loss : known) {
-            if (loss.m_worker.m_host != host || loss.m_verdict != LossVerdict::OPEN) {
-                continue;
-            }
-            if (loss.m_worker.m_life == notice.m_life) {
-                isOpen = true;
-                continue;
-            }
+    forEachOpenLoss([&](JobEntry& entry, const TaskKey& key, RunLoss loss) {
+        const std::string& life = loss.m_worker.m_life;
+        if (loss.m_worker.m_host != host) {
+            return;
+        }
+        if (life == notice.m_life) {
+            isOpen = true;
+        } else if (life == leaving || findCrash(notice, life) != nullptr) {
             // A crash that is told without the run: it had not begun there.
-            const bool isNone = loss.m_worker.m_life == leaving ||
-                                findCrash(notice, loss.m_worker.m_life) != nullptr;
-            if (isNone) {
-                entry.m_isDirty = losses.forgetOpen(loss.m_worker) || entry.m_isDirty;
-            } else {
-                loss.m_verdict = LossVerdict::HOST_LOST;
-                noteLoss(entry, key, loss);
-            }
+            forgetOpenLoss(entry, key, loss);
+        } else {
+            loss.m_verdict = LossVerdict::HOST_LOST;
+            noteLoss(entry, key, loss);
         }
     });
     if (!isOpen) {
@@ -194,18 +199,14 @@
         return;
     }
     bool isOpen = false;
-    forEachLosses([&](JobEntry& entry, const TaskKey&, RunLosses& losses) {
-        const std::vector<RunLoss> known(losses.list().begin(), losses.list().end());
-        for (const RunLoss& loss : known) {
-            if (loss.m_worker.m_host != host || loss.m_verdict != LossVerdict::OPEN) {
-                continue;
-            }
-            if (life.empty() || loss.m_worker.m_life == life) {
-                losses.forgetOpen(loss.m_worker);
-                entry.m_isDirty = true;
-            } else {
-                isOpen = true;
-            }
+    forEachOpenLoss([&](JobEntry& entry, const TaskKey& key, const RunLoss& loss) {
+        if (loss.m_worker.m_host != host) {
+            return;
+        }
+        if (life.empty() || loss.m_worker.m_life == life) {
+            forgetOpenLoss(entry, key, loss);
+        } else {
+            isOpen = true;
         }
     });
     if (!isOpen) {
@@ -228,15 +229,11 @@
 /** A new leader finds in the records what is still open; a host that is forgotten settles it. */
 void JobController::findOpenLosses() {
     std::set<std::string> unknown;
-    forEachLosses([&](JobEntry&, const TaskKey&, RunLosses& losses) {
-        for (const RunLoss& loss : losses.list()) {
-            if (loss.m_verdict != LossVerdict::OPEN) {
-                continue;
-            }
-            m_openHosts.insert(loss.m_worker.m_host);
-            if (m_workers.findHost(loss.m_worker.m_host) == nullptr) {
-                unknown.insert(loss.m_worker.m_host);
-            }
+    forEachOpenLoss([&](JobEntry&, const TaskKey&, const RunLoss& loss) {
+        const std::string& host = loss.m_worker.m_host;
+        m_openHosts.insert(host);
+        if (m_workers.findHost(host) == nullptr) {
+            unknown.insert(host);
         }
     });
     for (const std::string& host : unknown) {
