--- a/libs/control/src/ConfigurationFeed.cpp
+++ b/libs/control/src/ConfigurationFeed.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pierbank/base/Log.h"
+#include "pierbank/base/UnreadableInputs.h"
 #include "pierbank/control/StoreKeys.h"
 
 namespace pierbank {
@@ -104,15 +105,15 @@
         Findings findings;
         auto configuration = m_codec.readConfiguration(item.m_value, findings);
         if (!configuration.has_value()) {
-            logEvent(Severity::ERROR, "configuration", "unreadable",
-                     {{"revision", std::to_string(item.m_revision)},
-                      {"findings", findings.toText()}});
+            noteUnreadable("configuration", "unreadable",
+                           {{"revision", std::to_string(item.m_revision)},
+                            {"findings", findings.toText()}});
             return;
         }
         if (!findings.isEmpty()) {
-            logEvent(Severity::ERROR, "configuration", "rows-left-out",
-                     {{"revision", std::to_string(item.m_revision)},
-                      {"findings", findings.toText()}});
+            noteUnreadable("configuration", "rows-left-out",
+                           {{"revision", std::to_string(item.m_revision)},
+                            {"findings", findings.toText()}});
         }
         if (m_configuration.has_value() && configuration->m_version < m_configuration->m_version) {
             return;
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "pierbank/base/Log.h"
+#include "pierbank/base/UnreadableInputs.h"
 #include "pierbank/control/JobController.h"
 #include "pierbank/control/StoreKeys.h"
 #include "pierbank/job/JobCodec.h"
@@ -147,7 +148,7 @@
     std::uint32_t weight = 0;
     const auto result = std::from_chars(text.data(), text.data() + text.size(), weight);
     if (result.ec != std::errc() || weight > MOST) {
-        logEvent(Severity::ERROR, "jobs", "unreadable-weight", {{"value", std::string(text)}});
+        noteUnreadable("jobs", "unreadable-weight", {{"value", std::string(text)}});
         return;
     }
     m_weight = weight;
@@ -160,8 +161,7 @@
             return;
         }
     }
-    logEvent(Severity::ERROR, "jobs", "unreadable-hold",
-             {{"host", host}, {"value", std::string(word)}});
+    noteUnreadable("jobs", "unreadable-hold", {{"host", host}, {"value", std::string(word)}});
 }
 
 /**
@@ -192,7 +192,7 @@
     }
     auto record = decodeJobRecord(item.m_value);
     if (!record.has_value()) {
-        logEvent(Severity::ERROR, "jobs", "unreadable-job", {{"job", id}});
+        noteUnreadable("jobs", "unreadable-job", {{"job", id}});
         return;
     }
     JobEntry entry;
@@ -218,7 +218,7 @@
     if (!run.has_value()) {
         // It may run, or be done: nothing can be decided about it, and what is known stays as it
         // is.
-        logEvent(Severity::ERROR, "jobs", "unreadable-run", {{"job", id}});
+        noteUnreadable("jobs", "unreadable-run", {{"job", id}});
         m_jobs.erase(id);
         m_unreadable.insert(id);
         return;
--- a/libs/control/src/WaveController.cpp
+++ b/libs/control/src/WaveController.cpp
@@ -7,6 +7,7 @@
 
 #include "pierbank/base/Archive.h"
 #include "pierbank/base/Log.h"
+#include "pierbank/base/UnreadableInputs.h"
 #include "pierbank/control/CertainCommit.h"
 #include "pierbank/control/StoreKeys.h"
 
@@ -107,8 +108,8 @@
     Findings findings;
     auto spec = m_codec.readWave(item.m_value, findings);
     if (!spec.has_value()) {
-        logEvent(Severity::ERROR, "waves", "unreadable",
-                 {{"key", item.m_key}, {"findings", findings.toText()}});
+        noteUnreadable("waves", "unreadable",
+                       {{"key", item.m_key}, {"findings", findings.toText()}});
         return;
     }
     spec->m_number = *number;
--- a/libs/daemon/src/Sidecar.cpp
+++ b/libs/daemon/src/Sidecar.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pierbank/base/Log.h"
+#include "pierbank/base/UnreadableInputs.h"
 #include "pierbank/control/StoreKeys.h"
 #include "pierbank/http/HttpStatus.h"
 
@@ -51,8 +52,7 @@
     Findings findings;
     const auto beat = m_codec.readBeat(life, request.m_body, findings);
     if (!beat.has_value()) {
-        logEvent(Severity::WARNING, "sidecar", "bad-beat",
-                 {{"life", life}, {"findings", findings.toText()}});
+        noteUnreadable("sidecar", "bad-beat", {{"life", life}, {"findings", findings.toText()}});
         answer.m_status = HTTP_BAD_REQUEST;
         call->answer(answer);
         return;
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -6,6 +6,7 @@
 
 #include "BackendAnswers.h"
 #include "pierbank/base/Log.h"
+#include "pierbank/base/UnreadableInputs.h"
 #include "pierbank/control/StoreKeys.h"
 #include "pierbank/job/JobCodec.h"
 
@@ -257,6 +258,8 @@
     page.addCounter("pierbank_runs_stopped_total", "runs stopped for others, or moved",
                     figures.m_stopped);
     page.addCounter("pierbank_runs_lost_total", "runs lost with their worker", figures.m_lost);
+    page.addCounter("pierbank_unreadable_total", "entries of others that could not be read",
+                    countUnreadable());
     page.addCounter("pierbank_commits_total", "transactions of decisions", figures.m_commits);
     page.addCounter("pierbank_plans_total", "plans made", figures.m_plans);
     page.addSummary("pierbank_plan_ms", "time that a plan took", figures.m_planTime);
