--- a/test/failures/WorkerFailuresTest.cpp
+++ b/test/failures/WorkerFailuresTest.cpp
@@ -238,6 +238,26 @@
     EXPECT_TRUE(m_fleet.m_witness.isRunning(taskOf(OTHER_ID)));
 }
 
+/** It was not used before its sidecar next asked for its lease, up to half a second after its
+ * heartbeat. */
+TEST_F(WorkerFailuresTest, AWorkerThatIsBackGetsWorkAtOnce) {
+    for (std::size_t i = 1; i < m_fleet.m_sidecars.size(); ++i) {
+        m_fleet.killSidecar(i);
+    }
+    for (int round = 0; round < 5; ++round) {
+        m_fleet.m_loop.advance(Millis(2000));
+        getSidecar(0).m_worker->m_awayAfterCrash = Millis(1000 + 90 * round);
+        getSidecar(0).m_worker->crash();
+        m_fleet.m_loop.advance(Millis(500));
+        const std::string id = "00000000000000" + std::to_string(20 + round);
+        m_fleet.submit(id, WHOLE, "100", "/urgent/");
+        ASSERT_TRUE(waitUntil(Millis(2000), [&] { return !getSidecar(0).m_worker->isDown(); }));
+        m_fleet.beat(0);
+        m_fleet.m_loop.advance(Millis(150));
+        EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(id)), 1U) << round;
+    }
+}
+
 TEST_F(WorkerFailuresTest, AStartThatIsCarriedOutLateRunsOnce) {
     for (auto& sidecar : m_fleet.m_sidecars) {
         sidecar.m_worker->m_startsToDelay = 5;
