--- a/libs/control/src/WorkerAgentHold.cpp
+++ b/libs/control/src/WorkerAgentHold.cpp
@@ -88,7 +88,8 @@
     if (isFirst) {
         // Before the first report, which would else be taken for the old life's.
         sendNotice();
-        // The former life was silent at its end: the leader uses the worker when it hears otherwise.
+        // The former life was silent at its end: the leader uses the worker when it hears
+        // otherwise.
         ask();
     }
     // Answers on different connections overtake each other.
