--- a/test/failures/SuspensionTest.cpp
+++ b/test/failures/SuspensionTest.cpp
@@ -114,6 +114,38 @@
 INSTANTIATE_TEST_SUITE_P(Table, SuspensionTest, ::testing::ValuesIn(listSuspensions()),
                          [](const auto& info) { return "case" + std::to_string(info.index); });
 
+/** The gateway that is asked, or the leader, is suspended at each of some moments of the answer. */
+TEST_F(SuspensionTest, NoCallerIsToldWhatIsNotSoByAGatewayThatWasSuspendedOverItsAnswer) {
+    int number = 10;
+    for (const Millis delay : {Millis(0), Millis(1), Millis(2), Millis(4), Millis(8)}) {
+        for (const Millis time : {Millis(600), Millis(3000), Millis(12'000)}) {
+            const std::string id = "00000000000000" + std::to_string(++number);
+            const std::size_t asked = static_cast<std::size_t>(number) % 3;
+            IntakeRequest request;
+            request.m_method = "POST";
+            request.m_host = JobFleet::HOST;
+            request.m_path = "/batch/" + id;
+            request.m_body = std::string(R"({"spec":"300","steps":[)") + SMALL + "]}";
+            request.m_key = JobFleet::KEY;
+            const auto answer = std::make_shared<std::optional<IntakeAnswer>>();
+            m_fleet.m_gateways[asked].m_core->getIntake().handle(
+                    request, [answer](const IntakeAnswer& got) { *answer = got; });
+            m_fleet.m_loop.advance(delay);
+            suspend({m_fleet.m_gateways[asked].m_loop.get()}, time);
+            ASSERT_TRUE(waitUntil(Millis(10'000), [&] { return answer->has_value(); }));
+            ASSERT_TRUE(m_fleet.waitForLeader(Millis(10'000)));
+            m_fleet.m_loop.advance(Millis(6000));
+            const std::size_t starts = m_fleet.m_witness.countStarts(taskOf(id));
+            const std::uint32_t status = (*answer)->m_status;
+            if (status == 200) {
+                EXPECT_TRUE(m_fleet.waitForState(id, "succeeded", Millis(20'000))) << number;
+            } else {
+                EXPECT_TRUE(status == 504 || starts == 0) << number << " was told " << status;
+            }
+        }
+    }
+}
+
 /** The worker's own lease stood still with its clock; by it the run would go on for seconds. */
 TEST_F(SuspensionTest, WhatRanOnASuspendedHostIsStoppedAsSoonAsItWakes) {
     m_fleet.submit(ID, SMALL, "60000");
