--- a/libs/control/src/RoomRefusals.cpp
+++ b/libs/control/src/RoomRefusals.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+// Chosen by reasoning; on the days looked through no start was refused for want of room.
 /** An end that overtook its report is told within this time. */
 constexpr Millis SHORTEST{100};
 /** Workers tell what they have at least so often. */
--- a/libs/daemon/src/Sidecar.cpp
+++ b/libs/daemon/src/Sidecar.cpp
@@ -10,8 +10,6 @@
 
 namespace pierbank {
 
-namespace {}  // namespace
-
 Sidecar::Sidecar(RecordStore& store, EventLoop& loop, Transport& transport, TaskWorker& worker,
                  const DocumentCodec& codec, SidecarSettings settings)
         : m_transport(transport),
--- a/libs/job/include/pierbank/job/RunLosses.h
+++ b/libs/job/include/pierbank/job/RunLosses.h
@@ -104,7 +104,7 @@
     std::string describe() const;
 
     std::span<const RunLoss> list() const { return m_list; }
-    /** What the record holds. */
+    /** What the record holds; only its codec writes it. */
     std::vector<RunLoss> m_list;
 
 private:
