Failure domains under evacuation get no new start, over take-overs, outages and orders on their way

Change: the leader reads the list of evacuations whole each 0.5 s (EvacuationFeed) and places nothing, sends no order and repeats none while the last reading that was answered is older than three fifths of the bound, so neither before the first one. Workers of such a domain take no work; what was ordered there and has not begun a second after that became known is taken back by a stop, which bars it; an order whose commit was answered late is kept back. What runs there ends by itself; tasks that last move off one at a time, or as their step's promise allows. A job that only the evacuated room could hold waits and says so. Operators ask and withdraw the same by `domain evacuate|release NAME`, with the audit trail; `show domains`, `why domain`, states in `show workers`, two metrics, a log line for each request with its revision.

Ruled out: a watch instead of readings (it may hear nothing for a second, hang or lose its history, and then looks like an empty list); a reading by each sidecar (55 readers; the leader's own knowledge, its age and the withdrawal keep the bound without).

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -17,6 +17,7 @@
 #include "pierbank/control/CertainCommit.h"
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EndLedger.h"
+#include "pierbank/control/EvacuationFeed.h"
 #include "pierbank/control/HostSpeeds.h"
 #include "pierbank/control/JobTable.h"
 #include "pierbank/control/ProgressTracker.h"
@@ -34,6 +35,13 @@
     TaskPlannerSettings m_planner;
     WorkerHealthSettings m_health;
     UrgentDemandSettings m_demand;
+    EvacuationFeedSettings m_evacuations;
+    /**
+     * A run that has not begun so long after its failure domain's evacuation became known is taken
+     * back. What is under way begins within milliseconds as a rule, and this leaves a fifth of the
+     * users' bound more for the order to take it back.
+     */
+    Millis m_beginPatience{1000};
     /**
      * Room is kept for urgent work as it is seen to arrive: +0.014 and +0.023 of a day's worth on
      * fleets of 63 and 80 hosts, each +- 0.015 (means of 20 paired plays, so likely, not shown).
@@ -102,6 +110,8 @@
     std::uint64_t m_copied = 0;
     std::uint64_t m_stopped = 0;
     std::uint64_t m_lost = 0;
+    /** Taken back because their failure domain is under evacuation. */
+    std::uint64_t m_withdrawn = 0;
     std::uint64_t m_commits = 0;
     std::uint64_t m_plans = 0;
     /** Time that a plan took. */
@@ -151,6 +161,15 @@
     std::uint32_t getFragmentationWeight() const noexcept { return m_weight; }
     /** What operators decided about a worker; RELEASE for nothing. */
     WorkerHold getHold(const std::string& host) const;
+    /** Failure domains under evacuation by the platform's operators. */
+    const EvacuationFeed& getEvacuations() const noexcept { return m_evacuations; }
+    /** The same by an operator's statement. */
+    bool isEmptied(std::string_view domain) const;
+    const std::set<std::string, std::less<>>& getEmptiedDomains() const noexcept {
+        return m_emptiedDomains;
+    }
+    /** Nothing may begin there, whoever asked for that. */
+    bool isEvacuated(std::string_view domain) const;
 
     // WaveSchedule.
     WorkerLoad getLoad(const std::string& life) const override;
@@ -177,6 +196,7 @@
     void askCancel(const std::string& id);
     void learnWeight(std::string_view text);
     void learnHold(const std::string& host, std::string_view word);
+    void learnDomain(const std::string& domain, std::string_view word);
 
     // Deciding.
     /** Something that a plan depends on has changed. */
@@ -214,10 +234,18 @@
     void moveStalled();
     bool mustMove(const JobEntry& entry, const HeldRun& run) const;
 
+    // Failure domains under evacuation (JobControllerEvacuations.cpp).
+    void handleEvacuations();
+    bool isHostEvacuated(const std::string& host) const;
+    void withdrawUnbegun();
+    void withdraw(JobEntry& entry, const HeldRun& run);
+    void sendDecided(const PendingMessage& message);
+
     // What the sidecars report (JobControllerReports.cpp).
     void resendOrders(const std::string& host);
     void resendLostOrders();
-    void resendRun(const JobEntry& entry, const HeldRun& run, const RunReport& report);
+    void resendRun(JobEntry& entry, const HeldRun& run, const RunReport& report);
+    static bool isShown(const HeldRun& run, const RunReport& report);
     void noteProgress(const std::string& host, const RunReport& report);
     static bool hasStoodOnSeveralHosts(const JobEntry& entry, const TaskKey& task);
     bool isGangThere(const JobEntry& entry, const TaskKey& member, std::uint32_t run) const;
@@ -264,6 +292,7 @@
     HostSpeeds m_speeds;
     UrgentDemand m_demand;
     AdviceBook m_advice;
+    EvacuationFeed m_evacuations;
     std::function<void()> m_onDisowned;
     RelayHandler m_onRelayed;
 
@@ -298,6 +327,8 @@
     std::uint32_t m_weight = 0;
     /** By host. */
     std::map<std::string, WorkerHold> m_holds;
+    /** Failure domains that get nothing by an operator's statement. */
+    std::set<std::string, std::less<>> m_emptiedDomains;
     /** Lives whose crash was judged in this term. */
     std::set<std::string> m_judged;
     /** Hosts on which runs were lost that may have crashed them, or not. */
@@ -306,6 +337,7 @@
     std::set<std::string> m_leavingLives;
     bool m_isCommitting = false;
     TimerId m_stepTimer = TimerId::NONE;
+    TimerId m_withdrawTimer = TimerId::NONE;
     /** Replaced with each term of leadership: callbacks of earlier ones are ignored. */
     std::shared_ptr<bool> m_term;
 };
--- a/libs/control/include/pierbank/control/StoreKeys.h
+++ b/libs/control/include/pierbank/control/StoreKeys.h
@@ -28,6 +28,9 @@
 /** What the leader decided about a job (JobRun). */
 inline constexpr std::string_view RUN_PREFIX = "run/";
 
+/** A failure domain that is to get nothing, until the key is gone; written by them alone. */
+inline constexpr std::string_view EVACUATION_PREFIX = "op/evacuate/";
+
 /** Upkeep that the operators ask for; written by them alone. */
 inline constexpr std::string_view WAVE_PREFIX = "op/wave/";
 
@@ -40,6 +43,9 @@
 /** What an operator decided about a worker: `drain`, `quarantine` or `release`. */
 inline constexpr std::string_view WORKER_PREFIX = "input/worker/";
 
+/** The same for a failure domain, by a statement: `evacuate` or `release`. */
+inline constexpr std::string_view DOMAIN_PREFIX = "input/domain/";
+
 /** How far large work goes first, 0 to 100; written by an operator's statement. */
 inline constexpr std::string_view WEIGHT_KEY = "input/weight";
 
@@ -66,6 +72,10 @@
     return std::string(WORKER_PREFIX).append(address);
 }
 
+inline std::string getDomainKey(std::string_view domain) {
+    return std::string(DOMAIN_PREFIX).append(domain);
+}
+
 inline std::string getWaveStateKey(std::uint64_t number) {
     return std::string(WAVE_STATE_PREFIX).append(std::to_string(number));
 }
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -29,8 +29,10 @@
           m_health(m_settings.m_health),
           m_demand(m_settings.m_demand),
           m_advice(loop, advisor),
+          m_evacuations(store, loop, m_settings.m_evacuations),
           m_weight(m_settings.m_planner.m_fragmentationWeight) {
     m_advice.onNews([this] { stepSoon(); });
+    m_evacuations.onChange([this] { handleEvacuations(); });
 }
 
 JobController::~JobController() = default;
@@ -49,6 +51,7 @@
     m_epoch = epoch;
     m_term = std::make_shared<bool>(true);
     m_workers.start(epoch, std::move(getConfirmedAt));
+    m_evacuations.start();
     load();
 }
 
@@ -58,6 +61,9 @@
     m_isLoaded = false;
     m_isCommitting = false;
     m_loop.cancel(std::exchange(m_stepTimer, TimerId::NONE));
+    m_loop.cancel(std::exchange(m_withdrawTimer, TimerId::NONE));
+    m_evacuations.stop();
+    m_emptiedDomains.clear();
     m_workers.stop();
     m_jobs.clear();
     m_ledger.clear();
@@ -128,7 +134,11 @@
     commitDirty();
 }
 
+/** Not before the evacuations are known: a plan made without would place work there. */
 bool JobController::isPlanDue() const {
+    if (!m_evacuations.isCertain()) {
+        return false;
+    }
     const Millis interval =
             m_waiting > 0 ? m_settings.m_planInterval : m_settings.m_idlePlanInterval;
     return m_isPlanStale || m_loop.now() - m_plannedAt >= interval;
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -230,7 +230,7 @@
     if (report == m_reports.end()) {
         return;
     }
-    for (const auto& [id, entry] : m_jobs) {
+    for (auto& [id, entry] : m_jobs) {
         for (const HeldRun& run : listHeldRunsOn(host, id, entry.m_run)) {
             resendRun(entry, run, report->second.m_report);
         }
@@ -246,23 +246,32 @@
         return;
     }
     m_ordersCheckedAt = m_loop.now();
-    for (const auto& [id, entry] : m_jobs) {
+    for (auto& [id, entry] : m_jobs) {
         for (const HeldRun& run : listHeldRuns(id, entry.m_run)) {
             const auto report = m_reports.find(run.m_worker.m_host);
             const WorkerPool::Host* const host = m_workers.findHost(run.m_worker.m_host);
             const Millis age = m_loop.wallNow() - run.m_placedAt;
-            const bool isShown = report != m_reports.end() && host != nullptr &&
-                                 host->m_hasReport &&
-                                 report->second.m_report.m_life == run.m_worker.m_life &&
-                                 m_loop.now() - report->second.m_at < m_settings.m_orderPatience;
-            if (isShown && (run.m_isStopping || age > 2 * m_settings.m_orderPatience)) {
+            const bool isTold = report != m_reports.end() && host != nullptr && host->m_hasReport &&
+                                report->second.m_report.m_life == run.m_worker.m_life &&
+                                m_loop.now() - report->second.m_at < m_settings.m_orderPatience;
+            if (isTold && (run.m_isStopping || age > 2 * m_settings.m_orderPatience)) {
                 resendRun(entry, run, report->second.m_report);
             }
         }
     }
 }
 
-void JobController::resendRun(const JobEntry& entry, const HeldRun& run, const RunReport& report) {
+/** Whether a host's report lists a run, as one that runs or that has ended. */
+bool JobController::isShown(const HeldRun& run, const RunReport& report) {
+    const std::string name = run.m_task.toText();
+    const auto isIt = [&](const auto& entry) {
+        return entry.m_task == name && entry.m_run == run.m_run;
+    };
+    return std::any_of(report.m_running.begin(), report.m_running.end(), isIt) ||
+           std::any_of(report.m_ended.begin(), report.m_ended.end(), isIt);
+}
+
+void JobController::resendRun(JobEntry& entry, const HeldRun& run, const RunReport& report) {
     const std::string name = run.m_task.toText();
     if (!entry.m_hasInput || entry.hasPendingMessage(name, run.m_run)) {
         // Goes out when it is committed.
@@ -274,14 +283,10 @@
     }
     const StepSpec& step = entry.m_record.m_spec.m_steps[run.m_task.m_step];
     const bool isOfKind = step.m_isFilling || step.m_targetTail > Millis(0);
-    const bool isRunning = std::any_of(
-            report.m_running.begin(), report.m_running.end(), [&](const RunningEntry& running) {
-                return running.m_task == name && running.m_run == run.m_run;
-            });
-    const bool hasEnded = std::any_of(
-            report.m_ended.begin(), report.m_ended.end(),
-            [&](const EndedEntry& end) { return end.m_task == name && end.m_run == run.m_run; });
-    if ((!isRunning && !hasEnded) || isOfKind) {
+    const bool isHere = isShown(run, report);
+    if (!isHere && isHostEvacuated(run.m_worker.m_host)) {
+        withdraw(entry, run);
+    } else if (isHere ? isOfKind : m_evacuations.isCertain()) {
         m_workers.send(run.m_worker.m_host, makeOrder(entry, run));
     }
 }
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -139,6 +139,8 @@
         learnWeight(item.m_value);
     } else if (key.starts_with(WORKER_PREFIX)) {
         learnHold(std::string(key.substr(WORKER_PREFIX.size())), item.m_value);
+    } else if (key.starts_with(DOMAIN_PREFIX)) {
+        learnDomain(std::string(key.substr(DOMAIN_PREFIX.size())), item.m_value);
     }
     stepSoon();
 }
@@ -319,7 +321,7 @@
         entry.m_isCommitting = false;
         entry.m_runRevision = commit.m_revision;
         for (const PendingMessage& message : std::exchange(entry.m_messagesUnderWay, {})) {
-            m_workers.send(message.m_host, message.m_frame);
+            sendDecided(message);
         }
         for (const auto& [worker, number] : std::exchange(entry.m_endsUnderWay, {})) {
             m_ledger.keep(worker, number);
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -50,10 +50,12 @@
     } else if (isEmptied) {
         view.m_leavesIn = Millis(0);
     }
-    view.m_acceptsWork = host.isLinked() && host.m_hasReport && !notice.m_isGone &&
-                         !host.m_isWorkerSilent && !view.m_leavesIn.has_value() &&
-                         getHold(address) == WorkerHold::RELEASE && !isAvoided(address) &&
-                         !isStalled(address) && !m_roomRefusals.isPaused(address, m_loop.now());
+    view.m_isEvacuated = isEvacuated(view.m_failureDomain);
+    view.m_acceptsWork = !view.m_isEvacuated && host.isLinked() && host.m_hasReport &&
+                         !notice.m_isGone && !host.m_isWorkerSilent &&
+                         !view.m_leavesIn.has_value() && getHold(address) == WorkerHold::RELEASE &&
+                         !isAvoided(address) && !isStalled(address) &&
+                         !m_roomRefusals.isPaused(address, m_loop.now());
     view.m_slowness = m_settings.m_learnsSpeeds ? m_speeds.getSlowness(view.m_id.m_life) : 1.0;
     view.m_isSuspect = m_settings.m_judgesHosts && m_health.isSuspect(address, m_loop.now());
 }
--- a/libs/daemon/src/GatewaySettings.cpp
+++ b/libs/daemon/src/GatewaySettings.cpp
@@ -84,6 +84,17 @@
             file.getNumber({"planner", "fragmentation-weight"}, 0, 0, 100));
 }
 
+/** Placing stops when the list is three fifths of the bound old; see EvacuationFeed. */
+void readEvacuations(SettingsFile& file, JobControllerSettings& jobs) {
+    constexpr double BEGIN_SHARE = 0.2;
+    constexpr double READ_SHARE = 0.1;
+    constexpr Millis LEAST_BOUND{1000};
+    EvacuationFeedSettings& feed = jobs.m_evacuations;
+    feed.m_bound = file.getDuration({"evacuations", "bound"}, feed.m_bound, LEAST_BOUND, MOST);
+    feed.m_interval = std::min(feed.m_interval, scale(feed.m_bound, READ_SHARE));
+    jobs.m_beginPatience = std::min(jobs.m_beginPatience, scale(feed.m_bound, BEGIN_SHARE));
+}
+
 /**
  * Each mechanism of the decisions can be switched off, to see what it is worth; docs/DECISIONS.md
  * has the figures.
@@ -132,6 +143,7 @@
     readGrace(file, settings);
     settings.m_tokens = readOperatorTokens(file);
     readSchedule(file, settings);
+    readEvacuations(file, settings.m_core.m_jobs);
     readSwitches(file, settings.m_core);
     settings.m_core.m_leader.m_node = settings.m_name;
     settings.m_core.m_leader.m_operators = settings.m_operators;
--- a/libs/daemon/test/GatewaySettingsTest.cpp
+++ b/libs/daemon/test/GatewaySettingsTest.cpp
@@ -44,6 +44,17 @@
     EXPECT_EQ(settings.m_core.m_jobs.m_planner.m_maxClaims, 0U);
 }
 
+TEST_F(GatewaySettingsTest, TakeTheBoundOfEvacuationsFromTheSheetAndReadOftenEnoughForIt) {
+    const GatewaySettings settings = read("[evacuations]\nbound=2000ms\n");
+    EXPECT_TRUE(m_findings.isEmpty()) << m_findings.toText();
+    EXPECT_EQ(settings.m_core.m_jobs.m_evacuations.m_bound, Millis(2000));
+    EXPECT_EQ(settings.m_core.m_jobs.m_evacuations.m_interval, Millis(200));
+    EXPECT_EQ(settings.m_core.m_jobs.m_beginPatience, Millis(400));
+    EXPECT_EQ(read("").m_core.m_jobs.m_evacuations.m_interval, Millis(500));
+    read("[evacuations]\nbound=5\n");
+    EXPECT_NE(m_findings.toText().find("bound"), std::string::npos);
+}
+
 TEST_F(GatewaySettingsTest, NameASwitchThatIsNeitherOnNorOffAndOneThatIsNotKnown) {
     read("[switches]\nkeeps-room=maybe\nkeep-room=off\n");
     EXPECT_NE(m_findings.toText().find("neither on nor off"), std::string::npos);
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -30,6 +30,9 @@
     bool m_acceptsWork = false;
     /** It leaves, in this time at the earliest, and what runs there dies; empty: it stays. */
     std::optional<Millis> m_leavesIn;
+    /** Its failure domain is under evacuation: nothing may begin there, and what lasts moves off.
+     */
+    bool m_isEvacuated = false;
     /** Runs failed there lately: work that a failure costs much goes elsewhere if it can. */
     bool m_isSuspect = false;
     /** Work takes so many times the declared time there, as far as was seen; 1 is normal. */
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -257,6 +257,7 @@
     bool mayPreempt(const WorkUnit& unit, const Occupant& occupant) const;
     /** A lasting task may be stopped without breaking the promise of its step. */
     bool mayMiss(const Occupant& occupant) const;
+    std::uint32_t countAway(const Occupant& occupant) const;
     void stop(Occupant& victim, const std::string& why);
     std::size_t getPlace(const Occupant& occupant) const {
         return static_cast<std::size_t>(&occupant - m_occupants.data());
@@ -279,12 +280,15 @@
     void copyElsewhere(const Occupant& occupant);
     void moveOffLeaving();
     bool mustLeave(const Occupant& occupant) const;
+    bool mustLeaveDomain(const Occupant& occupant) const;
     WaitingStep makeStepOf(const Occupant& occupant);
 
     // Why a unit waits, and what would change that (PlanningPassReasons.cpp).
     void noteWait(const WorkUnit& unit);
     std::string explainWait(const WorkUnit& unit) const;
     bool canEverHold(const WorkUnit& unit) const;
+    bool canEverHold(const WorkUnit& unit, bool withEvacuated) const;
+    std::string listEvacuated(const WorkUnit& unit) const;
 
     const TaskPlannerSettings& m_settings;
     const PlanInput& m_input;
--- a/libs/job/src/PlanningPassClaims.cpp
+++ b/libs/job/src/PlanningPassClaims.cpp
@@ -147,9 +147,12 @@
  */
 bool PlanningPass::mustLeave(const Occupant& occupant) const {
     const auto& leavesIn = m_rooms[occupant.m_slot].m_view->m_leavesIn;
-    if (!leavesIn.has_value() || occupant.m_isPreempted || occupant.m_isCopy) {
+    if (occupant.m_isPreempted || occupant.m_isCopy) {
         return false;
     }
+    if (!leavesIn.has_value()) {
+        return mustLeaveDomain(occupant);
+    }
     const StepSpec& spec = *occupant.m_spec;
     if (spec.m_isLasting) {
         return mayMiss(occupant);
@@ -160,11 +163,23 @@
     return isCheap && end.has_value() && *end > *leavesIn;
 }
 
+/**
+ * What ends stays in a failure domain under evacuation until it does. What lasts would be there
+ * when the domain is worked on, so that it moves ahead of that: one task of a step at a time, or as
+ * many as its promise allows.
+ */
+bool PlanningPass::mustLeaveDomain(const Occupant& occupant) const {
+    const StepSpec& spec = *occupant.m_spec;
+    return m_rooms[occupant.m_slot].m_view->m_isEvacuated && spec.m_isLasting &&
+           countAway(occupant) < std::max(1U, spec.m_mayMiss);
+}
+
 void PlanningPass::moveOffLeaving() {
     for (Occupant& occupant : m_occupants) {
         if (!mustLeave(occupant)) {
             continue;
         }
+        const WorkerView& worker = *m_rooms[occupant.m_slot].m_view;
         WaitingStep step = makeStepOf(occupant);
         step.m_indexes = {occupant.m_index};
         if (occupant.m_spec->m_isGang) {
@@ -173,14 +188,17 @@
         }
         const WorkUnit unit{&step, step.m_indexes, {}};
         const auto assignment = assign(unit, getRooms(unit, true));
-        if (!assignment.has_value() && !unit.isUrgent()) {
+        const bool mayMakeRoom = unit.isUrgent() && worker.m_leavesIn.has_value();
+        if (!assignment.has_value() && !mayMakeRoom) {
             continue;
         }
         if (assignment.has_value()) {
             reserveLeaving(unit, *assignment);
         }
-        const std::string& host = m_rooms[occupant.m_slot].m_view->m_id.m_host;
-        stop(occupant, "moves off worker " + host + ", which leaves");
+        stop(occupant, "moves off worker " + worker.m_id.m_host +
+                               (worker.m_leavesIn.has_value()
+                                        ? ", which leaves"
+                                        : ", whose failure domain is under evacuation"));
     }
 }
 
--- a/libs/job/src/PlanningPassEviction.cpp
+++ b/libs/job/src/PlanningPassEviction.cpp
@@ -29,9 +29,11 @@
 
 bool PlanningPass::mayMiss(const Occupant& occupant) const {
     const StepSpec& spec = *occupant.m_spec;
-    if (!spec.m_isLasting || spec.m_mayMiss == 0) {
-        return true;
-    }
+    return !spec.m_isLasting || spec.m_mayMiss == 0 || countAway(occupant) < spec.m_mayMiss;
+}
+
+/** Tasks of a lasting step that are not at work, or have not been for long. */
+std::uint32_t PlanningPass::countAway(const Occupant& occupant) const {
     std::uint32_t away = 0;
     for (const TaskRun& task : occupant.m_step->m_tasks) {
         const bool isSettled = task.m_state == TaskState::PLACED &&
@@ -42,7 +44,7 @@
     for (std::size_t i = group.m_first; i < group.m_end; ++i) {
         away += m_occupants[i].m_isPreempted ? 1 : 0;
     }
-    return away < spec.m_mayMiss;
+    return away;
 }
 
 /** Work that ends soon by itself need not be stopped, if the unit can wait so long. */
--- a/libs/job/src/PlanningPassReasons.cpp
+++ b/libs/job/src/PlanningPassReasons.cpp
@@ -25,6 +25,11 @@
 /** Whether the workers that are known could hold the whole unit if nothing else ran, and their
  * rooms were as large as they have been. */
 bool PlanningPass::canEverHold(const WorkUnit& unit) const {
+    return canEverHold(unit, true);
+}
+
+/** The same, with or without failure domains under evacuation. */
+bool PlanningPass::canEverHold(const WorkUnit& unit, bool withEvacuated) const {
     const StepSpec& spec = unit.getSpec();
     const std::uint64_t limit =
             spec.m_maxPerWorker == 0 ? unit.m_indexes.size() : spec.m_maxPerWorker;
@@ -33,6 +38,7 @@
         const WorkerView& worker = *m_rooms[slot].m_view;
         const bool mayHold =
                 worker.m_service == unit.getRecord().m_policy.m_service &&
+                (withEvacuated || !worker.m_isEvacuated) &&
                 (spec.m_requiredLabel.empty() || worker.m_labels.count(spec.m_requiredLabel) != 0);
         Resources room = mayHold ? getWhole(worker) : Resources();
         std::uint64_t held = 0;
@@ -48,6 +54,22 @@
                        [&](const auto& entry) { return entry.second >= unit.m_indexes.size(); });
 }
 
+/** Failure domains under evacuation with workers of the unit's service, by commas. */
+std::string PlanningPass::listEvacuated(const WorkUnit& unit) const {
+    std::set<std::string_view> domains;
+    for (const Room& room : m_rooms) {
+        if (room.m_view->m_isEvacuated &&
+            room.m_view->m_service == unit.getRecord().m_policy.m_service) {
+            domains.insert(room.m_view->m_failureDomain);
+        }
+    }
+    std::string text;
+    for (const std::string_view domain : domains) {
+        text.append(text.empty() ? "" : ", ").append(domain);
+    }
+    return text;
+}
+
 void PlanningPass::noteWait(const WorkUnit& unit) {
     if (!m_input.m_withReasons) {
         return;
@@ -100,6 +122,11 @@
         return "can't run: no part of the topology holds " + describeNeed(unit) + " within " +
                std::string(toText(spec.m_adjacency)) + "; ask for a smaller shape or a wider part";
     }
+    if (!canEverHold(unit, false)) {
+        return "waits: without the failure domains under evacuation (" + listEvacuated(unit) +
+               ") the workers that are left can't hold " + describeNeed(unit) +
+               "; it begins when an evacuation is withdrawn";
+    }
     if (holdingNow == 0) {
         return "waits: the rooms of the " + std::to_string(holding) + " workers that could hold " +
                describeNeed(unit) + " have shrunk; they may grow again";
--- a/libs/operators/include/pierbank/operators/JobBackend.h
+++ b/libs/operators/include/pierbank/operators/JobBackend.h
@@ -44,6 +44,7 @@
     StatementAnswer explainJob(const std::string& name) const;
     StatementAnswer explainWorker(const std::string& name) const;
     StatementAnswer explainOrganisation(const std::string& name) const;
+    StatementAnswer explainDomain(const std::string& name) const;
 
     void submit(const StatementRequest& request, const SubmitJob& submit, StatementCallback done);
     /** Empty, with `reason`, when the configuration does not know what it names. */
@@ -55,6 +56,8 @@
     void withdraw(const StatementRequest& request, const std::string& name, StatementCallback done);
     void changeWorker(const StatementRequest& request, const ChangeWorker& change,
                       StatementCallback done);
+    void changeDomain(const StatementRequest& request, const ChangeDomain& change,
+                      StatementCallback done);
     void setWeights(const StatementRequest& request, const SetWeights& weights,
                     StatementCallback done);
     /** Commits a change of the leader's, with its audit entry. */
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -9,6 +9,7 @@
 #include "pierbank/base/UnreadableInputs.h"
 #include "pierbank/control/StoreKeys.h"
 #include "pierbank/job/JobCodec.h"
+#include "pierbank/operators/DomainTable.h"
 
 namespace pierbank {
 
@@ -38,12 +39,16 @@
         done(explainWorker(worker->m_name));
     } else if (const auto* const organisation = std::get_if<WhyOrganisation>(&statement)) {
         done(explainOrganisation(organisation->m_name));
+    } else if (const auto* const domain = std::get_if<WhyDomain>(&statement)) {
+        done(explainDomain(domain->m_name));
     } else if (const auto* const submitted = std::get_if<SubmitJob>(&statement)) {
         submit(request, *submitted, std::move(done));
     } else if (const auto* const withdrawn = std::get_if<WithdrawJob>(&statement)) {
         withdraw(request, withdrawn->m_name, std::move(done));
     } else if (const auto* const change = std::get_if<ChangeWorker>(&statement)) {
         changeWorker(request, *change, std::move(done));
+    } else if (const auto* const emptied = std::get_if<ChangeDomain>(&statement)) {
+        changeDomain(request, *emptied, std::move(done));
     } else if (const auto* const weights = std::get_if<SetWeights>(&statement)) {
         setWeights(request, *weights, std::move(done));
     } else {
@@ -67,6 +72,9 @@
         case Subject::RACKS:
             done(makeTableAnswer(makeRackTable(jobs), show));
             return;
+        case Subject::DOMAINS:
+            done(makeTableAnswer(makeDomainTable(jobs), show));
+            return;
         case Subject::ORGANISATIONS:
             done(makeTableAnswer(
                     makeOrganisationTable(m_core.getConfiguration().get(), jobs.getJobs()), show));
@@ -125,6 +133,10 @@
     if (hold != WorkerHold::RELEASE) {
         text.append(", by an operator's word: ").append(toText(hold));
     }
+    if (m_core.getJobs().isEvacuated(host->m_notice->m_failureDomain)) {
+        text.append(", its failure domain ").append(host->m_notice->m_failureDomain);
+        text.append(" is under evacuation");
+    }
     const Millis left = host->m_grantedUntil - m_loop.now();
     text.append(", its lease ends in ").append(std::to_string(left.count())).append(" ms");
     return makeAnswer(StatementStatus::DONE, std::move(text));
@@ -242,6 +254,10 @@
     for (const auto& [address, host] : jobs.getWorkers().getHosts()) {
         linked += host.isLinked() ? 1 : 0;
     }
+    const auto domains = countDomains(jobs);
+    const auto evacuated = std::count_if(domains.begin(), domains.end(), [](const auto& domain) {
+        return domain.second.isEvacuated();
+    });
     const JobFigures& figures = jobs.getFigures();
     MetricsPage page;
     page.addGauge("pierbank_leading", "1 at the gateway that leads", isLeading() ? 1 : 0);
@@ -258,6 +274,11 @@
     page.addCounter("pierbank_runs_stopped_total", "runs stopped for others, or moved",
                     figures.m_stopped);
     page.addCounter("pierbank_runs_lost_total", "runs lost with their worker", figures.m_lost);
+    page.addCounter("pierbank_runs_withdrawn_total",
+                    "runs taken back unbegun from failure domains under evacuation",
+                    figures.m_withdrawn);
+    page.addGauge("pierbank_domains_evacuated", "failure domains under evacuation",
+                  static_cast<double>(evacuated));
     page.addCounter("pierbank_unreadable_total", "entries of others that could not be read",
                     countUnreadable());
     page.addCounter("pierbank_commits_total", "transactions of decisions", figures.m_commits);
--- /dev/null
+++ b/libs/operators/src/JobBackendDomains.cpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+// Statements about failure domains.
+#include <utility>
+
+#include "BackendAnswers.h"
+#include "pierbank/control/StoreKeys.h"
+#include "pierbank/operators/DomainTable.h"
+#include "pierbank/operators/JobBackend.h"
+
+namespace pierbank {
+
+StatementAnswer JobBackend::explainDomain(const std::string& name) const {
+    const JobController& jobs = m_core.getJobs();
+    const auto domains = countDomains(jobs);
+    const auto known = domains.find(name);
+    if (known == domains.end()) {
+        return refuse("there is no failure domain " + name);
+    }
+    const DomainFigures& figures = known->second;
+    std::string text("failure domain ");
+    text.append(name).append(": ").append(std::to_string(figures.m_workers)).append(" workers, ");
+    text.append(std::to_string(figures.m_runs)).append(" runs");
+    const auto& asked = jobs.getEvacuations().getDomains();
+    const auto found = asked.find(name);
+    if (found != asked.end()) {
+        text.append("\nunder evacuation by the platform's operators, since revision ");
+        text.append(std::to_string(found->second)).append("; they withdraw it");
+    }
+    if (jobs.isEmptied(name)) {
+        text.append("\nunder evacuation by a statement; `domain release ").append(name);
+        text.append("` withdraws it, `show audit` says whose it was");
+    }
+    if (figures.isEvacuated()) {
+        text.append("\nnothing begins there; what runs there ends by itself, what lasts moves off");
+    }
+    return makeAnswer(StatementStatus::DONE, std::move(text));
+}
+
+void JobBackend::changeDomain(const StatementRequest& request, const ChangeDomain& change,
+                              StatementCallback done) {
+    const JobController& jobs = m_core.getJobs();
+    const std::string& name = change.m_name;
+    const auto domains = countDomains(jobs);
+    const auto known = domains.find(name);
+    const DomainFigures figures = known == domains.end() ? DomainFigures() : known->second;
+    if (change.m_isEvacuated && figures.m_workers == 0) {
+        done(refuse("there is no failure domain " + name));
+        return;
+    }
+    if (!change.m_isEvacuated && !figures.m_isEmptied) {
+        done(refuse(figures.m_isAsked
+                            ? "failure domain " + name +
+                                      " is under evacuation by the platform's operators, who "
+                                      "withdraw it"
+                            : "failure domain " + name + " is not under evacuation"));
+        return;
+    }
+    const char* const before = figures.m_isEmptied ? "evacuate" : "release";
+    const char* const after = change.m_isEvacuated ? "evacuate" : "release";
+    StoreTransaction transaction;
+    transaction.m_puts = {{getDomainKey(name), after, 0}};
+    commit(request, std::move(transaction),
+           "failure domain " + name + ": " + before + " -> " + after, std::move(done));
+}
+
+}  // namespace pierbank
--- a/libs/operators/src/JobTables.cpp
+++ b/libs/operators/src/JobTables.cpp
@@ -50,6 +50,9 @@
     if (notice.m_isDraining) {
         return "draining";
     }
+    if (jobs.isEvacuated(notice.m_failureDomain)) {
+        return "evacuated";
+    }
     const WorkerHold hold = jobs.getHold(host.m_address);
     return hold == WorkerHold::RELEASE ? "live" : std::string(toText(hold));
 }
--- a/libs/statement/include/pierbank/statement/Statement.h
+++ b/libs/statement/include/pierbank/statement/Statement.h
@@ -67,8 +67,15 @@
     std::string m_name;
 };
 
+/** `domain evacuate|release NAME` */
+struct ChangeDomain {
+    /** Nothing begins there until it is released. */
+    bool m_isEvacuated = false;
+    std::string m_name;
+};
+
 /** What `show` lists. */
-enum class Subject { JOBS, ORGANISATIONS, WORKERS, RACKS, CONFIGURATION, AUDIT };
+enum class Subject { JOBS, ORGANISATIONS, WORKERS, RACKS, DOMAINS, CONFIGURATION, AUDIT };
 
 enum class Comparison { EQUAL, NOT_EQUAL, LESS, LESS_OR_EQUAL, GREATER, GREATER_OR_EQUAL };
 
@@ -103,9 +110,14 @@
     std::string m_name;
 };
 
-using Statement =
-        std::variant<CreateOrganisation, RemoveOrganisation, SetGuarantee, SetWeights, SubmitJob,
-                     WithdrawJob, ChangeWorker, Show, WhyJob, WhyWorker, WhyOrganisation>;
+/** `why domain NAME` */
+struct WhyDomain {
+    std::string m_name;
+};
+
+using Statement = std::variant<CreateOrganisation, RemoveOrganisation, SetGuarantee, SetWeights,
+                               SubmitJob, WithdrawJob, ChangeWorker, ChangeDomain, Show, WhyJob,
+                               WhyWorker, WhyOrganisation, WhyDomain>;
 
 /** Where a text stops being a statement. */
 struct ParseError {
--- a/libs/statement/src/Grammar.h
+++ b/libs/statement/src/Grammar.h
@@ -79,10 +79,16 @@
 struct WorkerStatement : p::seq<Word<TAO_PEGTL_STRING("worker")>, MustBlank, p::must<WorkerAction>,
                                 MustBlank, p::must<Name>> {};
 
+struct Evacuate : Word<TAO_PEGTL_STRING("evacuate")> {};
+struct DomainAction : p::sor<Evacuate, Release> {};
+struct DomainStatement : p::seq<Word<TAO_PEGTL_STRING("domain")>, MustBlank, p::must<DomainAction>,
+                                MustBlank, p::must<Name>> {};
+
 struct SubjectName
         : p::sor<Word<TAO_PEGTL_STRING("jobs")>, Word<TAO_PEGTL_STRING("organisations")>,
                  Word<TAO_PEGTL_STRING("workers")>, Word<TAO_PEGTL_STRING("racks")>,
-                 Word<TAO_PEGTL_STRING("configuration")>, Word<TAO_PEGTL_STRING("audit")>> {};
+                 Word<TAO_PEGTL_STRING("domains")>, Word<TAO_PEGTL_STRING("configuration")>,
+                 Word<TAO_PEGTL_STRING("audit")>> {};
 struct Column : p::seq<p::alpha, p::rep_max<30, p::sor<p::alnum, p::one<'_'>>>, WordEnd> {};
 struct Operator : p::sor<TAO_PEGTL_STRING("!="), TAO_PEGTL_STRING("<="), TAO_PEGTL_STRING(">="),
                          p::one<'=', '<', '>'>> {};
@@ -107,14 +113,14 @@
 struct JobWord : Word<TAO_PEGTL_STRING("job")> {};
 struct WorkerWord : Word<TAO_PEGTL_STRING("worker")> {};
 struct OrganisationWord : Word<TAO_PEGTL_STRING("organisation")> {};
-struct WhySubject : p::sor<JobWord, WorkerWord, OrganisationWord> {};
+struct DomainWord : Word<TAO_PEGTL_STRING("domain")> {};
+struct WhySubject : p::sor<JobWord, WorkerWord, OrganisationWord, DomainWord> {};
 struct WhyStatement : p::seq<Word<TAO_PEGTL_STRING("why")>, MustBlank, p::must<WhySubject>,
                              MustBlank, p::must<Name>> {};
 
-struct AnyStatement
-        : p::sor<OrganisationStatement, GuaranteeStatement, WeightsStatement, SubmitStatement,
-                 CheckStatement, WithdrawStatement, WorkerStatement, ShowStatement, WhyStatement> {
-};
+struct AnyStatement : p::sor<OrganisationStatement, GuaranteeStatement, WeightsStatement,
+                             SubmitStatement, CheckStatement, WithdrawStatement, WorkerStatement,
+                             DomainStatement, ShowStatement, WhyStatement> {};
 struct End : p::eof {};
 struct Whole : p::seq<MaybeBlank, p::must<AnyStatement>, MaybeBlank, p::opt<p::one<';'>>,
                       MaybeBlank, p::must<End>> {};
@@ -162,8 +168,10 @@
 template <>
 inline constexpr const char* EXPECTED<WorkerAction> = "`quarantine`, `release` or `drain`";
 template <>
+inline constexpr const char* EXPECTED<DomainAction> = "`evacuate` or `release`";
+template <>
 inline constexpr const char* EXPECTED<SubjectName> =
-        "`jobs`, `organisations`, `workers`, `racks`, `configuration` or `audit`";
+        "`jobs`, `organisations`, `workers`, `racks`, `domains`, `configuration` or `audit`";
 template <>
 inline constexpr const char* EXPECTED<Column> = "the name of a column";
 template <>
@@ -175,11 +183,11 @@
 template <>
 inline constexpr const char* EXPECTED<QuoteEnd> = "a closing quote";
 template <>
-inline constexpr const char* EXPECTED<WhySubject> = "`job`, `worker` or `organisation`";
+inline constexpr const char* EXPECTED<WhySubject> = "`job`, `worker`, `organisation` or `domain`";
 template <>
 inline constexpr const char* EXPECTED<AnyStatement> =
         "`organisation`, `guarantee`, `weights`, `submit`, `check`, `withdraw`, `worker`, "
-        "`show` or `why`";
+        "`domain`, `show` or `why`";
 template <>
 inline constexpr const char* EXPECTED<End> = "the end of the statement";
 
@@ -198,11 +206,11 @@
 using Selector = p::parse_tree::selector<
         Rule, p::parse_tree::store_content::on<
                       Name, Queue, Number, Duration, Members, Accelerators, Part, Urgent, Create,
-                      Remove, Quarantine, Release, Drain, OrganisationStatement, GuaranteeStatement,
-                      WeightsStatement, SubmitStatement, CheckStatement, WithdrawStatement,
-                      WorkerStatement, SubjectName, Column, Operator, QuotedText, PlainValue,
-                      Descending, OrderColumn, ShowStatement, Limit, JobWord, WorkerWord,
-                      OrganisationWord, WhyStatement>>;
+                      Remove, Quarantine, Release, Drain, Evacuate, DomainStatement, DomainWord,
+                      OrganisationStatement, GuaranteeStatement, WeightsStatement, SubmitStatement,
+                      CheckStatement, WithdrawStatement, WorkerStatement, SubjectName, Column,
+                      Operator, QuotedText, PlainValue, Descending, OrderColumn, ShowStatement,
+                      Limit, JobWord, WorkerWord, OrganisationWord, WhyStatement>>;
 
 // NOLINTEND(readability-identifier-naming)
 
--- a/libs/statement/src/StatementParser.cpp
+++ b/libs/statement/src/StatementParser.cpp
@@ -80,6 +80,10 @@
         if (node.is_type<grammar::WorkerStatement>()) {
             return ChangeWorker{getAction(node), getText<grammar::Name>(node)};
         }
+        if (node.is_type<grammar::DomainStatement>()) {
+            const bool isEvacuated = findChild<grammar::Evacuate>(node) != nullptr;
+            return ChangeDomain{isEvacuated, getText<grammar::Name>(node)};
+        }
         if (node.is_type<grammar::ShowStatement>()) {
             return buildShow(node);
         }
@@ -155,8 +159,8 @@
     }
 
     static Subject getSubject(std::string_view text) {
-        constexpr std::array<std::string_view, 6> NAMES = {"jobs",  "organisations", "workers",
-                                                           "racks", "configuration", "audit"};
+        constexpr std::array<std::string_view, 7> NAMES = {
+                "jobs", "organisations", "workers", "racks", "domains", "configuration", "audit"};
         const auto found = std::find(NAMES.begin(), NAMES.end(), text);
         return static_cast<Subject>(found - NAMES.begin());
     }
@@ -201,6 +205,9 @@
         if (findChild<grammar::WorkerWord>(node) != nullptr) {
             return WhyWorker{name};
         }
+        if (findChild<grammar::DomainWord>(node) != nullptr) {
+            return WhyDomain{name};
+        }
         return WhyOrganisation{name};
     }
 
@@ -259,7 +266,8 @@
     }
     return !std::holds_alternative<Show>(statement) && !std::holds_alternative<WhyJob>(statement) &&
            !std::holds_alternative<WhyWorker>(statement) &&
-           !std::holds_alternative<WhyOrganisation>(statement);
+           !std::holds_alternative<WhyOrganisation>(statement) &&
+           !std::holds_alternative<WhyDomain>(statement);
 }
 
 }  // namespace pierbank
--- a/libs/statement/test/StatementParserTest.cpp
+++ b/libs/statement/test/StatementParserTest.cpp
@@ -41,6 +41,8 @@
                           BadStatement{"show jobs where state = \"x", 27, "closing quote"},
                           BadStatement{"show jobs limit x", 17, "whole number"},
                           BadStatement{"why job", 8, "a blank"},
+                          BadStatement{"domain drain a", 8, "`evacuate` or `release`"},
+                          BadStatement{"domain evacuate", 16, "a blank"},
                           BadStatement{"withdraw job a b", 16, "the end"},
                           BadStatement{"show jobs\x01", 10, "the end"}));
 
@@ -56,6 +58,10 @@
                              "worker quarantine w1",
                              "worker release w1",
                              "worker drain w1",
+                             "domain evacuate hall-a",
+                             "domain release hall-a",
+                             "show domains",
+                             "why domain hall-a",
                              "submit job j for a on batch shape 2x8 within worker",
                              "show jobs",
                              "show racks order by used desc limit 3",
--- a/test/support/FakeRecordStore.cpp
+++ b/test/support/FakeRecordStore.cpp
@@ -92,6 +92,11 @@
     }
 }
 
+void FakeStoreState::erase(const std::string& key) {
+    ++m_revision;
+    remove(key);
+}
+
 void FakeStoreState::remove(const std::string& key) {
     if (m_items.erase(key) != 0) {
         m_history.push_back({{key, "", m_revision}, true});
@@ -173,6 +178,13 @@
     call([this, prefix = std::string(prefix), done = std::move(done)](StoreStatus status) {
         StoreList list;
         list.m_status = status;
+        auto& lost = m_state.m_listsToLose;
+        if (lost.m_count > 0 && prefix == lost.m_prefix) {
+            --lost.m_count;
+            list.m_status = StoreStatus::UNKNOWN;
+            m_loop.callLater(CUT_TIMEOUT, [list, done] { done(list); });
+            return;
+        }
         if (status == StoreStatus::OK) {
             list.m_items = m_state.list(prefix);
             list.m_at = m_state.getRevision();
--- a/test/support/FakeRecordStore.h
+++ b/test/support/FakeRecordStore.h
@@ -37,12 +37,20 @@
     bool m_isDeaf = false;
     /** Watches from before this revision are told that history is gone. */
     StoreRevision m_historyFrom = 0;
+    /** So many of the next listings of a prefix get no answer. */
+    struct LostLists {
+        std::string m_prefix;
+        unsigned m_count = 0;
+    };
+    LostLists m_listsToLose;
     /** Transactions that took effect. */
     std::uint64_t m_commits = 0;
 
     StoreCommit apply(const StoreTransaction& transaction);
     /** Writes as the operator does. */
     StoreRevision put(const std::string& key, const std::string& value);
+    /** Removes as the operator does. */
+    void erase(const std::string& key);
     const StoreItem* find(const std::string& key) const;
     std::vector<StoreItem> list(std::string_view prefix) const;
     std::vector<StoreEvent> getChanges(std::string_view prefix, StoreRevision after) const;
