--- a/libs/control/include/pierbank/control/OrderBook.h
+++ b/libs/control/include/pierbank/control/OrderBook.h
@@ -37,6 +37,19 @@
     virtual void reportAbsent(const TaskKey& task, std::uint32_t run, std::string_view reason) = 0;
 };
 
+struct OrderBookSettings {
+    /** Tries of a start without an answer before the run is barred. */
+    std::uint32_t m_startTries = 3;
+    /** Pause before a stop that failed is sent again. */
+    Millis m_pause{150};
+    /**
+     * No try begins so long after the order came: what the leader knew of the failure domain then
+     * may hold no more. Three tries of 0.7 s begin within 1.4 s; an order that waits for a lease
+     * would wait for as long as that takes.
+     */
+    Millis m_orderLife{1500};
+};
+
 /**
  * The leader's orders to a worker, each until it is known how it went. A start whose answer is
  * lost may take effect seconds later: it is tried again, and then barred by a stop; a look that was
@@ -44,15 +57,10 @@
  */
 class OrderBook {
 public:
-    /** @param pause before a stop that failed is sent again. The references must outlive the book.
-     */
-    OrderBook(EventLoop& loop, TaskWorker& worker, OrderContext& context, std::uint32_t startTries,
-              Millis pause)
-            : m_loop(loop),
-              m_worker(worker),
-              m_context(context),
-              m_startTries(startTries),
-              m_pause(pause) {}
+    /** The references must outlive the book. */
+    OrderBook(EventLoop& loop, TaskWorker& worker, OrderContext& context,
+              const OrderBookSettings& settings)
+            : m_loop(loop), m_worker(worker), m_context(context), m_settings(settings) {}
     OrderBook(const OrderBook&) = delete;
     OrderBook& operator=(const OrderBook&) = delete;
 
@@ -72,6 +80,7 @@
 
     struct Order {
         RunOrder m_start;
+        Millis m_cameAt{0};
         bool m_isBarring = false;
         bool m_isSent = false;
         std::uint32_t m_tries = 0;
@@ -88,8 +97,7 @@
     EventLoop& m_loop;
     TaskWorker& m_worker;
     OrderContext& m_context;
-    const std::uint32_t m_startTries;
-    const Millis m_pause;
+    const OrderBookSettings m_settings;
     std::map<RunKey, Order> m_orders;
     /** Replaced by clear(). */
     std::shared_ptr<bool> m_term = std::make_shared<bool>(true);
--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -39,8 +39,7 @@
     Millis m_workerSilence{3000};
     /** The worker's clock may be slow by this much. */
     double m_clockSlack = 0.02;
-    /** Tries of a start without an answer before the run is barred. */
-    std::uint32_t m_startTries = 3;
+    OrderBookSettings m_orders;
 };
 
 /**
--- a/libs/control/src/OrderBook.cpp
+++ b/libs/control/src/OrderBook.cpp
@@ -34,6 +34,7 @@
     const auto [place, isNew] = m_orders.try_emplace({task, order.m_run});
     if (isNew) {
         place->second.m_start = order;
+        place->second.m_cameAt = m_loop.now();
         pump();
     }
 }
@@ -50,7 +51,12 @@
         }
     }
     for (const RunKey& key : ready) {
-        sendStart(key, m_orders[key], *until);
+        Order& order = m_orders[key];
+        if (m_loop.now() - order.m_cameAt > m_settings.m_orderLife) {
+            bar(key.first, key.second, "the order is too old");
+        } else {
+            sendStart(key, order, *until);
+        }
     }
 }
 
@@ -96,7 +102,7 @@
         m_context.noteRefused(key.first, key.second);
     }
     const bool mayRetry = reply.m_status == WorkerStatus::UNKNOWN || reply.m_reason == "late";
-    if (mayRetry && order.m_tries < m_startTries) {
+    if (mayRetry && order.m_tries < m_settings.m_startTries) {
         order.m_isSent = false;
         pump();
         return;
@@ -141,7 +147,7 @@
         m_orders.erase(found);
         return;
     }
-    m_loop.callLater(m_pause, [this, key, term = std::weak_ptr(m_term)] {
+    m_loop.callLater(m_settings.m_pause, [this, key, term = std::weak_ptr(m_term)] {
         if (!term.expired() && m_orders.count(key) != 0) {
             sendBar(key);
         }
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -30,7 +30,7 @@
                       handleLeader(hello, isNewEpoch);
                   },
                   [this](const Frame& frame) { handleFrame(frame); }),
-          m_orders(loop, worker, *this, settings.m_startTries, settings.m_pause) {
+          m_orders(loop, worker, *this, settings.m_orders) {
     askSoon();
 }
 
--- /dev/null
+++ b/libs/control/test/OrderBookTest.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/control/OrderBook.h"
+
+#include <gtest/gtest.h>
+
+#include "FakeTaskWorker.h"
+#include "ManualEventLoop.h"
+
+namespace pierbank {
+namespace {
+
+using testing::FakeTaskWorker;
+using testing::ManualEventLoop;
+using testing::RunWitness;
+
+const TaskKey TASK{"00000000000000a1", 0, 0, 0};
+
+/** A sidecar that has a lease, or waits for one. */
+class FakeOrderContext final : public OrderContext {
+public:
+    explicit FakeOrderContext(const FakeTaskWorker& worker) : m_worker(worker) {}
+
+    WorkerCall getCall() const override { return {m_worker.getLife(), 1}; }
+    std::optional<Millis> getStartLease() const override {
+        return m_hasLease ? std::optional(m_worker.getClock() + Millis(4000)) : std::nullopt;
+    }
+    bool isListed(const TaskKey& task, std::uint32_t) const override {
+        return m_worker.isRunning(task);
+    }
+    bool isEnded(const TaskKey&, std::uint32_t) const override { return false; }
+    std::uint64_t lookAgain() override { return ++m_looks; }
+    void noteSent(const TaskKey&, std::uint32_t) override { ++m_sent; }
+    void noteBegun(const TaskKey&, std::uint32_t) override {}
+    void noteRefused(const TaskKey&, std::uint32_t) override {}
+    void reportAbsent(const TaskKey&, std::uint32_t, std::string_view reason) override {
+        m_absent = reason;
+    }
+
+    bool m_hasLease = true;
+    std::uint64_t m_looks = 0;
+    std::size_t m_sent = 0;
+    std::string m_absent;
+
+private:
+    const FakeTaskWorker& m_worker;
+};
+
+class OrderBookTest : public ::testing::Test {
+protected:
+    void start() {
+        RunOrder order;
+        order.m_life = m_worker.getLife();
+        order.m_task = TASK.toText();
+        order.m_run = 1;
+        order.m_payload = "1000";
+        m_book.start(TASK, order);
+        m_loop.advance(Millis(20));
+    }
+
+    void letBarBeSeen() {
+        m_loop.advance(Millis(100));
+        m_book.handleLook(m_context.m_looks);
+    }
+
+    ManualEventLoop m_loop;
+    RunWitness m_witness;
+    FakeTaskWorker m_worker{m_loop, m_witness, "w"};
+    FakeOrderContext m_context{m_worker};
+    OrderBook m_book{m_loop, m_worker, m_context, OrderBookSettings()};
+};
+
+class AnOrderWithoutALease : public OrderBookTest {
+protected:
+    AnOrderWithoutALease() {
+        m_context.m_hasLease = false;
+        start();
+    }
+};
+
+TEST_F(AnOrderWithoutALease, WaitsForOne) {
+    m_loop.advance(Millis(1000));
+    EXPECT_EQ(m_context.m_sent, 0U);
+    m_context.m_hasLease = true;
+    m_book.pump();
+    m_loop.advance(Millis(20));
+    EXPECT_TRUE(m_worker.isRunning(TASK));
+}
+
+/** It was carried out with whatever lease came next, however long after the leader's decision. */
+TEST_F(AnOrderWithoutALease, IsBarredWhenTheLeaseComesTooLate) {
+    m_loop.advance(Millis(2000));
+    m_context.m_hasLease = true;
+    m_book.pump();
+    letBarBeSeen();
+    EXPECT_FALSE(m_worker.isRunning(TASK));
+    EXPECT_EQ(m_context.m_sent, 0U);
+    EXPECT_EQ(m_context.m_absent, "the order is too old");
+}
+
+TEST_F(OrderBookTest, AStartWithoutAnAnswerIsTriedThreeTimesWithinTheLifeOfItsOrder) {
+    m_worker.m_isSilent = true;
+    start();
+    for (int i = 0; i < 50; ++i) {
+        m_loop.advance(Millis(100));
+    }
+    EXPECT_LE(m_context.m_sent, 3U);
+    EXPECT_GE(m_context.m_sent, 1U);
+}
+
+}  // namespace
+}  // namespace pierbank
--- a/model/check.sh
+++ b/model/check.sh
@@ -57,5 +57,9 @@
 for mutant in NO_CONFIGURATION REFUSE_UNKNOWN ACCEPT_EARLY; do
     verify refuted intake.pml "MUTANT_$mutant"
 done
+verify holds evacuation.pml
+for mutant in PLACE_BEFORE_READING NO_AGE AGE_FROM_ANSWER SEND_UNCHECKED RESEND_UNCHECKED TRY_FOR_EVER; do
+    verify refuted evacuation.pml "MUTANT_$mutant"
+done
 echo "$passed passed, $failed failed"
 ((failed == 0))
