--- a/build.sh
+++ b/build.sh
@@ -95,12 +95,13 @@
 check_pages() { test/check_pages.sh "$OUT/build"; }
 check_model() { model/check.sh; }
 check_processes() { test/process/failures.sh "$OUT/build"; }
-# Two seeded soaks: seed 3 and 8 once broke (docs/SOAK.md).
+# Seeded soaks: seed 3 and 8 once broke (docs/SOAK.md); a third has failure domains evacuated meanwhile.
 check_soak() {
-    local seed
-    for seed in 3 8; do
-        "$OUT/build/test/pierbank-soak" --seed "$seed" --for 8s --quiet --tools "$OUT/build/tools" \
-            --logs "$OUT/soak/$seed" >"$OUT/soak.log" 2>&1 || { cat "$OUT/soak.log"; return 1; }
+    local options
+    for options in "--seed 3" "--seed 8" "--seed 5 --evacuate"; do
+        # shellcheck disable=SC2086
+        "$OUT/build/test/pierbank-soak" $options --for 8s --quiet --tools "$OUT/build/tools" \
+            --logs "$OUT/soak/${options// /}" >"$OUT/soak.log" 2>&1 || { cat "$OUT/soak.log"; return 1; }
     done
 }
 check_demo() { test/process/demo.sh "$OUT/build" >"$OUT/demo.log" 2>&1 || { cat "$OUT/demo.log"; return 1; }; }
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -17,7 +17,10 @@
         "sidecar-link-slow",   "store-down",         "store-silent",        "store-slow",
         "store-loses",         "store-late",         "store-deaf",          "store-forgets",
         "store-lapses",        "worker-restart",     "worker-silent",       "worker-hangs",
-        "worker-slow",         "worker-drains",      "key-change"};
+        "worker-slow",         "worker-drains",      "key-change",          "domain-evacuated"};
+
+/** Evacuations are drawn by themselves, so that the faults of the seeds stay as they were. */
+constexpr std::size_t DRAWN_KINDS = static_cast<std::size_t>(FaultKind::KEY_CHANGE) + 1;
 
 /** Nothing strikes before the processes know each other. */
 constexpr Millis QUIET_START{2500};
@@ -47,7 +50,7 @@
         const std::uint64_t series = 1 + random.below(3);
         for (std::uint64_t i = 0; i < series; ++i) {
             Fault fault;
-            fault.m_kind = static_cast<FaultKind>(random.below(FAULT_KINDS));
+            fault.m_kind = static_cast<FaultKind>(random.below(DRAWN_KINDS));
             fault.m_target = random.below(64);
             fault.m_at = at + draw(0, 600);
             fault.m_for = draw(100, 6000);
@@ -64,4 +67,21 @@
     return faults;
 }
 
+std::vector<Fault> drawEvacuations(std::uint64_t seed, Millis length) {
+    constexpr std::uint64_t SALT = 0x65766163;
+    Random random(seed ^ SALT);
+    std::vector<Fault> requests;
+    for (Millis at = QUIET_START; at < length;) {
+        Fault request;
+        request.m_kind = FaultKind::DOMAIN_EVACUATED;
+        request.m_at = at;
+        // Some are withdrawn at once, some outlast the users' bound.
+        request.m_for = Millis(static_cast<std::int64_t>(200 + random.below(15'000)));
+        request.m_target = random.below(64);
+        requests.push_back(request);
+        at += Millis(static_cast<std::int64_t>(500 + random.below(5000)));
+    }
+    return requests;
+}
+
 }  // namespace pierbank::testing
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -39,9 +39,12 @@
     WORKER_SLOW,
     WORKER_DRAINS,
     KEY_CHANGE,
+    /** A request of the operators rather than a fault; drawn beside the others. */
+    DOMAIN_EVACUATED,
 };
 
-inline constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::KEY_CHANGE) + 1;
+inline constexpr std::size_t FAULT_KINDS =
+        static_cast<std::size_t>(FaultKind::DOMAIN_EVACUATED) + 1;
 
 /** As `gateway-kill`. */
 std::string_view toText(FaultKind kind);
@@ -64,6 +67,9 @@
 std::vector<Fault> drawFaults(std::uint64_t seed, Millis length,
                               const std::vector<std::string>& kinds);
 
+/** Draws requests to evacuate failure domains, from numbers of their own: a seed's faults stay. */
+std::vector<Fault> drawEvacuations(std::uint64_t seed, Millis length);
+
 }  // namespace pierbank::testing
 
 #endif  // PIERBANK_TEST_SOAK_FAULTPLAN_H
--- a/test/soak/Promises.cpp
+++ b/test/soak/Promises.cpp
@@ -141,6 +141,22 @@
     }
 }
 
+void Promises::checkEvacuations(const std::vector<Evacuation>& evacuations,
+                                const std::vector<Start>& starts) {
+    for (const Start& start : starts) {
+        for (const Evacuation& one : evacuations) {
+            const bool isOpen = one.m_until.has_value() && start.m_at >= *one.m_until;
+            if (start.m_domain == one.m_domain && !isOpen &&
+                start.m_at > one.m_since + EVACUATION_BOUND) {
+                const Millis after = start.m_at - one.m_since;
+                breach("nothing begins where it is evacuated", start.m_task,
+                       std::to_string(after.count()) + " ms after that was asked for, in " +
+                               start.m_domain);
+            }
+        }
+    }
+}
+
 bool Promises::isSettled() const {
     for (const auto& [id, job] : m_jobs) {
         if ((job.m_isAccepted && !job.m_isToldOver) || countRunning(job) > 0) {
--- a/test/soak/Promises.h
+++ b/test/soak/Promises.h
@@ -3,6 +3,7 @@
 #define PIERBANK_TEST_SOAK_PROMISES_H
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +51,20 @@
 public:
     /** A part of a gang may run alone for so long: leases of lost members have to lapse first. */
     static constexpr Millis PART_BOUND{15'000};
+    /** Nothing begins in a failure domain so long after its evacuation was asked for: the users'
+     * bound, and the longest that a fault keeps a process from hearing of it. */
+    static constexpr Millis EVACUATION_BOUND{11'000};
+
+    struct Evacuation {
+        std::string m_domain;
+        Millis m_since{0};
+        std::optional<Millis> m_until;
+    };
+    struct Start {
+        std::string m_domain;
+        std::string m_task;
+        Millis m_at{0};
+    };
 
     explicit Promises(const RunWitness& witness) : m_witness(witness) {}
 
@@ -68,6 +83,8 @@
 
     /** Looks at the workers. */
     void look(Millis now);
+    void checkEvacuations(const std::vector<Evacuation>& evacuations,
+                          const std::vector<Start>& starts);
     /** Every job is told to be over, or never was. */
     bool isSettled() const;
     /** After everything has healed and settled, or did not in time. */
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -83,7 +83,7 @@
     StandinWorkerPlan plan;
     plan.m_name = "w" + number;
     plan.m_rack = "r" + std::to_string(place / 2);
-    plan.m_failureDomain = "d" + std::to_string(place / 4);
+    plan.m_failureDomain = getDomain(place);
     plan.m_sidecar = getAddress(BEATS, place);
     side.m_worker = std::make_unique<StandinWorker>(m_loop, m_client, m_witness, plan);
     if (!side.m_toStore->listen(store, reason) || !side.m_link->listen(link, reason) ||
@@ -161,10 +161,15 @@
         return {{"the soak begins", "soak", reason}};
     }
     m_faults = drawFaults(m_options.m_seed, m_options.m_length, m_options.m_faults);
+    if (m_options.m_evacuates) {
+        const auto requests = drawEvacuations(m_options.m_seed, m_options.m_length);
+        m_faults.insert(m_faults.end(), requests.begin(), requests.end());
+    }
     m_callers->start();
     schedule();
     look();
     m_loop.run();
+    m_promises.checkEvacuations(m_evacuations, listStarts());
     m_promises.finish();
     return m_promises.getBreaches();
 }
@@ -209,6 +214,25 @@
     m_loop.callLater(INTERVAL, [this, since] { waitForEnd(since); });
 }
 
+std::string Soak::getDomain(std::size_t place) const {
+    const std::size_t workers = m_options.m_evacuates ? 2 : 4;
+    return "d" + std::to_string(place / workers);
+}
+
+std::vector<Promises::Start> Soak::listStarts() const {
+    std::vector<Promises::Start> starts;
+    for (std::size_t i = 0; i < m_sides.size(); ++i) {
+        const std::string journal = m_sides[i].m_worker->getTasks().getJournalText();
+        for (const auto& row : nlohmann::json::parse(journal)) {
+            if (row[0] == "start") {
+                starts.push_back({getDomain(i), row[1].get<std::string>(),
+                                  Millis(row[3].get<std::int64_t>())});
+            }
+        }
+    }
+    return starts;
+}
+
 std::vector<std::string> Soak::findLogLines(const std::string& name) const {
     constexpr std::size_t MOST = 24;
     std::vector<std::string> lines;
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -23,6 +23,8 @@
     Millis m_length{20'000};
     std::size_t m_gateways = 3;
     std::size_t m_workers = 4;
+    /** Failure domains, of two workers each then, are evacuated and opened again meanwhile. */
+    bool m_evacuates = false;
     /** Only these kinds of faults; empty for all. */
     std::vector<std::string> m_faults;
     /** Where the programs are. */
@@ -71,6 +73,10 @@
     void strikeStore(const Fault& fault);
     void strikeWorker(const Fault& fault);
     void heal(const Fault& fault);
+    std::string getDomain(std::size_t place) const;
+    void evacuate(const std::string& domain);
+    void open(const std::string& domain);
+    std::vector<Promises::Start> listStarts() const;
     void healAll();
     void look();
     void waitForEnd(Millis since);
@@ -88,6 +94,7 @@
     std::vector<Side> m_sides;
     std::unique_ptr<Callers> m_callers;
     std::vector<Fault> m_faults;
+    std::vector<Promises::Evacuation> m_evacuations;
     std::uint64_t m_version = 0;
     bool m_isHealed = false;
 };
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // What a soak's faults do, and how they heal.
+#include <algorithm>
 #include <csignal>
 
 #include "Soak.h"
@@ -21,6 +22,9 @@
     if (fault.m_kind == FaultKind::KEY_CHANGE) {
         configure();
     }
+    if (fault.m_kind == FaultKind::DOMAIN_EVACUATED) {
+        evacuate(getDomain(fault.m_target % m_sides.size()));
+    }
 }
 
 void Soak::strikeProcess(const Fault& fault) {
@@ -142,6 +146,27 @@
     }
 }
 
+/** Asked for twice, it is one request that stands until it is withdrawn. */
+void Soak::evacuate(const std::string& domain) {
+    const bool stands = std::any_of(m_evacuations.begin(), m_evacuations.end(),
+                                    [&](const Promises::Evacuation& one) {
+                                        return one.m_domain == domain && !one.m_until.has_value();
+                                    });
+    m_store.getState().put("op/evacuate/" + domain, "{}");
+    if (!stands) {
+        m_evacuations.push_back({domain, m_loop.now(), std::nullopt});
+    }
+}
+
+void Soak::open(const std::string& domain) {
+    m_store.getState().erase("op/evacuate/" + domain);
+    for (Promises::Evacuation& one : m_evacuations) {
+        if (one.m_domain == domain && !one.m_until.has_value()) {
+            one.m_until = m_loop.now();
+        }
+    }
+}
+
 void Soak::heal(const Fault& fault) {
     if (m_isHealed) {
         return;
@@ -175,6 +200,9 @@
         case FaultKind::STORE_DEAF:
             m_store.m_faults = StoreFaults();
             break;
+        case FaultKind::DOMAIN_EVACUATED:
+            open(getDomain(fault.m_target % m_sides.size()));
+            break;
         case FaultKind::WORKER_SILENT:
             side.m_worker->getTasks().m_isSilent = false;
             break;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -58,6 +58,8 @@
             "gateways", po::value(&options.m_gateways), "how many")(
             "workers", po::value(&options.m_workers), "how many")(
             "faults", po::value(&faults), "only these kinds, separated by commas")(
+            "evacuate", po::bool_switch(&options.m_evacuates),
+            "failure domains are evacuated and opened again")(
             "list-faults", po::bool_switch(&isList), "the kinds of faults")(
             "tools", po::value(&options.m_tools), "folder of pierbank-gateway and -sidecar")(
             "logs", po::value(&options.m_folder), "folder for logs and settings")(
--- a/test/soak/mutants.sh
+++ b/test/soak/mutants.sh
@@ -36,6 +36,7 @@
 
 # mutate NAME : switches the mechanism off.
 mutate() {
+    soak_options=()
     case $1 in
     lost-without-waiting) # nothing runs twice
         replace libs/control/src/WorkerPool.cpp 'now > host.m_grantedUntil) {' \
@@ -57,6 +58,11 @@
     keys-never-fade) # no revoked key is served
         replace libs/control/src/JobIntake.cpp \
             'age.has_value() && *age <= m_settings.m_maxConfigurationAge' 'age.has_value()' ;;
+    evacuations-not-read) # nothing begins where it is evacuated
+        soak_options=(--evacuate)
+        replace libs/control/src/JobControllerEvacuations.cpp \
+            'return m_evacuations.getDomains().count(domain) != 0 || isEmptied(domain);' \
+            'return isEmptied(domain);' ;;
     stop-is-not-sent) # cancelled work is gone
         replace libs/control/src/JobController.cpp \
             'entry.m_messages.push_back({run.m_worker.m_host, RunStop{' \
@@ -75,7 +81,7 @@
 
 # soak SEED SLOT : plays one seed; leaves its report.
 soak() {
-    "$COPY/build/test/pierbank-soak" --seed "$1" --for "$LENGTH" --quiet \
+    "$COPY/build/test/pierbank-soak" --seed "$1" --for "$LENGTH" --quiet "${soak_options[@]}" \
         --tools "$COPY/build/tools" --logs "$COPY/logs/$1" \
         --base-port $((FIRST_PORT + $2 * PORTS_A_SOAK)) >"$COPY/report-$1" 2>&1 || true
 }
@@ -103,7 +109,7 @@
 names=("$@")
 if ((${#names[@]} == 0)); then
     names=(lost-without-waiting taken-before-kept unknown-is-refused gang-goes-on
-        keys-never-fade stop-is-not-sent done-too-early)
+        keys-never-fade stop-is-not-sent done-too-early evacuations-not-read)
 fi
 missed=0
 for name in "${names[@]}"; do
