Workers that are cold get urgent work last, and what was learnt of them then is not held against them

Cause: a worker's heartbeat says for how long it is slow from its start, as after an evacuation; nothing read it. Urgent work was placed there as on a warm one, and the slowness that its runs showed was kept for an hour.

Change: the time travels with the worker's notice; while it lasts the worker counts as 1.5 times slower (by reasoning: no deployment's services cool, so nothing could be measured), and runs that were there meanwhile tell nothing of its speed. `show workers` has the slowness, `why worker` the time.

--- a/libs/control/include/pierbank/control/Documents.h
+++ b/libs/control/include/pierbank/control/Documents.h
@@ -23,6 +23,8 @@
     bool m_isDraining = false;
     /** While it drains, the least time that it stays. */
     Millis m_remaining{0};
+    /** How much longer it is slow from its start, or from a time without work. */
+    Millis m_coldLeft{0};
     /** Rises with each beat of a life; a lower one came late. */
     std::uint64_t m_sequence = 0;
 };
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -56,6 +56,12 @@
     bool m_seesStalls = true;
     /** Urgent work goes to hosts that are seen to be fast, other work leaves them free. */
     bool m_learnsSpeeds = true;
+    /**
+     * A worker that is cold is taken for so many times slower than it is known to be, so that
+     * urgent work goes to warm ones while there are any and other work warms the cold ones up. By
+     * reasoning: how much slower is in no setting, and no fleet that was measured has cold workers.
+     */
+    double m_coldSlowness = 1.5;
     /** What happens within this time is decided and committed together. */
     Millis m_commitDelay{3};
     /**
@@ -155,6 +161,10 @@
     const WorkerPool& getWorkers() const noexcept { return m_workers; }
     /** Why a plan made now would leave a job where it is; empty when it says nothing of it. */
     std::string getNote(const std::string& job) const;
+    /** Work takes so many times as long there as on a mean worker, as far as was seen. */
+    double getSlowness(std::string_view life) const { return m_speeds.getSlowness(life); }
+    /** Until when a host's worker is slow from its start; empty: it told of no such time. */
+    std::optional<Millis> getColdUntil(const std::string& host) const;
     /** What would become of a job that was handed in now; nothing changes. */
     TaskPlan tryPlan(const JobRecord& record) const;
     const JobFigures& getFigures() const noexcept { return m_figures; }
@@ -230,6 +240,7 @@
     void sendOrder(JobEntry& entry, const HeldRun& run);
     RunOrder makeOrder(const JobEntry& entry, const HeldRun& run) const;
     bool isAvoided(const std::string& host) const;
+    bool wasCold(const std::string& host, const TaskKey& task, std::uint32_t run) const;
     bool isStalled(const std::string& host) const;
     void moveStalled();
     bool mustMove(const JobEntry& entry, const HeldRun& run) const;
--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -95,6 +95,7 @@
     void beginLife(const std::string& life);
     void endLife();
     bool isNews(const WorkerBeat& beat) const;
+    Millis getColdLeft() const;
     bool isFormer(const std::string& life) const;
     /** The worker has answered under the life that its heartbeats name. */
     bool isConfirmed() const { return m_clock.has_value(); }
@@ -124,6 +125,7 @@
     std::deque<std::string> m_formerLives;
     bool m_isGone = false;
     std::optional<WorkerBeat> m_beat;
+    Millis m_beatAt{0};
     /** The most that the present life said it has. */
     Resources m_wholeCapacity;
     LifeAccount m_account;
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -92,6 +92,12 @@
     }
     const bool wasStalled = isStalled(host);
     for (const ProgressRate& rate : m_progress.note(host, runs, m_loop.now())) {
+        const auto reported = std::find_if(runs.begin(), runs.end(), [&](const auto& one) {
+            return one.m_task == rate.m_task;
+        });
+        if (reported != runs.end() && wasCold(host, rate.m_task, reported->m_run)) {
+            continue;
+        }
         TaskKey step = rate.m_task;
         step.m_index = 0;
         m_speeds.note({report.m_life, step.toText(), rate.m_rate}, m_loop.now());
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -56,10 +56,33 @@
                          !view.m_leavesIn.has_value() && getHold(address) == WorkerHold::RELEASE &&
                          !isAvoided(address) && !isStalled(address) &&
                          !m_roomRefusals.isPaused(address, m_loop.now());
+    const auto coldUntil = getColdUntil(address);
+    const bool isCold = coldUntil.has_value() && m_loop.now() < *coldUntil;
     view.m_slowness = m_settings.m_learnsSpeeds ? m_speeds.getSlowness(view.m_id.m_life) : 1.0;
+    view.m_slowness *= m_settings.m_learnsSpeeds && isCold ? m_settings.m_coldSlowness : 1.0;
     view.m_isSuspect = m_settings.m_judgesHosts && m_health.isSuspect(address, m_loop.now());
 }
 
+/** Empty for a worker that was not cold when it told of itself. */
+std::optional<Millis> JobController::getColdUntil(const std::string& host) const {
+    const WorkerPool::Host* const known = m_workers.findHost(host);
+    if (known == nullptr || !known->m_notice.has_value() || known->m_notice->m_coldLeftMs == 0) {
+        return std::nullopt;
+    }
+    return known->m_noticeAt + Millis(known->m_notice->m_coldLeftMs);
+}
+
+/** Whether a run was there while its worker was cold: it says nothing of the warm one's speed. */
+bool JobController::wasCold(const std::string& host, const TaskKey& task, std::uint32_t run) const {
+    const auto coldUntil = getColdUntil(host);
+    const auto found = m_jobs.find(task.m_job);
+    if (!coldUntil.has_value() || found == m_jobs.end()) {
+        return false;
+    }
+    const auto held = found->second.m_run.findHeldRun(task, run);
+    return held.has_value() && m_loop.now() - (m_loop.wallNow() - held->m_placedAt) < *coldUntil;
+}
+
 /** @param advised holds what the result points to. */
 std::vector<PlannedJob> JobController::listJobs(std::vector<AdvisedWorkers>& advised) const {
     std::vector<PlannedJob> jobs;
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -15,6 +15,8 @@
 constexpr Millis REPORT_INTERVAL{1000};
 /** Former lives that are remembered: a worker that restarts each second for half a minute. */
 constexpr std::size_t MAX_FORMER_LIVES = 32;
+/** Heartbeats and clocks differ by less; a worker that is cold for so much longer is cold anew. */
+constexpr Millis COLD_NEWS{1000};
 /** Crashes that leaders are told of; each was passed on long before so many more follow it. */
 constexpr std::size_t MAX_CRASHES = 8;
 
@@ -190,6 +192,7 @@
         notice.m_wholeAccelerators = m_wholeCapacity.m_accelerators;
         notice.m_isDraining = m_beat->m_isDraining;
         notice.m_remainingMs = static_cast<std::uint64_t>(m_beat->m_remaining.count());
+        notice.m_coldLeftMs = static_cast<std::uint64_t>(getColdLeft().count());
     }
     m_leader.send(notice);
 }
@@ -236,6 +239,7 @@
     }
     m_wholeCapacity = takeMost(m_wholeCapacity, beat.m_capacity);
     m_beat = beat;
+    m_beatAt = m_loop.now();
     if (isNew) {
         beginLife(beat.m_life);
     }
@@ -257,11 +261,17 @@
  * one accelerator were begun on a worker that had two left.
  */
 bool WorkerAgent::isNews(const WorkerBeat& beat) const {
-    return !m_beat.has_value() || m_beat->m_isDraining != beat.m_isDraining ||
+    const bool turnsCold = m_beat.has_value() && beat.m_coldLeft > getColdLeft() + COLD_NEWS;
+    return !m_beat.has_value() || turnsCold || m_beat->m_isDraining != beat.m_isDraining ||
            m_beat->m_capacity != beat.m_capacity || m_beat->m_service != beat.m_service ||
            m_beat->m_labels != beat.m_labels || m_beat->m_failureDomain != beat.m_failureDomain;
 }
 
+/** Of what the last heartbeat said. */
+Millis WorkerAgent::getColdLeft() const {
+    return std::max(m_beat->m_coldLeft - (m_loop.now() - m_beatAt), Millis(0));
+}
+
 bool WorkerAgent::isFormer(const std::string& life) const {
     return std::find(m_formerLives.begin(), m_formerLives.end(), life) != m_formerLives.end();
 }
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -137,6 +137,11 @@
         text.append(", its failure domain ").append(host->m_notice->m_failureDomain);
         text.append(" is under evacuation");
     }
+    const auto coldUntil = m_core.getJobs().getColdUntil(address);
+    if (coldUntil.has_value() && *coldUntil > m_loop.now()) {
+        text.append(", cold for ");
+        text.append(std::to_string((*coldUntil - m_loop.now()).count())).append(" ms more");
+    }
     const Millis left = host->m_grantedUntil - m_loop.now();
     text.append(", its lease ends in ").append(std::to_string(left.count())).append(" ms");
     return makeAnswer(StatementStatus::DONE, std::move(text));
--- a/libs/operators/src/JobTables.cpp
+++ b/libs/operators/src/JobTables.cpp
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -12,6 +13,7 @@
 
 constexpr std::int64_t MILLIS_PER_SECOND = 1000;
 constexpr double MILLIS_PER_CORE = 1000.0;
+constexpr double PERCENT = 100.0;
 
 double toNumber(std::size_t count) {
     return static_cast<double>(count);
@@ -137,8 +139,8 @@
 Table makeWorkerTable(const JobController& jobs) {
     std::map<std::string, Resources> used = sumUsed(jobs.getJobs());
     Table table;
-    table.m_columns = {"name",         "domain", "rack",       "state",
-                       "accelerators", "used",   "cores_used", "shrunk_by"};
+    table.m_columns = {"name", "domain",     "rack",      "state",   "accelerators",
+                       "used", "cores_used", "shrunk_by", "slowness"};
     for (const auto& [address, host] : jobs.getWorkers().getHosts()) {
         if (!isKnown(host)) {
             continue;
@@ -150,7 +152,8 @@
                  Cell::ofNumber(notice.m_accelerators),
                  Cell::ofNumber(used[address].m_accelerators),
                  Cell::ofNumber(used[address].m_cpuMillis / MILLIS_PER_CORE),
-                 Cell::ofNumber(notice.m_wholeAccelerators - notice.m_accelerators)});
+                 Cell::ofNumber(notice.m_wholeAccelerators - notice.m_accelerators),
+                 Cell::ofNumber(std::round(PERCENT * jobs.getSlowness(notice.m_life)) / PERCENT)});
     }
     return table;
 }
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -98,6 +98,8 @@
     bool m_isDraining = false;
     /** Least time that a draining worker stays. */
     std::uint64_t m_remainingMs = 0;
+    /** How much longer it is slow. */
+    std::uint64_t m_coldLeftMs = 0;
     /** The last crashes that this sidecar saw, with each notice anew: a leader may be new. */
     std::vector<WorkerCrash> m_crashes;
     bool operator==(const WorkerNotice&) const = default;
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -50,7 +50,7 @@
     archive(frame.m_life, frame.m_isGone, frame.m_service, frame.m_failureDomain, frame.m_rack,
             frame.m_labels, frame.m_cpuMillis, frame.m_memoryMb, frame.m_accelerators,
             frame.m_wholeCpuMillis, frame.m_wholeMemoryMb, frame.m_wholeAccelerators,
-            frame.m_isDraining, frame.m_remainingMs, frame.m_crashes);
+            frame.m_isDraining, frame.m_remainingMs, frame.m_coldLeftMs, frame.m_crashes);
 }
 
 template <typename Archive>
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -15,7 +15,7 @@
 }
 
 WorkerNotice makeNotice() {
-    WorkerNotice notice{"l", true, "s", "d", "r", {"a", "r"}, 1, 2, 3, 4, 5, 6, true, 7, {}};
+    WorkerNotice notice{"l", true, "s", "d", "r", {"a", "r"}, 1, 2, 3, 4, 5, 6, true, 7, 8, {}};
     notice.m_crashes.push_back({"k", true, {{"j.0.0.0", 1, 9, true}}});
     return notice;
 }
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -118,6 +118,7 @@
     beat.m_capacity = sidecar.m_capacity;
     beat.m_isDraining = sidecar.m_isDraining;
     beat.m_remaining = sidecar.m_remaining;
+    beat.m_coldLeft = sidecar.m_coldLeft;
     beat.m_failureDomain = "d" + std::to_string(place / 4);
     beat.m_sequence = sidecar.m_sequence;
     return beat;
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -53,6 +53,8 @@
         bool m_isMute = false;
         /** While it drains: the least time that it stays. */
         Millis m_remaining{0};
+        /** How much longer its worker is slow. */
+        Millis m_coldLeft{0};
     };
 
     JobFleet(std::size_t gateways, std::size_t workers);
