--- a/libs/control/include/pierbank/control/EvacuationFeed.h
+++ b/libs/control/include/pierbank/control/EvacuationFeed.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
