--- a/libs/control/include/pierbank/control/EvacuationFeed.h
+++ b/libs/control/include/pierbank/control/EvacuationFeed.h
@@ -61,7 +61,7 @@
 private:
     void read();
     void handleRead(const StoreList& list, Millis sentAt);
-    Domains readDomains(const StoreList& list) const;
+    static Domains readDomains(const StoreList& list);
     void logChanges(const Domains& before) const;
 
     RecordStore& m_store;
--- a/libs/control/include/pierbank/control/StoreKeys.h
+++ b/libs/control/include/pierbank/control/StoreKeys.h
@@ -43,8 +43,10 @@
 /** What an operator decided about a worker: `drain`, `quarantine` or `release`. */
 inline constexpr std::string_view WORKER_PREFIX = "input/worker/";
 
-/** The same for a failure domain, by a statement: `evacuate` or `release`. */
+/** What an operator's statement decided about a failure domain, one of the two words. */
 inline constexpr std::string_view DOMAIN_PREFIX = "input/domain/";
+inline constexpr std::string_view EVACUATE_WORD = "evacuate";
+inline constexpr std::string_view RELEASE_WORD = "release";
 
 /** How far large work goes first, 0 to 100; written by an operator's statement. */
 inline constexpr std::string_view WEIGHT_KEY = "input/weight";
--- a/libs/control/src/EvacuationFeed.cpp
+++ b/libs/control/src/EvacuationFeed.cpp
@@ -64,7 +64,7 @@
     }
 }
 
-EvacuationFeed::Domains EvacuationFeed::readDomains(const StoreList& list) const {
+EvacuationFeed::Domains EvacuationFeed::readDomains(const StoreList& list) {
     Domains domains;
     for (const StoreItem& item : list.m_items) {
         const std::string domain = item.m_key.substr(EVACUATION_PREFIX.size());
--- a/libs/control/src/JobControllerEvacuations.cpp
+++ b/libs/control/src/JobControllerEvacuations.cpp
@@ -5,6 +5,7 @@
 #include "pierbank/base/Log.h"
 #include "pierbank/base/UnreadableInputs.h"
 #include "pierbank/control/JobController.h"
+#include "pierbank/control/StoreKeys.h"
 
 namespace pierbank {
 
@@ -23,9 +24,9 @@
 }
 
 void JobController::learnDomain(const std::string& domain, std::string_view word) {
-    if (word == "evacuate") {
+    if (word == EVACUATE_WORD) {
         m_emptiedDomains.insert(domain);
-    } else if (word == "release") {
+    } else if (word == RELEASE_WORD) {
         m_emptiedDomains.erase(domain);
     } else {
         noteUnreadable("jobs", "unreadable-domain",
--- a/libs/operators/src/JobBackendDomains.cpp
+++ b/libs/operators/src/JobBackendDomains.cpp
@@ -55,12 +55,15 @@
                             : "failure domain " + name + " is not under evacuation"));
         return;
     }
-    const char* const before = figures.m_isEmptied ? "evacuate" : "release";
-    const char* const after = change.m_isEvacuated ? "evacuate" : "release";
+    const auto toWord = [](bool isEmptied) {
+        return std::string(isEmptied ? EVACUATE_WORD : RELEASE_WORD);
+    };
+    const std::string after = toWord(change.m_isEvacuated);
     StoreTransaction transaction;
     transaction.m_puts = {{getDomainKey(name), after, 0}};
     commit(request, std::move(transaction),
-           "failure domain " + name + ": " + before + " -> " + after, std::move(done));
+           "failure domain " + name + ": " + toWord(figures.m_isEmptied) + " -> " + after,
+           std::move(done));
 }
 
 }  // namespace pierbank
