Sight: a worker's moment of start is decoded and logged; the fakes and the stand-in restart under the same id

The moment (`born`) is read from heartbeats and from answers to holds and decides nothing yet. FakeTaskWorker and the stand-in restart in both forms, count heartbeats and ends anew in each process, and carry out stops and holds late as they did starts.

--- a/libs/control/include/pierbank/control/Documents.h
+++ b/libs/control/include/pierbank/control/Documents.h
@@ -9,12 +9,13 @@
 #include "pierbank/base/Findings.h"
 #include "pierbank/control/QueueConfiguration.h"
 #include "pierbank/job/JobRun.h"
+#include "pierbank/job/WorkerLife.h"
 
 namespace pierbank {
 
 /** What a worker says of itself to the sidecar on its host. */
 struct WorkerBeat {
-    std::string m_life;
+    WorkerLife m_life;
     std::string m_service;
     std::string m_failureDomain;
     std::string m_rack;
@@ -46,7 +47,8 @@
     virtual std::optional<QueueConfiguration> readConfiguration(std::string_view bytes,
                                                                 Findings& findings) const = 0;
     virtual std::optional<JobSpec> readJob(std::string_view bytes, Findings& findings) const = 0;
-    virtual std::optional<WorkerBeat> readBeat(std::string_view life, std::string_view bytes,
+    /** @param id names the worker; its beat tells when it started. */
+    virtual std::optional<WorkerBeat> readBeat(std::string_view id, std::string_view bytes,
                                                Findings& findings) const = 0;
     virtual std::optional<WaveSpec> readWave(std::string_view bytes, Findings& findings) const = 0;
     virtual std::string writeWaveStatus(bool isDone) const = 0;
--- a/libs/control/include/pierbank/control/TaskWorker.h
+++ b/libs/control/include/pierbank/control/TaskWorker.h
@@ -63,6 +63,8 @@
 /** Outcome of hold(). */
 struct HoldReply {
     WorkerStatus m_status = WorkerStatus::UNKNOWN;
+    /** When the process that answered started, as it says; zero: it says nothing. */
+    std::uint64_t m_bornAt = 0;
     /** The worker's steady clock as it answered. */
     Millis m_clock{0};
     std::vector<ListedRun> m_running;
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -223,12 +223,16 @@
 // The worker's life.
 
 void WorkerAgent::handleBeat(const WorkerBeat& beat) {
-    const bool isNew = beat.m_life != m_life;
-    if (isNew && isFormer(beat.m_life)) {
+    const bool isNew = beat.m_life.m_id != m_life;
+    if (isNew && isFormer(beat.m_life.m_id)) {
         logEvent(Severity::WARNING, "agent", "late-heartbeat",
-                 {{"life", beat.m_life}, {"living", m_life}});
+                 {{"life", beat.m_life.toText()}, {"living", m_life}});
         return;
     }
+    if (!isNew && m_beat.has_value() && beat.m_life != m_beat->m_life) {
+        logEvent(Severity::WARNING, "agent", "born-differs",
+                 {{"beat", beat.m_life.toText()}, {"known", m_beat->m_life.toText()}});
+    }
     if (!isNew && m_beat.has_value() && beat.m_sequence <= m_beat->m_sequence) {
         return;
     }
@@ -241,11 +245,12 @@
     m_beat = beat;
     m_beatAt = m_loop.now();
     if (isNew) {
-        beginLife(beat.m_life);
+        beginLife(beat.m_life.m_id);
     }
     if (isChanged) {
         logEvent(Severity::INFO, "agent", "worker",
                  {{"life", m_life},
+                  {"born", std::to_string(beat.m_life.m_bornAt)},
                   {"draining", beat.m_isDraining ? "yes" : "no"},
                   {"remaining_ms", std::to_string(beat.m_remaining.count())},
                   {"accelerators", std::to_string(beat.m_capacity.m_accelerators)},
--- a/libs/control/src/WorkerAgentHold.cpp
+++ b/libs/control/src/WorkerAgentHold.cpp
@@ -77,6 +77,10 @@
         holdLater(m_settings.m_pause);
         return;
     }
+    if (m_beat.has_value() && reply.m_bornAt != m_beat->m_life.m_bornAt) {
+        logEvent(Severity::WARNING, "agent", "born-differs",
+                 {{"answer", std::to_string(reply.m_bornAt)}, {"known", m_beat->m_life.toText()}});
+    }
     const bool isFirst = !m_clock.has_value();
     const bool wasSilent = isWorkerSilent();
     m_answeredAt = m_loop.now();
--- a/libs/control/test/OrderBookTest.cpp
+++ b/libs/control/test/OrderBookTest.cpp
@@ -20,7 +20,7 @@
 public:
     explicit FakeOrderContext(const FakeTaskWorker& worker) : m_worker(worker) {}
 
-    WorkerCall getCall() const override { return {m_worker.getLife(), 1}; }
+    WorkerCall getCall() const override { return {m_worker.getId(), 1}; }
     std::optional<Millis> getStartLease() const override {
         return m_hasLease ? std::optional(m_worker.getClock() + Millis(4000)) : std::nullopt;
     }
@@ -49,7 +49,7 @@
 protected:
     void start() {
         RunOrder order;
-        order.m_life = m_worker.getLife();
+        order.m_life = m_worker.getId();
         order.m_task = TASK.toText();
         order.m_run = 1;
         order.m_payload = "1000";
--- a/test/failures/FormerLivesTest.cpp
+++ b/test/failures/FormerLivesTest.cpp
@@ -11,7 +11,7 @@
 protected:
     void SetUp() override {
         JobFleetTest::SetUp();
-        m_former = getSidecar(0).m_worker->getLife();
+        m_former = m_fleet.makeBeat(0);
         getSidecar(0).m_worker->restart();
         m_fleet.beat(0);
         m_fleet.m_loop.advance(Millis(300));
@@ -33,11 +33,11 @@
         }
     }
 
-    std::string m_former;
+    WorkerBeat m_former;
 };
 
 TEST_F(ADelayedHeartbeatOfAFormerLife, DoesNotThrowTheLivingOneAway) {
-    m_fleet.beatLate(0, m_former);
+    m_fleet.deliver(0, m_former);
     m_fleet.m_loop.advance(Millis(300));
     EXPECT_EQ(getSidecar(0).m_worker->countRunning(), 1U);
     expectThatAllRanOnce();
@@ -47,7 +47,7 @@
     m_fleet.killSidecar(0);
     getSidecar(0).m_isMute = true;
     m_fleet.startSidecar(0);
-    m_fleet.beatLate(0, m_former);
+    m_fleet.deliver(0, m_former);
     m_fleet.m_loop.advance(Millis(1500));
     getSidecar(0).m_isMute = false;
     m_fleet.beat(0);
@@ -61,7 +61,7 @@
     m_fleet.startGateway(leader);
     getSidecar(0).m_isMute = true;
     m_fleet.startSidecar(0);
-    m_fleet.beatLate(0, m_former);
+    m_fleet.deliver(0, m_former);
     ASSERT_TRUE(m_fleet.waitForLeader());
     m_fleet.m_loop.advance(Millis(1000));
     getSidecar(0).m_isMute = false;
--- a/test/failures/StepFeaturesTest.cpp
+++ b/test/failures/StepFeaturesTest.cpp
@@ -101,14 +101,14 @@
 };
 
 TEST_F(AdviceTest, AStepRunsOnlyOnWorkersThatWereAdvisedAndWithTheirTicket) {
-    m_fleet.m_advisor.m_allowed = {getSidecar(2).m_worker->getLife()};
+    m_fleet.m_advisor.m_allowed = {getSidecar(2).m_worker->getId()};
     m_fleet.submit(ID, SMALL, "400");
     EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(2000)));
     EXPECT_EQ(m_fleet.m_witness.countStarts(taskOf(ID)), 1U);
 }
 
 TEST_F(AdviceTest, QuestionsAreAskedOneAtATimeAndBeforeThereIsRoom) {
-    m_fleet.m_advisor.m_allowed = {getSidecar(2).m_worker->getLife()};
+    m_fleet.m_advisor.m_allowed = {getSidecar(2).m_worker->getId()};
     const std::string whole = R"({"count":1,"cpu":8000,"gpu":8,"est_ms":1000})";
     m_fleet.submit(ID, whole, "1500");
     m_fleet.submit(OTHER_ID, whole, "100");
@@ -119,19 +119,19 @@
 }
 
 TEST_F(AdviceTest, ANewLifeOfAWorkerIsAskedAboutAnew) {
-    m_fleet.m_advisor.m_allowed = {getSidecar(2).m_worker->getLife()};
+    m_fleet.m_advisor.m_allowed = {getSidecar(2).m_worker->getId()};
     m_fleet.submit(ID, SMALL, "3000");
     m_fleet.m_loop.advance(Millis(500));
     ASSERT_EQ(findWorker(taskOf(ID)), 2U);
     getSidecar(2).m_worker->restart();
-    m_fleet.m_advisor.m_allowed = {getSidecar(2).m_worker->getLife()};
+    m_fleet.m_advisor.m_allowed = {getSidecar(2).m_worker->getId()};
     EXPECT_TRUE(waitUntil(Millis(3000),
                           [&] { return m_fleet.m_witness.countStarts(taskOf(ID)) == 2; }));
 }
 
 TEST_F(AdviceTest, AWorkThatWaitsForAdviceSaysSoAndGoesOnWhenTheServiceIsBack) {
     m_fleet.m_advisor.m_isDown = true;
-    m_fleet.m_advisor.m_allowed = {getSidecar(1).m_worker->getLife()};
+    m_fleet.m_advisor.m_allowed = {getSidecar(1).m_worker->getId()};
     m_fleet.submit(ID, SMALL, "300");
     m_fleet.m_loop.advance(Millis(2000));
     const StatementAnswer why = m_fleet.state(getLeader(), "why job " + std::string(ID));
@@ -270,12 +270,12 @@
         for (std::size_t i = 0; i < 4; ++i) {
             const std::string name = "m" + std::to_string(i);
             m_fleet.m_fleet.m_machines[name] = {name, MachineState::UP,
-                                                getSidecar(i).m_worker->getLife()};
+                                                getSidecar(i).m_worker->getId()};
         }
         m_fleet.m_fleet.m_onDown = [this](const std::string& name) {
             const std::size_t place = static_cast<std::size_t>(name[1] - '0');
             getSidecar(place).m_worker->restart();
-            m_fleet.m_fleet.m_machines[name].m_life = getSidecar(place).m_worker->getLife();
+            m_fleet.m_fleet.m_machines[name].m_life = getSidecar(place).m_worker->getId();
         };
     }
 
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -60,6 +60,10 @@
 }
 
 void FakeTaskWorker::restart() {
+    restart(m_restartForm);
+}
+
+void FakeTaskWorker::restart(RestartForm form) {
     for (const auto& [task, run] : m_runs) {
         note("lost", task, run.m_number);
         m_witness.noteStop(task, m_name);
@@ -72,7 +76,14 @@
     m_lastKept = 0;
     m_clockOffset = m_loop.now() - Millis(1000);
     m_until = Millis(0);
-    m_life = m_name + "-" + std::to_string(++m_lives);
+    m_beats = 0;
+    ++m_lives;
+    // Two starts within one millisecond are two starts.
+    m_bornAt = std::max<std::uint64_t>(m_bornAt + 1,
+                                       static_cast<std::uint64_t>(m_loop.wallNow().count()));
+    if (form == RestartForm::NEW_ID || m_id.empty()) {
+        m_id = m_name + "-" + std::to_string(m_lives);
+    }
 }
 
 void FakeTaskWorker::crash() {
@@ -112,7 +123,7 @@
     if (m_isSilent) {
         return {WorkerStatus::UNKNOWN, "silent"};
     }
-    if (call.m_life != m_life) {
+    if (call.m_life != m_id) {
         return {WorkerStatus::OTHER_LIFE, "life"};
     }
     if (call.m_epoch < m_fence) {
@@ -178,7 +189,7 @@
     if (m_barred.count(start.m_task) != 0 && start.m_run <= m_barred[start.m_task]) {
         return {WorkerStatus::REFUSED, "old"};
     }
-    if (m_wantsTickets && start.m_ticket != "ticket-" + m_life) {
+    if (m_wantsTickets && start.m_ticket != "ticket-" + m_id) {
         return {WorkerStatus::REFUSED, "ticket"};
     }
     m_runs[start.m_task] = makeRun(start);
@@ -210,7 +221,7 @@
 
 void FakeTaskWorker::stop(const WorkerCall& call, const TaskKey& task, std::uint32_t run,
                           std::function<void(const RunReply&)> done) {
-    m_loop.callLater(LATENCY, [this, call, task, run, done = std::move(done)] {
+    const auto carryOut = [this, call, task, run] {
         const RunReply checked = checkCall(call);
         if (checked.m_status == WorkerStatus::OK) {
             m_barred[task] = std::max(m_barred[task], run);
@@ -219,7 +230,24 @@
                 end(task, RunEnd::STOPPED);
             }
         }
-        done(checked);
+        return checked;
+    };
+    m_loop.callLater(LATENCY, [this, carryOut, done = std::move(done),
+                               alive = std::weak_ptr(m_isAlive)] {
+        if (alive.expired()) {
+            return;
+        }
+        if (m_stopsToDelay > 0) {
+            --m_stopsToDelay;
+            m_loop.callLater(m_startDelay, [carryOut, alive] {
+                if (!alive.expired()) {
+                    carryOut();
+                }
+            });
+            m_loop.callLater(LOST_ANSWER, [done] { done({WorkerStatus::UNKNOWN, "lost"}); });
+            return;
+        }
+        done(carryOut());
     });
 }
 
@@ -230,6 +258,7 @@
 HoldReply FakeTaskWorker::look() {
     HoldReply reply;
     reply.m_status = WorkerStatus::OK;
+    reply.m_bornAt = m_bornAt;
     reply.m_clock = getClock();
     for (const auto& [task, run] : m_runs) {
         const auto passed = (m_loop.now() - run.m_startedAt).count();
@@ -248,6 +277,20 @@
 void FakeTaskWorker::hold(const WorkerCall& call, const HoldCall& hold,
                           std::function<void(const HoldReply&)> done) {
     m_loop.callLater(LATENCY, [this, call, hold, done = std::move(done)] {
+        if (m_holdsToDelay > 0) {
+            --m_holdsToDelay;
+            m_loop.callLater(m_startDelay, [this, call, hold, alive = std::weak_ptr(m_isAlive)] {
+                if (!alive.expired() && checkCall(call).m_status == WorkerStatus::OK) {
+                    takeHold(hold);
+                }
+            });
+            m_loop.callLater(LOST_ANSWER, [done] {
+                HoldReply lost;
+                lost.m_reason = "lost";
+                done(lost);
+            });
+            return;
+        }
         const RunReply checked = checkCall(call);
         if (checked.m_status != WorkerStatus::OK) {
             HoldReply reply;
@@ -257,20 +300,25 @@
             done(reply);
             return;
         }
-        m_lastKept = std::max(m_lastKept, hold.m_lastKept);
-        forgetEnds();
-        if (hold.m_until.has_value()) {
-            extend(*hold.m_until);
-        }
+        takeHold(hold);
         const Millis wait = m_ended.empty() ? hold.m_wait : Millis(0);
-        m_loop.callLater(std::min(wait, Millis(100)), [this, done, life = m_life] {
+        m_loop.callLater(std::min(wait, Millis(100)), [this, done, lives = m_lives] {
             HoldReply broken;
             broken.m_reason = "connection terminated";
-            done(life == m_life && !m_suspendedAt.has_value() ? look() : broken);
+            done(lives == m_lives && !m_suspendedAt.has_value() ? look() : broken);
         });
     });
 }
 
+/** Ends up to there are forgotten at that moment; later ones are listed whatever their number. */
+void FakeTaskWorker::takeHold(const HoldCall& hold) {
+    m_lastKept = std::max(m_lastKept, hold.m_lastKept);
+    forgetEnds(hold.m_lastKept);
+    if (hold.m_until.has_value()) {
+        extend(*hold.m_until);
+    }
+}
+
 std::uint32_t FakeTaskWorker::getTail() const {
     constexpr std::uint32_t ALONE = 10;
     constexpr std::uint32_t WHOLE = 100;
@@ -298,13 +346,13 @@
     });
 }
 
-void FakeTaskWorker::forgetEnds() {
+void FakeTaskWorker::forgetEnds(std::uint64_t last) {
     for (const ListedEnd& end : m_ended) {
-        if (end.m_number <= m_lastKept && end.m_end == RunEnd::DONE) {
+        if (end.m_number <= last && end.m_end == RunEnd::DONE) {
             m_witness.noteKept(end.m_task);
         }
     }
-    std::erase_if(m_ended, [this](const ListedEnd& e) { return e.m_number <= m_lastKept; });
+    std::erase_if(m_ended, [last](const ListedEnd& e) { return e.m_number <= last; });
 }
 
 void FakeTaskWorker::end(const TaskKey& task, RunEnd how) {
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -12,9 +12,17 @@
 
 #include "pierbank/base/EventLoop.h"
 #include "pierbank/control/TaskWorker.h"
+#include "pierbank/job/WorkerLife.h"
 
 namespace pierbank::testing {
 
+/** Under what a worker is back after a crash. */
+enum class RestartForm {
+    NEW_ID,
+    /** The id that it had; only the moment of its start tells that it is another process. */
+    SAME_ID,
+};
+
 /** What all workers of a test saw together, and what must never be. */
 class RunWitness {
 public:
@@ -57,8 +65,11 @@
     void hold(const WorkerCall& call, const HoldCall& hold,
               std::function<void(const HoldReply&)> done) override;
 
-    /** The worker crashes and comes back under another life. */
+    /** The worker crashes and is back: it holds and knows nothing of before, and its counts begin
+     * anew. */
     void restart();
+    void restart(RestartForm form);
+    RestartForm m_restartForm = RestartForm::NEW_ID;
     /** The same, but nothing listens before `m_awayAfterCrash` has passed. */
     void crash();
     Millis m_awayAfterCrash{3000};
@@ -67,10 +78,16 @@
     void wake();
     bool isDown() const { return m_isDown; }
     bool isSuspended() const { return m_suspendedAt.has_value(); }
-    const std::string& getLife() const { return m_life; }
+    const std::string& getId() const { return m_id; }
+    WorkerLife getLife() const { return {m_id, m_bornAt}; }
+    /** Number of the next heartbeat; counts from 1 in each process. */
+    std::uint64_t countBeat() { return ++m_beats; }
     /** So many of the next starts are carried out this much later and not answered. */
     unsigned m_startsToDelay = 0;
     Millis m_startDelay{2000};
+    /** The same for stops and holds, which arrive after `m_startDelay` too. */
+    unsigned m_stopsToDelay = 0;
+    unsigned m_holdsToDelay = 0;
     /** Every start is refused with this word; empty: none. */
     std::string m_refusal;
     /** How many starts were refused so. */
@@ -93,6 +110,7 @@
     std::size_t countRunning() const { return m_runs.size(); }
     bool isRunning(const TaskKey& task) const { return m_runs.count(task) != 0; }
     std::uint64_t getLastKept() const { return m_lastKept; }
+    std::uint64_t getFence() const { return m_fence; }
     Millis getClock() const;
     /** What it started and ended, as JSON: rows of what, task, run, time in ms. */
     std::string getJournalText() const { return "[" + m_journal + "]"; }
@@ -100,6 +118,7 @@
     std::optional<std::uint32_t> getPace(const TaskKey& task) const;
 
 private:
+    void takeHold(const HoldCall& hold);
     void note(const char* what, const TaskKey& task, std::uint32_t run);
     struct Run {
         std::uint32_t m_number = 0;
@@ -117,7 +136,7 @@
     RunReply begin(const WorkerCall& call, const StartCall& start);
     Run makeRun(const StartCall& start) const;
     void tick();
-    void forgetEnds();
+    void forgetEnds(std::uint64_t last);
     void end(const TaskKey& task, RunEnd how);
     void extend(Millis until);
     HoldReply look();
@@ -126,7 +145,9 @@
     EventLoop& m_loop;
     RunWitness& m_witness;
     const std::string m_name;
-    std::string m_life;
+    std::string m_id;
+    std::uint64_t m_bornAt = 0;
+    std::uint64_t m_beats = 0;
     bool m_isDown = false;
     std::optional<Millis> m_suspendedAt;
     unsigned m_lives = 0;
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -108,8 +108,8 @@
     sidecar.m_loop.reset();
 }
 
-WorkerBeat JobFleet::makeBeat(std::size_t place) const {
-    const Sidecar& sidecar = m_sidecars[place];
+WorkerBeat JobFleet::makeBeat(std::size_t place) {
+    Sidecar& sidecar = m_sidecars[place];
     WorkerBeat beat;
     beat.m_life = sidecar.m_worker->getLife();
     beat.m_service = "s";
@@ -120,7 +120,7 @@
     beat.m_remaining = sidecar.m_remaining;
     beat.m_coldLeft = sidecar.m_coldLeft;
     beat.m_failureDomain = "d" + std::to_string(place / 4);
-    beat.m_sequence = sidecar.m_sequence;
+    beat.m_sequence = sidecar.m_worker->countBeat();
     return beat;
 }
 
@@ -130,16 +130,19 @@
         sidecar.m_worker->isSuspended()) {
         return;
     }
-    ++sidecar.m_sequence;
-    sidecar.m_agent->handleBeat(makeBeat(place));
+    deliver(place, makeBeat(place));
 }
 
-void JobFleet::beatLate(std::size_t place, const std::string& life) {
-    WorkerBeat beat = makeBeat(place);
-    beat.m_life = life;
+void JobFleet::deliver(std::size_t place, const WorkerBeat& beat) {
     m_sidecars[place].m_agent->handleBeat(beat);
 }
 
+void JobFleet::setRestartForm(RestartForm form) {
+    for (Sidecar& sidecar : m_sidecars) {
+        sidecar.m_worker->m_restartForm = form;
+    }
+}
+
 void JobFleet::keepBeating() {
     for (std::size_t i = 0; i < m_sidecars.size(); ++i) {
         beat(i);
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -45,7 +45,6 @@
         std::unique_ptr<FakeRecordStore> m_store;
         std::unique_ptr<WorkerAgent> m_agent;
         std::unique_ptr<Registration> m_registration;
-        std::uint64_t m_sequence = 0;
         bool m_isDraining = false;
         /** What its worker's heartbeats say that it has. */
         Resources m_capacity{8000, 8000, 8};
@@ -69,8 +68,11 @@
     void startSidecar(std::size_t place);
     void killSidecar(std::size_t place);
     void beat(std::size_t place);
-    /** A heartbeat that was delayed, of the life that a worker has or once had. */
-    void beatLate(std::size_t place, const std::string& life);
+    /** What a worker would say of itself now; delivered later, it is a delayed heartbeat. */
+    WorkerBeat makeBeat(std::size_t place);
+    void deliver(std::size_t place, const WorkerBeat& beat);
+    /** All workers are back after crashes in this form. */
+    void setRestartForm(RestartForm form);
 
     /** Sends a request and lets time pass until it is answered. */
     IntakeAnswer ask(std::size_t gateway, const std::string& method, const std::string& path,
@@ -103,7 +105,6 @@
 
 private:
     void keepBeating();
-    WorkerBeat makeBeat(std::size_t place) const;
     std::uint64_t m_version = 0;
 };
 
