Failing tests: a worker that restarts under its id has its tasks run twice and failed runs not counted

The story and the evidence stand at the top of RestartFailuresTest. The witness now also holds starts against ends that are taken note of later, and counts failed runs against the attempts of the queue; tasks that last are under no such limit, so their test says so.

--- /dev/null
+++ b/test/failures/RestartFailuresTest.cpp
@@ -0,0 +1,352 @@
+// SPDX-License-Identifier: Apache-2.0
+/*
+ * Users saw: tasks that had ended well were started again, and tasks that had failed as often as
+ * their queue allows were started again and again.
+ *
+ * Order of events: a worker crashes and is back after 0.6 s under the id that it had, its counts
+ * begin anew; a run begins there and ends; nobody hears of the end; the leader misses the run and
+ * sends its order again, the worker refuses it as old, the sidecar finds it neither running nor
+ * ended and reports it as absent; the leader starts the task anew.
+ *
+ * Cause: an id was taken for one process. The sidecar went on with the former process's counters:
+ * its hold named the last end of before as kept, and the new process, whose ends count from 1,
+ * forgot each of them at once.
+ *
+ * Evidence: no `run-ended` for runs that the workers' own records show as ended; for each of them
+ * `start ... status=refused reason=old` and `run-absent reason=old`, 246 times on one day; not one
+ * `worker-crashed`.
+ */
+#include <gtest/gtest.h>
+
+#include "JobFleetTest.h"
+#include "pierbank/base/Random.h"
+
+namespace pierbank::testing {
+
+namespace {
+
+constexpr const char* SMALL = R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":1,"est_ms":400})";
+/** Of the queue `/batch/`. */
+constexpr std::size_t ATTEMPTS = 2;
+
+/** Four workers, some of which restart under the ids that they had. */
+class AWorkerThatRestartsUnderItsId : public JobFleetTest {
+protected:
+    void SetUp() override {
+        JobFleetTest::SetUp();
+        m_fleet.setRestartForm(RestartForm::SAME_ID);
+        for (auto& sidecar : m_fleet.m_sidecars) {
+            sidecar.m_worker->m_awayAfterCrash = Millis(600);
+        }
+    }
+
+    static std::string idOf(int number) { return "00000000000000" + std::to_string(10 + number); }
+
+    void handIn(int first, int count, const char* payload) {
+        for (int i = first; i < first + count; ++i) {
+            m_fleet.submit(idOf(i), SMALL, payload);
+        }
+    }
+
+    void expectSuccess(int first, int count, std::size_t mostStarts = 1) {
+        for (int i = first; i < first + count; ++i) {
+            EXPECT_TRUE(m_fleet.waitForState(idOf(i), "succeeded", Millis(30'000))) << i;
+            EXPECT_LE(m_fleet.m_witness.countStarts(taskOf(idOf(i))), mostStarts) << i;
+        }
+    }
+
+    /** Each worker lists some ends, so that its numbers are well above 1. */
+    void runSome() {
+        handIn(0, 30, "100");
+        expectSuccess(0, 30);
+    }
+
+    void crashAll() {
+        for (auto& sidecar : m_fleet.m_sidecars) {
+            sidecar.m_worker->crash();
+        }
+    }
+};
+
+}  // namespace
+
+TEST_F(AWorkerThatRestartsUnderItsId, RunsWhatComesThenOnce) {
+    runSome();
+    crashAll();
+    m_fleet.m_loop.advance(Millis(1500));
+    handIn(30, 24, "400");
+    expectSuccess(30, 24);
+}
+
+TEST_F(AWorkerThatRestartsUnderItsId, RunsWhatComesThenOnceAfterFourRestartsInSeries) {
+    runSome();
+    for (int restart = 0; restart < 4; ++restart) {
+        crashAll();
+        m_fleet.m_loop.advance(Millis(1500));
+        handIn(30 + 12 * restart, 12, "400");
+        expectSuccess(30 + 12 * restart, 12);
+    }
+}
+
+TEST_F(AWorkerThatRestartsUnderItsId, HasTheRunsThatFailThereCounted) {
+    runSome();
+    crashAll();
+    m_fleet.m_loop.advance(Millis(1500));
+    handIn(30, 8, "!200");
+    for (int i = 30; i < 38; ++i) {
+        EXPECT_TRUE(m_fleet.waitForState(idOf(i), "failed", Millis(30'000))) << i;
+        EXPECT_LE(m_fleet.m_witness.countStarts(taskOf(idOf(i))), ATTEMPTS) << i;
+    }
+}
+
+/** What ran there is lost with the former process, and placed anew within a second. */
+TEST_F(AWorkerThatRestartsUnderItsId, LosesWhatRanThereAtOnce) {
+    handIn(0, 8, "5000");
+    m_fleet.m_loop.advance(Millis(300));
+    getSidecar(0).m_worker->restart();
+    EXPECT_TRUE(waitUntil(Millis(1000), [&] { return m_fleet.m_witness.countRunning() == 8; }));
+    expectSuccess(0, 8, 2);
+}
+
+/** No heartbeat has to come for that: the answer to a hold names the start too. */
+TEST_F(AWorkerThatRestartsUnderItsId, LosesItAlsoBeforeItsFirstHeartbeat) {
+    handIn(0, 8, "5000");
+    m_fleet.m_loop.advance(Millis(300));
+    getSidecar(0).m_isMute = true;
+    getSidecar(0).m_worker->restart();
+    EXPECT_TRUE(waitUntil(Millis(1000), [&] { return m_fleet.m_witness.countRunning() == 8; }));
+    getSidecar(0).m_isMute = false;
+    expectSuccess(0, 8, 2);
+}
+
+/** A task that crashes its worker is given up, whatever id the worker comes back under. */
+TEST_F(AWorkerThatRestartsUnderItsId, ShowsTheCrashOfATaskThatCausedIt) {
+    constexpr std::size_t MOST_STARTS = 5;
+    m_fleet.submit(idOf(0), SMALL, "x10");
+    m_fleet.m_loop.advance(Millis(60'000));
+    EXPECT_LE(m_fleet.m_witness.countStarts(taskOf(idOf(0))), MOST_STARTS);
+    EXPECT_EQ(m_fleet.getState(idOf(0)), "failed");
+}
+
+namespace {
+
+/** What the former process said arrives when another one is there. */
+class WordsOfItsFormerProcess : public AWorkerThatRestartsUnderItsId {
+protected:
+    void SetUp() override {
+        AWorkerThatRestartsUnderItsId::SetUp();
+        runSome();
+        m_former = m_fleet.makeBeat(0);
+        m_former.m_isDraining = true;
+        m_former.m_remaining = Millis(60'000);
+        m_former.m_sequence = 1'000'000;
+        getSidecar(0).m_worker->restart();
+        m_fleet.beat(0);
+        m_fleet.m_loop.advance(Millis(500));
+    }
+
+    /** Jobs that need every worker whole. */
+    void expectThatAllWorkersWork() {
+        for (int i = 30; i < 34; ++i) {
+            m_fleet.submit(idOf(i), R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":8,"est_ms":2000})",
+                           "2000");
+        }
+        m_fleet.m_loop.advance(Millis(1500));
+        EXPECT_EQ(m_fleet.m_witness.countRunning(), 4U);
+        expectSuccess(30, 4);
+    }
+
+    WorkerBeat m_former;
+};
+
+}  // namespace
+
+TEST_F(WordsOfItsFormerProcess, ChangeNothingAsALateHeartbeat) {
+    m_fleet.deliver(0, m_former);
+    m_fleet.m_loop.advance(Millis(1000));
+    expectThatAllWorkersWork();
+}
+
+TEST_F(WordsOfItsFormerProcess, ChangeNothingAtANewSidecarEither) {
+    m_fleet.killSidecar(0);
+    getSidecar(0).m_isMute = true;
+    m_fleet.startSidecar(0);
+    m_fleet.deliver(0, m_former);
+    m_fleet.m_loop.advance(Millis(1500));
+    getSidecar(0).m_isMute = false;
+    expectThatAllWorkersWork();
+}
+
+TEST_F(WordsOfItsFormerProcess, ChangeNothingAsALateGoodbye) {
+    getSidecar(0).m_agent->handleLeave(m_former.m_life.m_id);
+    m_fleet.m_loop.advance(Millis(500));
+    expectThatAllWorkersWork();
+}
+
+/** The worker's clock was set back by an hour between the two starts. */
+TEST_F(AWorkerThatRestartsUnderItsId, WorksOnThoughItsMomentOfStartIsEarlier) {
+    runSome();
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_wallClockError = Millis(-3'600'000);
+    }
+    crashAll();
+    m_fleet.m_loop.advance(Millis(1500));
+    handIn(30, 24, "400");
+    expectSuccess(30, 24);
+}
+
+namespace {
+
+/** Calls that were sent to a former process, and are done by the next one. */
+class ACallToItsFormerProcess : public AWorkerThatRestartsUnderItsId {
+protected:
+    void SetUp() override {
+        AWorkerThatRestartsUnderItsId::SetUp();
+        runSome();
+        m_delay = Millis(1000);
+    }
+
+    /** @param back when the worker is back, after the call was sent; the call comes at `m_delay`.
+     */
+    void crashUnderJobs(Millis back, const char* payload) {
+        for (auto& sidecar : m_fleet.m_sidecars) {
+            sidecar.m_worker->m_startDelay = m_delay;
+            sidecar.m_worker->m_awayAfterCrash = back;
+        }
+        handIn(30, 24, payload);
+        m_fleet.m_loop.advance(Millis(100));
+        crashAll();
+    }
+
+    Millis m_delay{0};
+};
+
+}  // namespace
+
+TEST_F(ACallToItsFormerProcess, BeginsNothingASecondTimeAsALateStart) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_startsToDelay = 3;
+    }
+    crashUnderJobs(Millis(600), "2000");
+    expectSuccess(30, 24, 2);
+}
+
+/** It comes before anything else does: what it begins is then there, and nowhere else. */
+TEST_F(ACallToItsFormerProcess, BeginsNothingASecondTimeAsTheFirstThatTheNextProcessHears) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_startsToDelay = 3;
+    }
+    m_delay = Millis(610);
+    crashUnderJobs(Millis(500), "2000");
+    expectSuccess(30, 24, 2);
+}
+
+TEST_F(ACallToItsFormerProcess, ForgetsNoEndAsALateHold) {
+    crashUnderJobs(Millis(300), "400");
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_holdsToDelay = 2;
+    }
+    expectSuccess(30, 24, 2);
+}
+
+TEST_F(ACallToItsFormerProcess, StopsNothingForGoodAsALateStop) {
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_stopsToDelay = 4;
+    }
+    handIn(60, 8, "9000");
+    m_fleet.m_loop.advance(Millis(200));
+    for (int i = 60; i < 68; ++i) {
+        m_fleet.ask(0, "DELETE", "/batch/" + idOf(i));
+    }
+    crashUnderJobs(Millis(300), "1000");
+    expectSuccess(30, 24, 2);
+}
+
+namespace {
+
+/** Restarts beside everything else that goes wrong, drawn by a seed. */
+class RestartsBesideOtherFaults : public ::testing::TestWithParam<std::uint64_t> {
+protected:
+    void strike(JobFleet& fleet, Random& random) {
+        const std::size_t place = random.below(fleet.m_sidecars.size());
+        JobFleet::Sidecar& sidecar = fleet.m_sidecars[place];
+        FakeTaskWorker& worker = *sidecar.m_worker;
+        switch (random.below(10)) {
+            case 0:
+            case 1:
+                worker.restart(random.below(4) == 0 ? RestartForm::NEW_ID : RestartForm::SAME_ID);
+                break;
+            case 2:
+                worker.m_awayAfterCrash = Millis(static_cast<std::int64_t>(random.below(1500)));
+                worker.crash();
+                break;
+            case 3:
+                worker.m_startsToDelay = 1 + static_cast<unsigned>(random.below(3));
+                worker.m_startDelay = Millis(static_cast<std::int64_t>(100 + random.below(2500)));
+                break;
+            case 4:
+                worker.m_holdsToDelay = 1 + static_cast<unsigned>(random.below(2));
+                break;
+            case 5:
+                worker.m_stopsToDelay = 1;
+                break;
+            case 6:
+                m_late.emplace_back(place, fleet.makeBeat(place));
+                break;
+            case 7:
+                if (!m_late.empty()) {
+                    fleet.deliver(m_late.back().first, m_late.back().second);
+                    m_late.pop_back();
+                }
+                break;
+            case 8:
+                fleet.killSidecar(place);
+                fleet.startSidecar(place);
+                break;
+            default:
+                if (const auto leader = fleet.findLeader()) {
+                    fleet.killGateway(*leader);
+                    fleet.startGateway(*leader);
+                }
+        }
+    }
+
+    std::vector<std::pair<std::size_t, WorkerBeat>> m_late;
+};
+
+}  // namespace
+
+/** Thirty jobs, a third of which fail twice, and a fault each 0.1 to 1.5 s for 25 s. */
+TEST_P(RestartsBesideOtherFaults, NeitherRunAnythingTwiceNorLoseACount) {
+    Random random(GetParam());
+    JobFleet fleet(3, 4);
+    fleet.setRestartForm(RestartForm::SAME_ID);
+    ASSERT_TRUE(fleet.waitForLeader());
+    const auto idOf = [](int i) {
+        return "00000000000000" + std::to_string(10 + i);
+    };
+    constexpr int JOBS = 30;
+    const Millis end = fleet.m_loop.now() + Millis(25'000);
+    int handedIn = 0;
+    while (fleet.m_loop.now() < end) {
+        fleet.m_loop.advance(Millis(static_cast<std::int64_t>(100 + random.below(1400))));
+        if (handedIn < JOBS && fleet.findLeader().has_value()) {
+            const bool isPoison = handedIn % 3 == 0;
+            const std::string length = std::to_string(100 + 100 * random.below(15));
+            fleet.submit(idOf(handedIn), SMALL, (isPoison ? "!" : "") + length);
+            ++handedIn;
+        }
+        strike(fleet, random);
+    }
+    for (int i = 0; i < handedIn; ++i) {
+        const std::string expected = i % 3 == 0 ? "failed" : "succeeded";
+        const std::string state = fleet.getState(idOf(i));
+        EXPECT_TRUE(state == "410" || fleet.waitForState(idOf(i), expected, Millis(60'000)))
+                << i << " " << fleet.getState(idOf(i));
+    }
+    EXPECT_EQ(fleet.m_witness.getViolations(), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RestartsBesideOtherFaults, ::testing::Range<std::uint64_t>(1, 25));
+
+}  // namespace pierbank::testing
--- a/test/failures/StepFeaturesTest.cpp
+++ b/test/failures/StepFeaturesTest.cpp
@@ -186,6 +186,8 @@
 }
 
 TEST_F(StepFeaturesTest, ALastingTaskIsStartedAgainHoweverItEnds) {
+    // Tasks that last are under no limit of failed runs.
+    m_fleet.m_witness.m_attempts = 0;
     submitLasting(ID, R"({"count":1,"cpu":1000,"gpu":1,"long_running":true})", "!300");
     m_fleet.m_loop.advance(Millis(2000));
     EXPECT_GE(m_fleet.m_witness.countStarts(taskOf(ID)), 3U);
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -28,6 +28,36 @@
         m_violations.push_back(task.toText() + " started on " + worker + " after it was done");
     }
     m_running[task] = worker;
+    m_stories[task].m_starts.push_back(++m_events);
+    checkStory(task);
+}
+
+void RunWitness::noteCounted(const TaskKey& task, RunEnd how, std::size_t end) {
+    Story& story = m_stories[task];
+    if (how == RunEnd::DONE) {
+        story.m_done.push_back(end);
+    } else if (how == RunEnd::FAILED) {
+        story.m_failed.push_back(end);
+        std::sort(story.m_failed.begin(), story.m_failed.end());
+    }
+    checkStory(task);
+}
+
+/** An end may be taken note of only after the start that it forbids. */
+void RunWitness::checkStory(const TaskKey& task) {
+    const Story& story = m_stories[task];
+    const std::size_t last = story.m_starts.empty() ? 0 : story.m_starts.back();
+    const auto isBefore = [last](std::size_t end) {
+        return end < last;
+    };
+    if (std::any_of(story.m_done.begin(), story.m_done.end(), isBefore)) {
+        m_violations.push_back(task.toText() + " started after an end that counts as done");
+    }
+    const auto failed = std::count_if(story.m_failed.begin(), story.m_failed.end(), isBefore);
+    if (m_attempts > 0 && failed >= static_cast<std::ptrdiff_t>(m_attempts)) {
+        m_violations.push_back(task.toText() + " started after " + std::to_string(failed) +
+                               " failed runs");
+    }
 }
 
 void RunWitness::noteStop(const TaskKey& task, const std::string& worker) {
@@ -74,13 +104,15 @@
     m_fence = 0;
     m_nextEnd = 1;
     m_lastKept = 0;
+    m_lapsedThrough = 0;
+    m_endEvents.clear();
     m_clockOffset = m_loop.now() - Millis(1000);
     m_until = Millis(0);
     m_beats = 0;
     ++m_lives;
     // Two starts within one millisecond are two starts.
-    m_bornAt = std::max<std::uint64_t>(m_bornAt + 1,
-                                       static_cast<std::uint64_t>(m_loop.wallNow().count()));
+    const auto wallNow = static_cast<std::uint64_t>((m_loop.wallNow() + m_wallClockError).count());
+    m_bornAt = wallNow == m_bornAt ? wallNow + 1 : wallNow;
     if (form == RestartForm::NEW_ID || m_id.empty()) {
         m_id = m_name + "-" + std::to_string(m_lives);
     }
@@ -351,6 +383,9 @@
         if (end.m_number <= last && end.m_end == RunEnd::DONE) {
             m_witness.noteKept(end.m_task);
         }
+        if (end.m_number <= last && end.m_number > m_lapsedThrough) {
+            m_witness.noteCounted(end.m_task, end.m_end, m_endEvents[end.m_number]);
+        }
     }
     std::erase_if(m_ended, [last](const ListedEnd& e) { return e.m_number <= last; });
 }
@@ -362,6 +397,7 @@
     // A stop saves what was done.
     const std::string saved =
             how == RunEnd::STOPPED ? std::to_string((m_loop.now() - run.m_startedAt).count()) : "";
+    m_endEvents[m_nextEnd] = m_witness.noteEnd();
     m_ended.push_back({m_nextEnd++, task, run.m_number, how, saved});
     m_witness.noteStop(task, m_name);
     note(toText(how).data(), task, run.m_number);
@@ -371,6 +407,9 @@
 }
 
 void FakeTaskWorker::tick() {
+    if (getClock() >= m_until) {
+        m_lapsedThrough = m_nextEnd - 1;
+    }
     std::vector<std::pair<TaskKey, RunEnd>> ends;
     for (const auto& [task, run] : m_runs) {
         if (m_suspendedAt.has_value()) {
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -31,6 +31,12 @@
     /** A run ended well; until its worker was told to forget that, it may have to run again. */
     void noteDone(const TaskKey& task) { m_done.insert(task); }
     void noteKept(const TaskKey& task) { m_kept.insert(task); }
+    /** A run ended; the number names this end, and rises. */
+    std::size_t noteEnd() { return ++m_events; }
+    /** That end was taken note of, in time: what it counts for counts from when it came. */
+    void noteCounted(const TaskKey& task, RunEnd how, std::size_t end);
+    /** Runs of a task that may end as failed before it is not started any more; zero: any. */
+    unsigned m_attempts = 0;
     bool isDone(const TaskKey& task) const { return m_done.count(task) != 0; }
     std::size_t countStarts(const TaskKey& task) const;
     std::size_t countRunning() const { return m_running.size(); }
@@ -38,6 +44,16 @@
     const std::vector<std::string>& getViolations() const { return m_violations; }
 
 private:
+    /** Starts and counted ends of one task, in the order in which they came. */
+    struct Story {
+        std::vector<std::size_t> m_starts;
+        std::vector<std::size_t> m_done;
+        std::vector<std::size_t> m_failed;
+    };
+    void checkStory(const TaskKey& task);
+
+    std::size_t m_events = 0;
+    std::map<TaskKey, Story> m_stories;
     std::map<TaskKey, std::string> m_running;
     std::map<TaskKey, std::size_t> m_starts;
     std::set<TaskKey> m_done;
@@ -69,6 +85,8 @@
      * anew. */
     void restart();
     void restart(RestartForm form);
+    /** How far its clock is from the time of day when it starts. */
+    Millis m_wallClockError{0};
     RestartForm m_restartForm = RestartForm::NEW_ID;
     /** The same, but nothing listens before `m_awayAfterCrash` has passed. */
     void crash();
@@ -148,6 +166,9 @@
     std::string m_id;
     std::uint64_t m_bornAt = 0;
     std::uint64_t m_beats = 0;
+    /** Ends up to here were listed when a lease was over: they count for nothing any more. */
+    std::uint64_t m_lapsedThrough = 0;
+    std::map<std::uint64_t, std::size_t> m_endEvents;
     bool m_isDown = false;
     std::optional<Millis> m_suspendedAt;
     unsigned m_lives = 0;
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -14,6 +14,8 @@
 }  // namespace
 
 JobFleet::JobFleet(std::size_t gateways, std::size_t workers) {
+    // As the queues of configure() have it.
+    m_witness.m_attempts = 2;
     configure();
     m_gateways.resize(gateways);
     m_sidecars.resize(workers);
