--- a/test/process/failures.sh
+++ b/test/process/failures.sh
@@ -104,6 +104,27 @@
     until_true 10 state_is "$next" "/batch/$id" canceled
 }
 
+restart_workers() {
+    for w in 1 2 3 4; do curl -fsS -X POST "http://$(worker_of "$w")/restart" >/dev/null; done
+}
+workers_that_restart_under_their_ids_run_nothing_twice() {
+    local round n id
+    for round in 0 1 2; do
+        for n in 0 1 2 3 4 5 6 7 8; do
+            id=00000000000${round}f0a$n
+            [ "$(status_of 1 POST "/batch/$id" -d "$(job 200)")" = 200 ]
+        done
+        for n in 0 1 2 3 4 5 6 7 8; do
+            until_true 20 state_is 1 "/batch/00000000000${round}f0a$n" succeeded
+        done
+        for n in 0 1 2 3 4 5 6 7 8; do
+            [ "$(starts_of "00000000000${round}f0a$n")" = 1 ]
+        done
+        restart_workers
+        until_true 20 all_live
+    done
+}
+
 frozen_leader_cannot_commit_when_it_wakes() {
     local id=00000000000000b1 lead next
     lead=$(leader)
@@ -282,6 +303,7 @@
     killed_leader_is_replaced_and_work_goes_on \
     frozen_leader_cannot_commit_when_it_wakes \
     killed_sidecar_finds_its_runs_again \
+    workers_that_restart_under_their_ids_run_nothing_twice \
     frozen_sidecar_loses_its_work_only_once \
     planned_stop_of_a_gateway_cuts_nothing \
     store_down_refuses_at_once_and_work_goes_on \
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -25,6 +25,8 @@
     std::size_t m_workers = 4;
     /** Failure domains, of two workers each then, are evacuated and opened again meanwhile. */
     bool m_evacuates = false;
+    /** Of two restarts of workers one is under the id that the worker had, and calls come late. */
+    bool m_keepsIds = false;
     /** Only these kinds of faults; empty for all. */
     std::vector<std::string> m_faults;
     /** Where the programs are. */
@@ -71,6 +73,7 @@
     void strikeProcess(const Fault& fault);
     void strikeLink(const Fault& fault);
     void strikeStore(const Fault& fault);
+    void restartWorker(StandinWorker& worker);
     void strikeWorker(const Fault& fault);
     void heal(const Fault& fault);
     std::string getDomain(std::size_t place) const;
@@ -96,6 +99,7 @@
     std::vector<Fault> m_faults;
     std::vector<Promises::Evacuation> m_evacuations;
     std::uint64_t m_version = 0;
+    unsigned m_restarts = 0;
     bool m_isHealed = false;
 };
 
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -127,7 +127,7 @@
     StandinWorker& worker = *m_sides[fault.m_target % m_sides.size()].m_worker;
     switch (fault.m_kind) {
         case FaultKind::WORKER_RESTART:
-            worker.getTasks().restart();
+            restartWorker(worker);
             break;
         case FaultKind::WORKER_SILENT:
             worker.getTasks().m_isSilent = true;
@@ -146,6 +146,21 @@
     }
 }
 
+/** Some of the calls that are on their way then are done by the next process. */
+void Soak::restartWorker(StandinWorker& worker) {
+    FakeTaskWorker& tasks = worker.getTasks();
+    if (!m_options.m_keepsIds) {
+        tasks.restart();
+        return;
+    }
+    constexpr Millis LATE{500};
+    const unsigned turn = m_restarts++;
+    tasks.m_startDelay = LATE;
+    tasks.m_startsToDelay = turn % 3;
+    tasks.m_holdsToDelay = turn % 2;
+    tasks.restart(turn % 2 == 0 ? RestartForm::SAME_ID : RestartForm::NEW_ID);
+}
+
 /** Asked for twice, it is one request that stands until it is withdrawn. */
 void Soak::evacuate(const std::string& domain) {
     const bool stands = std::any_of(m_evacuations.begin(), m_evacuations.end(),
@@ -214,7 +229,7 @@
             break;
         case FaultKind::WORKER_DRAINS:
             // It has left, and another comes.
-            side.m_worker->getTasks().restart();
+            restartWorker(*side.m_worker);
             side.m_worker->stopDraining();
             break;
         default:
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -60,6 +60,8 @@
             "faults", po::value(&faults), "only these kinds, separated by commas")(
             "evacuate", po::bool_switch(&options.m_evacuates),
             "failure domains are evacuated and opened again")(
+            "keep-ids", po::bool_switch(&options.m_keepsIds),
+            "workers restart under the ids that they had, by turns, and calls to them come late")(
             "list-faults", po::bool_switch(&isList), "the kinds of faults")(
             "tools", po::value(&options.m_tools), "folder of pierbank-gateway and -sidecar")(
             "logs", po::value(&options.m_folder), "folder for logs and settings")(
