A worker's process is known by its id and the moment of its start; what its former process was told does nothing in the next

Cause: an id was taken for one process. After a restart under the same id the sidecar went on with the former process's counters, and its hold named the last end of before as kept; the new process, whose ends count from 1, forgot each of them unseen.

Change: - WorkerLife (id and start) is decoded in the adapter and names a process everywhere: agent, frames, ledger, losses, advice, speeds. The list of machines and the advisor know ids only; that is translated where they are asked. - Which process is there only an answer tells. A heartbeat of another one is a claim; a look that goes out after it settles it, so that neither the order of messages nor a clock that was set back matters. An answer to a hold tells it as well, before any heartbeat. - Until a process has answered, nothing is acknowledged, no lease extended and no call waits; after each call that failed the same again. - The fence rises with each leader, link and process (WorkerFence), so that calls to the former process that come late do nothing from the first contact on. What the first look lists is adopted by the leader as the same run; only what it does not list is lost. The longest lease counts for hosts whose process the leader has just learnt of. - An order whose run is listed is settled: a third try began a run once more in the next process. - A goodbye without a moment of start is checked by a look.

--- a/libs/control/include/pierbank/control/Documents.h
+++ b/libs/control/include/pierbank/control/Documents.h
@@ -50,6 +50,8 @@
     /** @param id names the worker; its beat tells when it started. */
     virtual std::optional<WorkerBeat> readBeat(std::string_view id, std::string_view bytes,
                                                Findings& findings) const = 0;
+    /** What a worker says as it ends. A body that can't be read tells no moment of start. */
+    virtual WorkerLife readLeave(std::string_view id, std::string_view bytes) const = 0;
     virtual std::optional<WaveSpec> readWave(std::string_view bytes, Findings& findings) const = 0;
     virtual std::string writeWaveStatus(bool isDone) const = 0;
     virtual std::string writePhase(JobPhase phase) const = 0;
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -182,8 +182,8 @@
     bool isEvacuated(std::string_view domain) const;
 
     // WaveSchedule.
-    WorkerLoad getLoad(const std::string& life) const override;
-    void setLeaving(std::set<std::string> lives) override;
+    WorkerLoad getLoad(const std::string& worker) const override;
+    void setLeaving(std::set<std::string, std::less<>> workers) override;
 
     void handleWorkerChanged(const std::string& host) override;
     void handleRunReport(const std::string& host, const RunReport& report) override;
@@ -227,7 +227,8 @@
     void wishForAdvice();
     void notePlanTime(Millis took, const TaskPlan& plan);
     void noteUrgentWaits(const TaskPlan& plan);
-    const std::string* findHostOf(const std::string& life) const;
+    const std::string* findHostOf(std::string_view worker) const;
+    bool isLeaving(std::string_view life) const;
 
     // What becomes of a plan (JobControllerOrders.cpp).
     void place(const std::vector<Placement>& placements);
@@ -260,6 +261,9 @@
     void noteProgress(const std::string& host, const RunReport& report);
     static bool hasStoodOnSeveralHosts(const JobEntry& entry, const TaskKey& task);
     bool isGangThere(const JobEntry& entry, const TaskKey& member, std::uint32_t run) const;
+    std::optional<HeldRun> findRunAt(JobEntry& entry, const TaskKey& key, std::uint32_t run,
+                                     const WorkerId& worker);
+    std::string_view getReportedLife(const std::string& host) const;
     void stopStrays(const WorkerId& worker, const RunReport& report);
     void applyRunEnd(const WorkerId& worker, const EndedEntry& end);
     void takeEffect(JobEntry& entry, const EndEffect& effect);
@@ -344,8 +348,8 @@
     std::set<std::string> m_judged;
     /** Hosts on which runs were lost that may have crashed them, or not. */
     std::set<std::string> m_openHosts;
-    /** Lives that are emptied for upkeep. */
-    std::set<std::string> m_leavingLives;
+    /** Ids of workers that are emptied for upkeep, as the list of machines names them. */
+    std::set<std::string, std::less<>> m_leaving;
     bool m_isCommitting = false;
     TimerId m_stepTimer = TimerId::NONE;
     TimerId m_withdrawTimer = TimerId::NONE;
--- a/libs/control/include/pierbank/control/MachineFleet.h
+++ b/libs/control/include/pierbank/control/MachineFleet.h
@@ -17,8 +17,8 @@
 struct Machine {
     std::string m_name;
     MachineState m_state = MachineState::DOWN;
-    /** Life of its worker; empty while it has none. */
-    std::string m_life;
+    /** Its worker's id, empty while it has none; the list tells no moment of start. */
+    std::string m_workerId;
 };
 
 struct MachineList {
--- a/libs/control/include/pierbank/control/OrderBook.h
+++ b/libs/control/include/pierbank/control/OrderBook.h
@@ -89,6 +89,7 @@
         std::string m_reason;
     };
 
+    void forgetBegun();
     void sendStart(const RunKey& key, Order& order, Millis until);
     void handleStarted(const RunKey& key, const RunReply& reply);
     void sendBar(const RunKey& key);
--- a/libs/control/include/pierbank/control/TaskWorker.h
+++ b/libs/control/include/pierbank/control/TaskWorker.h
@@ -19,16 +19,19 @@
     OK,
     /** Surely nothing was done. */
     REFUSED,
-    /** Another life of the worker answered: this one is over. */
+    /** A worker of another id answered: the one that was called is over. */
     OTHER_LIFE,
     /** No whole answer: it may have been done, or may be done seconds later. */
     UNKNOWN,
 };
 
-/** Which life is called, and the epoch of the leader on whose word. */
+/**
+ * Which worker is called, and under which fence. The id does not tell two processes apart that
+ * started under it: only the fence does.
+ */
 struct WorkerCall {
-    std::string m_life;
-    std::uint64_t m_epoch = 0;
+    std::string m_id;
+    std::uint64_t m_fence = 0;
 };
 
 /** Outcome of starting or stopping a run. */
@@ -76,9 +79,10 @@
 
 /** What a sidecar asks of hold(). */
 struct HoldCall {
-    /** Ends up to this number may be forgotten. */
+    /** Ends up to this number may be forgotten; zero for none. They are gone for good, so that it
+     * is named only to the process that listed them. */
     std::uint64_t m_lastKept = 0;
-    /** Until when everything may run, on the worker's clock; never shortens. */
+    /** Until when everything may run, on the clock of that process; never shortens. */
     std::optional<Millis> m_until;
     /** The answer may wait so long for an end; zero for at once. */
     Millis m_wait{0};
--- a/libs/control/include/pierbank/control/WaveController.h
+++ b/libs/control/include/pierbank/control/WaveController.h
@@ -31,9 +31,9 @@
 class WaveSchedule {
 public:
     virtual ~WaveSchedule() = default;
-    virtual WorkerLoad getLoad(const std::string& life) const = 0;
+    virtual WorkerLoad getLoad(const std::string& worker) const = 0;
     /** These workers get no new work, and what can moves off them. */
-    virtual void setLeaving(std::set<std::string> lives) = 0;
+    virtual void setLeaving(std::set<std::string, std::less<>> workers) = 0;
 };
 
 struct WaveControllerSettings {
@@ -111,7 +111,7 @@
     StoreRevision m_epoch = 0;
     StoreRevision m_watchedTo = 0;
     std::map<std::uint64_t, Wave> m_waves;
-    std::set<std::string> m_leaving;
+    std::set<std::string, std::less<>> m_leaving;
     TimerId m_lookTimer = TimerId::NONE;
     /** Replaced with each term of leadership. */
     std::shared_ptr<bool> m_term;
--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -19,6 +19,8 @@
 #include "pierbank/control/OrderBook.h"
 #include "pierbank/control/Pacer.h"
 #include "pierbank/control/TaskWorker.h"
+#include "pierbank/control/WorkerFence.h"
+#include "pierbank/job/WorkerLife.h"
 #include "pierbank/wire/Transport.h"
 
 namespace pierbank {
@@ -32,6 +34,12 @@
     Millis m_pacingWait{250};
     /** Pause after a hold that failed, and while ends wait to be kept. */
     Millis m_pause{150};
+    /**
+     * Pause while nothing listens. The next process does what was sent to the former one until it
+     * is called under a higher fence: with 150 ms, 16 of 2000 seeds of restarts beside late calls
+     * had a task started again by a call that came before (RestartsBesideOtherFaults).
+     */
+    Millis m_awayPause{40};
     /** A leader that has not answered for so long is not asked any more. */
     Millis m_silence{2000};
     /** A worker that answered no hold for so long is silent: no lease is asked for it. One lost
@@ -50,6 +58,12 @@
  *
  * Of several leaders the one with the highest epoch is obeyed. A start whose answer is lost may
  * take effect seconds later: it is tried again, and then barred by a stop.
+ *
+ * A worker may start again under the id that it had. Which process is there only an answer tells:
+ * a heartbeat that names another one is a claim, and a look that is sent after it came settles
+ * whether that process is there, whatever the moments of start say and whichever message came
+ * first. What the counters of one process mean is said to no other: until the process has answered,
+ * nothing is acknowledged, no lease is extended, and no call waits.
  */
 class WorkerAgent final : private OrderContext {
 public:
@@ -63,8 +77,8 @@
     void handleLink(std::shared_ptr<Link> link) { m_leader.handleLink(std::move(link)); }
     /** The worker said what it is. */
     void handleBeat(const WorkerBeat& beat);
-    /** The worker said that this life ends. */
-    void handleLeave(const std::string& life);
+    /** The worker said that it ends; without a moment of start it may be any process of that id. */
+    void handleLeave(const WorkerLife& life);
     /** Whether a leader is linked. */
     bool isLed() const noexcept { return m_leader.isLinked(); }
 
@@ -92,16 +106,33 @@
     std::optional<Millis> getUntil() const;
     bool hasLease() const;
     bool isWorkerSilent() const;
-    void beginLife(const std::string& life);
+    void noteNoAnswer(const HoldReply& reply);
+    void noteAnswer(std::uint64_t number);
+
+    // The worker's processes (WorkerAgentLife.cpp).
+    void takeBeat(const WorkerBeat& beat);
+    void claimLife(const WorkerBeat& beat);
+    void verifyClaim();
+    void handleVerified(const WorkerLife& claimed, const HoldReply& reply);
+    void refuteClaim(const WorkerLife& claimed);
+    void verifyLeave();
+    void handleLeaveVerified(const HoldReply& reply);
+    void leave();
+    void changeLife(const WorkerLife& life);
+    void beginLife(const WorkerLife& life);
     void endLife();
+    void settleCrashes(const HoldReply& firstLook);
+    void look(const std::string& id, std::function<void(const HoldReply&)> done);
+    bool isPresent(const WorkerLife& life) const;
+    bool isOther(const HoldReply& reply) const;
     bool isNews(const WorkerBeat& beat) const;
     Millis getColdLeft() const;
-    bool isFormer(const std::string& life) const;
-    /** The worker has answered under the life that its heartbeats name. */
+    bool isFormer(const WorkerLife& life) const;
+    /** The worker's present process has answered. */
     bool isConfirmed() const { return m_clock.has_value(); }
 
     // OrderContext.
-    WorkerCall getCall() const override { return {m_life, m_leader.getEpoch()}; }
+    WorkerCall getCall() const override { return {m_life.m_id, m_fence.get()}; }
     std::optional<Millis> getStartLease() const override;
     bool isListed(const TaskKey& task, std::uint32_t run) const override;
     bool isEnded(const TaskKey& task, std::uint32_t run) const override;
@@ -120,9 +151,15 @@
     OrderBook m_orders;
     Pacer m_pacer;
 
-    std::string m_life;
-    /** Lives that were followed by another one, the latest at the end. */
-    std::deque<std::string> m_formerLives;
+    WorkerFence m_fence;
+    WorkerLife m_life;
+    /** Its text, as messages have it. */
+    std::string m_lifeName;
+    /** Lives that were followed by another one, or had been, the latest at the end. */
+    std::deque<WorkerLife> m_formerLives;
+    /** The last heartbeat that named another life than the present one. */
+    std::optional<WorkerBeat> m_claim;
+    bool m_isVerifying = false;
     bool m_isGone = false;
     std::optional<WorkerBeat> m_beat;
     Millis m_beatAt{0};
@@ -131,6 +168,8 @@
     LifeAccount m_account;
     /** Lives that ended unannounced while this sidecar ran, the latest at the end. */
     std::deque<WorkerCrash> m_crashes;
+    /** The same before the first look at the next process shows what of it runs there after all. */
+    std::vector<WorkerCrash> m_openCrashes;
 
     std::uint64_t m_askNumber = 0;
     std::map<std::uint64_t, Millis> m_asks;
@@ -140,7 +179,14 @@
     std::optional<std::pair<Millis, Millis>> m_clock;
     std::uint64_t m_holdNumber = 0;
     std::uint64_t m_holdSeen = 0;
+    /** Ends of the present process up to this number are kept. */
     std::uint64_t m_lastKept = 0;
+    /** The worker has to be told so. */
+    bool m_mustAcknowledge = false;
+    /** It has answered a hold, and nothing failed since that was sent: it is the same process. */
+    bool m_isAnswering = false;
+    /** The first hold that was sent after the last failure. */
+    std::uint64_t m_firstSince = 0;
     bool m_isHolding = false;
     /** When the worker last answered a hold, or began its life here. */
     Millis m_answeredAt{0};
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -21,6 +21,8 @@
     Millis m_grant{4500};
     /** A worker's steady clock may be slow by this much, so its lease lasts longer. */
     double m_clockSlack = 0.03;
+    /** The longest lease that a worker takes, whatever it is asked for (users' bound). */
+    Millis m_longestHold{6000};
     /** A leader that can't reach the store goes on granting so long after it last did. */
     Millis m_outageGrace{10'000};
     /** Pause before a sidecar that could not be reached is tried again. */
@@ -74,6 +76,11 @@
         Millis m_heardAt{0};
         /** Until when tasks may run there at the latest. */
         Millis m_grantedUntil{0};
+        /**
+         * Not before: a call to the worker's former process that the present one carried out names
+         * a time of the former's clock, which may be far ahead of a clock that began anew.
+         */
+        Millis m_leastUntil{0};
 
         bool isLinked() const noexcept { return m_link != nullptr; }
     };
@@ -108,6 +115,8 @@
     void tick();
     void forgetGone();
     Millis getLongestGrant() const;
+    Millis withSlack(Millis lease) const;
+    void takeNotice(Host& host, const WorkerNotice& notice);
 
     Transport& m_transport;
     EventLoop& m_loop;
@@ -116,6 +125,9 @@
     std::function<Millis()> m_getConfirmedAt;
     std::uint64_t m_epoch = 0;
     std::map<std::string, Host> m_hosts;
+    /** Links to each host in this term; kept when a host is forgotten, since its worker may live.
+     */
+    std::map<std::string, std::uint64_t> m_linkCounts;
     /** Replaced with each start() and stop(), so that callbacks of before are ignored. */
     std::shared_ptr<bool> m_term;
 };
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -8,6 +8,7 @@
 #include "pierbank/base/Log.h"
 #include "pierbank/control/StoreKeys.h"
 #include "pierbank/job/JobCodec.h"
+#include "pierbank/job/WorkerLife.h"
 
 namespace pierbank {
 
@@ -83,7 +84,7 @@
     m_unreadable.clear();
     m_judged.clear();
     m_openHosts.clear();
-    m_leavingLives.clear();
+    m_leaving.clear();
 }
 
 void JobController::disown(std::string_view why) {
@@ -246,24 +247,24 @@
     return found == m_holds.end() ? WorkerHold::RELEASE : found->second;
 }
 
-/** @return null when no host that is known has a worker of this life. */
-const std::string* JobController::findHostOf(const std::string& life) const {
+/** @return null when no host that is known has a worker of this id. */
+const std::string* JobController::findHostOf(std::string_view worker) const {
     const auto& views = viewWorkers();
     const auto found = std::find_if(views.begin(), views.end(), [&](const WorkerView& view) {
-        return view.m_id.m_life == life;
+        return getWorkerIdOf(view.m_id.m_life) == worker;
     });
     return found == views.end() ? nullptr : &found->m_id.m_host;
 }
 
-WorkerLoad JobController::getLoad(const std::string& life) const {
+WorkerLoad JobController::getLoad(const std::string& worker) const {
     WorkerLoad load = WorkerLoad::IDLE;
-    const std::string* const host = findHostOf(life);
+    const std::string* const host = findHostOf(worker);
     if (host == nullptr) {
         return load;
     }
     for (const auto& [id, entry] : m_jobs) {
         for (const HeldRun& run : listHeldRunsOn(*host, id, entry.m_run)) {
-            if (run.m_worker.m_life != life || !entry.m_hasInput) {
+            if (getWorkerIdOf(run.m_worker.m_life) != worker || !entry.m_hasInput) {
                 continue;
             }
             const bool isHeld = entry.m_record.m_spec.m_steps[run.m_task.m_step].m_mayMiss > 0;
@@ -273,13 +274,17 @@
     return load;
 }
 
-void JobController::setLeaving(std::set<std::string> lives) {
-    if (m_leavingLives != lives) {
-        m_leavingLives = std::move(lives);
+void JobController::setLeaving(std::set<std::string, std::less<>> workers) {
+    if (m_leaving != workers) {
+        m_leaving = std::move(workers);
         stepSoon();
     }
 }
 
+bool JobController::isLeaving(std::string_view life) const {
+    return !m_leaving.empty() && m_leaving.count(getWorkerIdOf(life)) != 0;
+}
+
 void JobController::tick() {
     forgetOver();
     resendLostOrders();
--- a/libs/control/src/JobControllerLosses.cpp
+++ b/libs/control/src/JobControllerLosses.cpp
@@ -92,7 +92,7 @@
     const WorkerPool::Host* const host = m_workers.findHost(run.m_worker.m_host);
     const bool hasLeft = cause == LossCause::WORKER_LEFT || host == nullptr ||
                          host->m_leavingLife == run.m_worker.m_life ||
-                         m_leavingLives.count(run.m_worker.m_life) != 0;
+                         isLeaving(run.m_worker.m_life);
     if (hasLeft || entry.hasPendingMessage(run.m_task.toText(), run.m_run)) {
         return std::nullopt;
     }
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -20,8 +20,13 @@
         const WorkerNotice notice = *known->m_notice;
         // A crash is judged before its runs are released: the next plan has to know of it.
         judgeCrashes(host, notice);
-        loseRuns(host, notice.m_isGone ? std::string() : notice.m_life,
-                 notice.m_isGone ? LossCause::WORKER_LEFT : LossCause::OTHER_LIFE);
+        if (notice.m_isGone) {
+            loseRuns(host, "", LossCause::WORKER_LEFT);
+        } else if (known->m_hasReport && getReportedLife(host) == notice.m_life) {
+            // Not before the new life has told what runs there: it may have done what its former
+            // process was called for, and placed anew that would run twice at once.
+            loseRuns(host, notice.m_life, LossCause::OTHER_LIFE);
+        }
         settleOpenLosses(host, notice);
         if (known->m_hasReport) {
             resendOrders(host);
@@ -30,8 +35,15 @@
     stepSoon();
 }
 
+/** @return empty before the first report. */
+std::string_view JobController::getReportedLife(const std::string& host) const {
+    const auto report = m_reports.find(host);
+    return report == m_reports.end() ? std::string_view() : report->second.m_report.m_life;
+}
+
 void JobController::handleRunReport(const std::string& host, const RunReport& report) {
     const WorkerId worker{host, report.m_life};
+    const bool isOtherLife = getReportedLife(host) != report.m_life;
     bool isNews = false;
     for (const EndedEntry& end : report.m_ended) {
         if (m_ledger.note(worker, end.m_number)) {
@@ -44,6 +56,9 @@
     noteProgress(host, report);
     stopStrays(worker, report);
     sendKept(worker);
+    if (isOtherLife) {
+        handleWorkerChanged(host);
+    }
     // What runs only goes on: the next plan that is due sees how far.
     if (isNews) {
         m_roomRefusals.forget(host);
@@ -56,10 +71,7 @@
     for (const RunningEntry& running : report.m_running) {
         const auto key = TaskKey::parse(running.m_task);
         const auto found = key.has_value() ? m_jobs.find(key->m_job) : m_jobs.end();
-        const auto held = found == m_jobs.end()
-                                  ? std::nullopt
-                                  : found->second.m_run.findHeldRun(*key, running.m_run);
-        if (held.has_value() && held->m_worker == worker) {
+        if (found != m_jobs.end() && findRunAt(found->second, *key, running.m_run, worker)) {
             continue;
         }
         logEvent(Severity::WARNING, "jobs", "stray-run",
@@ -71,6 +83,30 @@
     }
 }
 
+/**
+ * The run with this number, if it holds this worker. One that holds a former life of the worker was
+ * begun by the present one, on a call that came late: it is the same run, and goes on there.
+ */
+std::optional<HeldRun> JobController::findRunAt(JobEntry& entry, const TaskKey& key,
+                                                std::uint32_t run, const WorkerId& worker) {
+    auto held = entry.m_run.findHeldRun(key, run);
+    if (!held.has_value() || held->m_worker.m_host != worker.m_host) {
+        return std::nullopt;
+    }
+    if (held->m_worker != worker) {
+        logEvent(Severity::WARNING, "jobs", "run-adopted",
+                 {{"task", key.toText()},
+                  {"run", std::to_string(run)},
+                  {"host", worker.m_host},
+                  {"life", worker.m_life},
+                  {"former", held->m_worker.m_life}});
+        moveRun(entry.m_run, *held, worker);
+        entry.m_isDirty = true;
+        held->m_worker = worker;
+    }
+    return held;
+}
+
 void JobController::noteProgress(const std::string& host, const RunReport& report) {
     std::vector<ProgressReport> runs;
     for (const RunningEntry& entry : report.m_running) {
@@ -156,11 +192,13 @@
     JobEntry& entry = found->second;
     const auto how =
             static_cast<RunEnd>(std::min(end.m_end, static_cast<std::uint32_t>(lastOf(RunEnd()))));
-    const auto held = entry.m_run.findHeldRun(*key, end.m_run);
-    const bool isHere = held.has_value() && held->m_worker == worker;
-    const EndEffect effect = isHere ? applyEnd(entry.m_record, entry.m_run, *key, end.m_run, how,
-                                               end.m_checkpoint, m_loop.wallNow())
-                                    : EndEffect();
+    const auto held = findRunAt(entry, *key, end.m_run, worker);
+    const bool isHere = held.has_value();
+    const EndEffect effect =
+            isHere ? applyEnd(entry.m_record, entry.m_run, *key, end.m_run, how, end.m_checkpoint,
+                              m_loop.wallNow())
+                   : applyLateEnd(entry.m_record, entry.m_run, {*key, end.m_run, worker}, how,
+                                  m_loop.wallNow());
     logEvent(Severity::INFO, "jobs", "run-ended",
              {{"task", end.m_task},
               {"run", std::to_string(end.m_run)},
@@ -210,7 +248,10 @@
     }
     JobEntry& entry = found->second;
     const auto held = entry.m_run.findHeldRun(*key, absent.m_run);
-    if (!held.has_value() || held->m_worker != WorkerId{host, absent.m_life}) {
+    const WorkerPool::Host* const known = m_workers.findHost(host);
+    // Before the worker's report it is not known whether another life of it runs the run.
+    const bool isReported = known != nullptr && known->m_hasReport;
+    if (!isReported || !held.has_value() || held->m_worker != WorkerId{host, absent.m_life}) {
         return;
     }
     logEvent(Severity::INFO, "jobs", "run-absent",
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -41,8 +41,7 @@
 void JobController::updateView(WorkerView& view, const WorkerPool::Host& host) const {
     const WorkerNotice& notice = *host.m_notice;
     const std::string& address = view.m_id.m_host;
-    const bool isEmptied =
-            m_leavingLives.count(notice.m_life) != 0 || getHold(address) == WorkerHold::DRAIN;
+    const bool isEmptied = isLeaving(notice.m_life) || getHold(address) == WorkerHold::DRAIN;
     view.m_leavesIn.reset();
     if (notice.m_isDraining) {
         const Millis passed = m_loop.now() - host.m_noticeAt;
--- a/libs/control/src/OrderBook.cpp
+++ b/libs/control/src/OrderBook.cpp
@@ -89,7 +89,8 @@
              "start",
              {{"task", key.first.toText()},
               {"run", std::to_string(key.second)},
-              {"life", m_context.getCall().m_life},
+              {"worker", m_context.getCall().m_id},
+              {"fence", std::to_string(m_context.getCall().m_fence)},
               {"try", std::to_string(order.m_tries)},
               {"status", std::string(toText(reply.m_status))},
               {"reason", reply.m_reason}});
@@ -154,7 +155,21 @@
     });
 }
 
+/**
+ * A run that is listed has begun, whatever became of the answer: another try could only begin it
+ * once more, in the worker's next process.
+ */
+void OrderBook::forgetBegun() {
+    std::erase_if(m_orders, [this](const auto& entry) {
+        const auto& [key, order] = entry;
+        return !order.m_isBarring && order.m_isSent &&
+               (m_context.isListed(key.first, key.second) ||
+                m_context.isEnded(key.first, key.second));
+    });
+}
+
 void OrderBook::handleLook(std::uint64_t number) {
+    forgetBegun();
     std::vector<std::pair<RunKey, std::string>> done;
     for (const auto& [key, order] : m_orders) {
         const bool isChecked = order.m_checkLook != 0 && number >= order.m_checkLook;
--- a/libs/control/src/WaveController.cpp
+++ b/libs/control/src/WaveController.cpp
@@ -219,7 +219,7 @@
     std::stable_sort(waiting.begin(), waiting.end(), [&](const Machine* a, const Machine* b) {
         const auto rankOf = [&](const Machine* machine) {
             const bool isWaiting = wave.m_turns[machine->m_name].m_emptyingSince == Millis(0);
-            return std::make_pair(isWaiting, m_schedule.getLoad(machine->m_life));
+            return std::make_pair(isWaiting, m_schedule.getLoad(machine->m_workerId));
         };
         return rankOf(a) < rankOf(b);
     });
@@ -252,10 +252,10 @@
     }
     // One that was refused works on: the platform may refuse it for good.
     const bool wasRefused = turn.m_pause > Millis(0);
-    if (!machine.m_life.empty() && !wasRefused) {
-        m_leaving.insert(machine.m_life);
+    if (!machine.m_workerId.empty() && !wasRefused) {
+        m_leaving.insert(machine.m_workerId);
     }
-    const WorkerLoad load = m_schedule.getLoad(machine.m_life);
+    const WorkerLoad load = m_schedule.getLoad(machine.m_workerId);
     const bool isOverdue = m_loop.now() - turn.m_emptyingSince >= getEmptyTime(wave);
     const bool mayGo = load == WorkerLoad::IDLE || (load == WorkerLoad::BUSY && isOverdue);
     if (!mayGo || m_loop.now() < turn.m_retryAt) {
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -13,12 +13,6 @@
 constexpr std::size_t MAX_ASKS = 32;
 /** What runs is reported at least so often, for its progress. */
 constexpr Millis REPORT_INTERVAL{1000};
-/** Former lives that are remembered: a worker that restarts each second for half a minute. */
-constexpr std::size_t MAX_FORMER_LIVES = 32;
-/** Heartbeats and clocks differ by less; a worker that is cold for so much longer is cold anew. */
-constexpr Millis COLD_NEWS{1000};
-/** Crashes that leaders are told of; each was passed on long before so many more follow it. */
-constexpr std::size_t MAX_CRASHES = 8;
 
 }  // namespace
 
@@ -48,7 +42,8 @@
 
 // The leader's link.
 
-void WorkerAgent::handleLeader(const LeaderHello&, bool isNewEpoch) {
+void WorkerAgent::handleLeader(const LeaderHello& hello, bool isNewEpoch) {
+    m_fence.handleLink(hello.m_epoch, hello.m_link);
     // The leader may have placed anew what it ordered over an earlier link, its own too: only what
     // it orders over this one counts. It sends again what it does not see running.
     m_orders.clear();
@@ -56,6 +51,7 @@
     if (isNewEpoch) {
         m_term = std::make_shared<bool>(true);
         m_isHolding = false;
+        m_isVerifying = false;
     }
     m_sentReport = RunReport();
     sendNotice();
@@ -63,6 +59,7 @@
     // A new leader has to know what runs now, not what ran at the last look.
     m_mustReport = true;
     hold(Millis(0));
+    verifyClaim();
 }
 
 void WorkerAgent::handleFrame(const Frame& frame) {
@@ -100,7 +97,7 @@
 
 bool WorkerAgent::isWorkerSilent() const {
     const bool isLong = m_loop.now() - m_answeredAt > m_settings.m_workerSilence;
-    return !m_life.empty() && (m_isNobodyThere || isLong);
+    return !m_life.isEmpty() && (m_isNobodyThere || isLong);
 }
 
 void WorkerAgent::handleRenewal(const LeaseRenewal& renewal) {
@@ -118,22 +115,23 @@
 }
 
 void WorkerAgent::handleKept(const EndsKept& kept) {
-    if (kept.m_life != m_life || kept.m_number <= m_lastKept) {
+    if (kept.m_life != m_lifeName || kept.m_number <= m_lastKept) {
         return;
     }
     m_lastKept = kept.m_number;
+    m_mustAcknowledge = true;
     std::erase_if(m_ended, [this](const ListedEnd& end) { return end.m_number <= m_lastKept; });
     m_loop.cancel(m_holdTimer);
-    hold(m_isHolding ? Millis(0) : getHoldWait());
+    hold(Millis(0));
 }
 
 void WorkerAgent::handleStart(const RunOrder& order) {
     const auto task = TaskKey::parse(order.m_task);
-    if (!task.has_value() || order.m_epoch != m_leader.getEpoch() || m_life.empty()) {
+    if (!task.has_value() || order.m_epoch != m_leader.getEpoch() || m_life.isEmpty()) {
         // Without a life nothing is known of what runs: the leader sends it again with the report.
         return;
     }
-    if (order.m_life != m_life) {
+    if (order.m_life != m_lifeName) {
         if (!isConfirmed()) {
             // Which of the two is over is not known; the leader sends it again.
             return;
@@ -155,10 +153,10 @@
 
 void WorkerAgent::handleStop(const RunStop& stop) {
     const auto task = TaskKey::parse(stop.m_task);
-    if (!task.has_value() || stop.m_epoch != m_leader.getEpoch() || m_life.empty()) {
+    if (!task.has_value() || stop.m_epoch != m_leader.getEpoch() || m_life.isEmpty()) {
         return;
     }
-    if (stop.m_life != m_life) {
+    if (stop.m_life != m_lifeName) {
         if (!isConfirmed()) {
             return;
         }
@@ -172,11 +170,11 @@
 /** A heartbeat may be a former life's that was delayed: the leader hears of a confirmed life only.
  */
 void WorkerAgent::sendNotice() {
-    if (!m_life.empty() && !isConfirmed()) {
+    if (!m_life.isEmpty() && !isConfirmed()) {
         return;
     }
     WorkerNotice notice;
-    notice.m_life = m_life;
+    notice.m_life = m_lifeName;
     notice.m_isGone = m_isGone;
     notice.m_crashes.assign(m_crashes.begin(), m_crashes.end());
     if (m_beat.has_value()) {
@@ -199,7 +197,7 @@
 
 void WorkerAgent::sendReport() {
     RunReport report;
-    report.m_life = m_life;
+    report.m_life = m_lifeName;
     for (const ListedRun& run : m_running) {
         report.m_running.push_back(
                 {run.m_task.toText(), run.m_run, run.m_checkpoint, run.m_percent});
@@ -220,118 +218,6 @@
     }
 }
 
-// The worker's life.
-
-void WorkerAgent::handleBeat(const WorkerBeat& beat) {
-    const bool isNew = beat.m_life.m_id != m_life;
-    if (isNew && isFormer(beat.m_life.m_id)) {
-        logEvent(Severity::WARNING, "agent", "late-heartbeat",
-                 {{"life", beat.m_life.toText()}, {"living", m_life}});
-        return;
-    }
-    if (!isNew && m_beat.has_value() && beat.m_life != m_beat->m_life) {
-        logEvent(Severity::WARNING, "agent", "born-differs",
-                 {{"beat", beat.m_life.toText()}, {"known", m_beat->m_life.toText()}});
-    }
-    if (!isNew && m_beat.has_value() && beat.m_sequence <= m_beat->m_sequence) {
-        return;
-    }
-    const bool isChanged = isNew || m_isGone || isNews(beat);
-    if (isNew) {
-        endLife();
-        m_wholeCapacity = Resources();
-    }
-    m_wholeCapacity = takeMost(m_wholeCapacity, beat.m_capacity);
-    m_beat = beat;
-    m_beatAt = m_loop.now();
-    if (isNew) {
-        beginLife(beat.m_life.m_id);
-    }
-    if (isChanged) {
-        logEvent(Severity::INFO, "agent", "worker",
-                 {{"life", m_life},
-                  {"born", std::to_string(beat.m_life.m_bornAt)},
-                  {"draining", beat.m_isDraining ? "yes" : "no"},
-                  {"remaining_ms", std::to_string(beat.m_remaining.count())},
-                  {"accelerators", std::to_string(beat.m_capacity.m_accelerators)},
-                  {"of", std::to_string(m_wholeCapacity.m_accelerators)},
-                  {"cpu_millis", std::to_string(beat.m_capacity.m_cpuMillis)},
-                  {"memory_mb", std::to_string(beat.m_capacity.m_memoryMb)}});
-        sendNotice();
-    }
-}
-
-/**
- * A room may shrink and grow within one life. Told only with the life or the draining, six runs of
- * one accelerator were begun on a worker that had two left.
- */
-bool WorkerAgent::isNews(const WorkerBeat& beat) const {
-    const bool turnsCold = m_beat.has_value() && beat.m_coldLeft > getColdLeft() + COLD_NEWS;
-    return !m_beat.has_value() || turnsCold || m_beat->m_isDraining != beat.m_isDraining ||
-           m_beat->m_capacity != beat.m_capacity || m_beat->m_service != beat.m_service ||
-           m_beat->m_labels != beat.m_labels || m_beat->m_failureDomain != beat.m_failureDomain;
-}
-
-/** Of what the last heartbeat said. */
-Millis WorkerAgent::getColdLeft() const {
-    return std::max(m_beat->m_coldLeft - (m_loop.now() - m_beatAt), Millis(0));
-}
-
-bool WorkerAgent::isFormer(const std::string& life) const {
-    return std::find(m_formerLives.begin(), m_formerLives.end(), life) != m_formerLives.end();
-}
-
-/** A life that said goodbye did not crash. */
-void WorkerAgent::endLife() {
-    const bool wasLeaving = m_beat.has_value() && m_beat->m_isDraining;
-    const std::vector<CrashedRunEntry> runs = m_account.endLife(m_loop.now());
-    if (m_life.empty() || m_isGone) {
-        return;
-    }
-    logEvent(Severity::WARNING, "agent", "worker-crashed",
-             {{"life", m_life},
-              {"draining", wasLeaving ? "yes" : "no"},
-              {"runs", std::to_string(runs.size())},
-              {"youngest", runs.empty() ? "-" : runs.front().m_task},
-              {"youngest_ran_ms", runs.empty() ? "-" : std::to_string(runs.front().m_ranMs)}});
-    m_crashes.push_back({m_life, wasLeaving, runs});
-    if (m_crashes.size() > MAX_CRASHES) {
-        m_crashes.pop_front();
-    }
-}
-
-void WorkerAgent::beginLife(const std::string& life) {
-    if (!m_life.empty()) {
-        m_formerLives.push_back(m_life);
-    }
-    if (m_formerLives.size() > MAX_FORMER_LIVES) {
-        m_formerLives.pop_front();
-    }
-    m_life = life;
-    m_isGone = false;
-    m_isNobodyThere = false;
-    m_answeredAt = m_loop.now();
-    m_term = std::make_shared<bool>(true);
-    m_isHolding = false;
-    m_clock.reset();
-    m_lastKept = 0;
-    m_running.clear();
-    m_ended.clear();
-    m_orders.clear();
-    m_pacer.clear();
-    m_mustReport = true;
-    hold(Millis(0));
-}
-
-void WorkerAgent::handleLeave(const std::string& life) {
-    if (life != m_life) {
-        return;
-    }
-    logEvent(Severity::INFO, "agent", "worker-left", {{"life", life}});
-    m_isGone = true;
-    sendNotice();
-}
-
 // OrderContext.
 
 std::optional<Millis> WorkerAgent::getStartLease() const {
@@ -373,7 +259,7 @@
              {{"task", task.toText()},
               {"run", std::to_string(run)},
               {"reason", std::string(reason)}});
-    m_leader.send(RunAbsent{m_life, task.toText(), run, std::string(reason)});
+    m_leader.send(RunAbsent{m_lifeName, task.toText(), run, std::string(reason)});
 }
 
 }  // namespace pierbank
--- a/libs/control/src/WorkerAgentHold.cpp
+++ b/libs/control/src/WorkerAgentHold.cpp
@@ -44,15 +44,23 @@
 
 /** A hold that waits is sent one at a time; one that doesn't may overtake it. */
 void WorkerAgent::hold(Millis wait) {
-    if (m_life.empty() || m_leader.getEpoch() == 0) {
+    if (m_life.isEmpty() || m_leader.getEpoch() == 0) {
         return;
     }
-    const bool isWaiting = wait > Millis(0);
+    // What is said to a process that may be another one: nothing. What is kept is told by a call
+    // that does not wait, whose answer names the process at once.
+    const bool isAcknowledging = m_isAnswering && m_mustAcknowledge;
+    const bool isWaiting = m_isAnswering && !isAcknowledging && wait > Millis(0);
     m_isHolding = m_isHolding || isWaiting;
     HoldCall call;
-    call.m_lastKept = m_lastKept;
-    call.m_until = getUntil();
-    call.m_wait = wait;
+    if (isAcknowledging) {
+        call.m_lastKept = m_lastKept;
+        m_mustAcknowledge = false;
+    }
+    if (m_isAnswering) {
+        call.m_until = getUntil();
+    }
+    call.m_wait = isWaiting ? wait : Millis(0);
     const std::uint64_t number = ++m_holdNumber;
     m_worker.hold(getCall(), call,
                   [this, number, isWaiting, term = std::weak_ptr(m_term)](const HoldReply& reply) {
@@ -68,19 +76,15 @@
 
 void WorkerAgent::handleHold(const HoldReply& reply, std::uint64_t number) {
     if (reply.m_status != WorkerStatus::OK) {
-        m_account.noteNoAnswer(m_loop.now());
-        noteNobodyThere(reply.m_isNobodyThere);
-        logEvent(Severity::WARNING, "agent", "hold-failed",
-                 {{"life", m_life},
-                  {"reason", reply.m_reason},
-                  {"epoch", std::to_string(m_leader.getEpoch())}});
-        holdLater(m_settings.m_pause);
+        noteNoAnswer(reply);
         return;
     }
-    if (m_beat.has_value() && reply.m_bornAt != m_beat->m_life.m_bornAt) {
-        logEvent(Severity::WARNING, "agent", "born-differs",
-                 {{"answer", std::to_string(reply.m_bornAt)}, {"known", m_beat->m_life.toText()}});
+    if (isOther(reply)) {
+        // It was sent after all that is known of the present life: that one is over.
+        changeLife({m_life.m_id, reply.m_bornAt});
+        return;
     }
+    noteAnswer(number);
     const bool isFirst = !m_clock.has_value();
     const bool wasSilent = isWorkerSilent();
     m_answeredAt = m_loop.now();
@@ -90,6 +94,7 @@
     }
     m_clock = {reply.m_clock, m_loop.now()};
     if (isFirst) {
+        settleCrashes(reply);
         // Before the first report, which would else be taken for the old life's.
         sendNotice();
         // The former life was silent at its end: the leader uses the worker when it hears
@@ -105,12 +110,37 @@
         hold(Millis(0));
         m_orders.pump();
     }
+    if (m_mustAcknowledge && m_isAnswering) {
+        hold(Millis(0));
+        return;
+    }
     // A hold would be answered at once while ends are listed: wait until they are kept.
     if (!m_isHolding) {
         holdLater(m_ended.empty() ? Millis(0) : m_settings.m_pause);
     }
 }
 
+/** The process may be gone, and the next one that answers another. */
+void WorkerAgent::noteNoAnswer(const HoldReply& reply) {
+    m_isAnswering = false;
+    m_firstSince = m_holdNumber + 1;
+    m_account.noteNoAnswer(m_loop.now());
+    noteNobodyThere(reply.m_isNobodyThere);
+    logEvent(Severity::WARNING, "agent", "hold-failed",
+             {{"life", m_lifeName},
+              {"reason", reply.m_reason},
+              {"epoch", std::to_string(m_leader.getEpoch())}});
+    if (reply.m_status == WorkerStatus::OTHER_LIFE && m_claim.has_value()) {
+        changeLife(m_claim->m_life);
+        return;
+    }
+    holdLater(reply.m_isNobodyThere ? m_settings.m_awayPause : m_settings.m_pause);
+}
+
+void WorkerAgent::noteAnswer(std::uint64_t number) {
+    m_isAnswering = m_isAnswering || number >= m_firstSince;
+}
+
 /**
  * That nothing listens proves no end (a cut may refuse too), but no new work should come: jobs that
  * were placed on such a worker waited for its next life, 2.6 s in the case that showed it.
@@ -126,7 +156,13 @@
 void WorkerAgent::handleLook(const HoldReply& reply, std::uint64_t number) {
     m_running = reply.m_running;
     m_ended = reply.m_ended;
-    std::erase_if(m_ended, [this](const ListedEnd& end) { return end.m_number <= m_lastKept; });
+    const auto isKept = [this](const ListedEnd& end) {
+        return end.m_number <= m_lastKept;
+    };
+    if (std::erase_if(m_ended, isKept) != 0) {
+        // The call that told so is not done.
+        m_mustAcknowledge = true;
+    }
     m_account.noteLook(m_running, reply.m_ended, m_loop.now());
     m_orders.handleLook(number);
     sendReport();
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -42,12 +42,17 @@
         }
     }
     m_hosts.clear();
+    m_linkCounts.clear();
+}
+
+/** What a lease may take on a worker's clock that is slow. */
+Millis WorkerPool::withSlack(Millis lease) const {
+    const double slack = m_settings.m_clockSlack * static_cast<double>(lease.count());
+    return lease + Millis(static_cast<std::int64_t>(slack));
 }
 
 Millis WorkerPool::getLongestGrant() const {
-    const auto slack = static_cast<std::int64_t>(m_settings.m_clockSlack *
-                                                 static_cast<double>(m_settings.m_grant.count()));
-    return m_settings.m_grant + Millis(slack);
+    return withSlack(m_settings.m_grant);
 }
 
 void WorkerPool::addHost(const std::string& address) {
@@ -157,7 +162,7 @@
                     dropLink(address, "closed");
                 }
             });
-    host.m_link->send(LeaderHello{m_epoch, m_settings.m_node});
+    host.m_link->send(LeaderHello{m_epoch, m_settings.m_node, ++m_linkCounts[address]});
     logEvent(Severity::INFO, "workers", "linked", {{"host", address}});
 }
 
@@ -181,11 +186,7 @@
     if (const auto* const ask = std::get_if<LeaseAsk>(&frame)) {
         answerAsk(host, *ask);
     } else if (const auto* const notice = std::get_if<WorkerNotice>(&frame)) {
-        host.m_notice = *notice;
-        if (notice->m_isDraining || notice->m_isGone) {
-            host.m_leavingLife = notice->m_life;
-        }
-        host.m_noticeAt = m_loop.now();
+        takeNotice(host, *notice);
         m_listener.handleWorkerChanged(address);
     } else if (const auto* const report = std::get_if<RunReport>(&frame)) {
         const bool isFirst = !std::exchange(host.m_hasReport, true);
@@ -202,6 +203,18 @@
     }
 }
 
+void WorkerPool::takeNotice(Host& host, const WorkerNotice& notice) {
+    if (!host.m_notice.has_value() || host.m_notice->m_life != notice.m_life) {
+        host.m_leastUntil = m_loop.now() + withSlack(m_settings.m_longestHold);
+        host.m_grantedUntil = std::max(host.m_grantedUntil, host.m_leastUntil);
+    }
+    host.m_notice = notice;
+    host.m_noticeAt = m_loop.now();
+    if (notice.m_isDraining || notice.m_isGone) {
+        host.m_leavingLife = notice.m_life;
+    }
+}
+
 void WorkerPool::answerAsk(Host& host, const LeaseAsk& ask) {
     if (host.m_isWorkerSilent != ask.m_isWorkerSilent) {
         host.m_isWorkerSilent = ask.m_isWorkerSilent;
@@ -217,7 +230,7 @@
     host.m_grantedUntil = std::max(host.m_grantedUntil, m_loop.now() + getLongestGrant());
     if (host.m_hasReport) {
         // From here on this leader knows what runs there: earlier leaders' grants don't matter.
-        host.m_grantedUntil = m_loop.now() + getLongestGrant();
+        host.m_grantedUntil = std::max(m_loop.now() + getLongestGrant(), host.m_leastUntil);
     }
     host.m_isLost = false;
     const auto ttl = static_cast<std::uint64_t>(m_settings.m_grant.count());
--- a/libs/daemon/src/GatewaySettings.cpp
+++ b/libs/daemon/src/GatewaySettings.cpp
@@ -68,6 +68,7 @@
     workers.m_grant =
             file.getDuration({"workers", "grant"},
                              std::min(workers.m_grant, scale(longest, GRANT_SHARE)), LEAST, MOST);
+    workers.m_longestHold = longest;
     if (workers.m_grant > longest) {
         file.report({"workers", "grant"}, "is longer than a worker holds (longest-hold)");
     }
--- a/libs/daemon/src/Sidecar.cpp
+++ b/libs/daemon/src/Sidecar.cpp
@@ -40,17 +40,17 @@
 
 void Sidecar::handleBeat(const HttpServerRequest& request,
                          const std::shared_ptr<HttpServerCall>& call) {
-    const std::string life = request.m_target.substr(request.m_target.rfind('/') + 1);
+    const std::string id = request.m_target.substr(request.m_target.rfind('/') + 1);
     HttpServerAnswer answer;
     if (request.m_method == "DELETE") {
-        m_agent.handleLeave(life);
+        m_agent.handleLeave(m_codec.readLeave(id, request.m_body));
         call->answer(answer);
         return;
     }
     Findings findings;
-    const auto beat = m_codec.readBeat(life, request.m_body, findings);
+    const auto beat = m_codec.readBeat(id, request.m_body, findings);
     if (!beat.has_value()) {
-        noteUnreadable("sidecar", "bad-beat", {{"life", life}, {"findings", findings.toText()}});
+        noteUnreadable("sidecar", "bad-beat", {{"id", id}, {"findings", findings.toText()}});
         answer.m_status = HTTP_BAD_REQUEST;
         call->answer(answer);
         return;
--- a/libs/job/include/pierbank/job/JobRun.h
+++ b/libs/job/include/pierbank/job/JobRun.h
@@ -210,6 +210,9 @@
 /** Begins a copy beside a task's run. @return its number. */
 std::uint32_t applyCopy(JobRun& run, const TaskKey& key, const WorkerId& worker, Millis wallNow);
 
+/** A run turns out to be on another life of its worker. */
+void moveRun(JobRun& run, const HeldRun& held, const WorkerId& worker);
+
 /** A run is being stopped from now on. */
 void markStopping(JobRun& run, const HeldRun& held);
 
@@ -239,6 +242,21 @@
 EndEffect applyEnd(const JobRecord& record, JobRun& run, const TaskKey& key, std::uint32_t number,
                    RunEnd end, std::string_view checkpoint, Millis wallNow);
 
+/** A run that was given up, and ended all the same. */
+struct LateEnd {
+    TaskKey m_task;
+    std::uint32_t m_run = 0;
+    WorkerId m_worker;
+};
+
+/**
+ * Takes the end of a run into account that no worker is held for any more, since its lease lapsed
+ * while nothing was heard of it. One that failed counts like any other; the task is not free of it
+ * because nobody heard it in time. Nothing else follows from it: the task may run elsewhere.
+ */
+EndEffect applyLateEnd(const JobRecord& record, JobRun& run, const LateEnd& late, RunEnd end,
+                       Millis wallNow);
+
 /** A run is known not to have begun and never to begin, or its worker is surely lost. */
 EndEffect applyNotRunning(const JobRecord& record, JobRun& run, const TaskKey& key,
                           std::uint32_t number, Millis wallNow);
--- a/libs/job/include/pierbank/job/WorkerId.h
+++ b/libs/job/include/pierbank/job/WorkerId.h
@@ -7,10 +7,11 @@
 
 namespace pierbank {
 
-/** One life of a worker: a restarted worker runs nothing of what it ran before. */
+/** One process of a worker: a restarted worker runs nothing of what it ran before. */
 struct WorkerId {
     /** Address of the host's sidecar; it outlives the worker's lives. */
     std::string m_host;
+    /** WorkerLife::toText(). Records of earlier versions have the id alone. */
     std::string m_life;
     auto operator<=>(const WorkerId&) const = default;
 };
--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -254,6 +254,19 @@
     }
 }
 
+void moveRun(JobRun& run, const HeldRun& held, const WorkerId& worker) {
+    if (!held.m_isCopy) {
+        run.findTask(held.m_task)->m_worker = worker;
+        return;
+    }
+    StepRun& step = run.findOccurrence(held.m_task.m_occurrence)->m_steps[held.m_task.m_step];
+    for (TaskCopy& copy : step.m_copies) {
+        if (copy.m_index == held.m_task.m_index && copy.m_run == held.m_run) {
+            copy.m_worker = worker;
+        }
+    }
+}
+
 JobRun makeJobRun(const JobRecord& record) {
     JobRun run;
     run.m_organisation = record.m_organisation;
@@ -295,13 +308,18 @@
 
 namespace {
 
+/** Where a task's failed runs are counted: of a gang at its first member. */
+TaskRun& getCounter(const JobRecord& record, JobRun& run, const TaskKey& key) {
+    StepRun& step = run.findOccurrence(key.m_occurrence)->m_steps[key.m_step];
+    const bool isGang = record.m_spec.m_steps[key.m_step].m_isGang;
+    return isGang ? step.m_tasks.front() : step.m_tasks[key.m_index];
+}
+
 /** Counts a failed run. @return whether the job has failed by it. */
 bool countFailure(const JobRecord& record, JobRun& run, const HeldRun& failed, Millis wallNow) {
     const TaskKey& key = failed.m_task;
-    const StepSpec& spec = record.m_spec.m_steps[key.m_step];
-    StepRun& step = run.findOccurrence(key.m_occurrence)->m_steps[key.m_step];
-    TaskRun& counted = spec.m_isGang ? step.m_tasks.front() : step.m_tasks[key.m_index];
-    step.m_tasks[key.m_index].m_failedHosts.add(failed.m_worker.m_host);
+    TaskRun& counted = getCounter(record, run, key);
+    run.findTask(key)->m_failedHosts.add(failed.m_worker.m_host);
     if (counted.m_failedRun != failed.m_run) {
         counted.m_failedRun = failed.m_run;
         ++counted.m_failures;
@@ -360,6 +378,32 @@
     return effect;
 }
 
+EndEffect applyLateEnd(const JobRecord& record, JobRun& run, const LateEnd& late, RunEnd end,
+                       Millis wallNow) {
+    EndEffect effect;
+    const TaskKey& key = late.m_task;
+    const TaskRun* const task = run.findTask(key);
+    const auto& steps = record.m_spec.m_steps;
+    const bool isCounted = end == RunEnd::FAILED && task != nullptr && !run.isOver() &&
+                           key.m_step < steps.size() && !steps[key.m_step].m_isLasting &&
+                           task->m_state != TaskState::DONE && late.m_run <= task->m_lastRun;
+    if (!isCounted) {
+        return effect;
+    }
+    const TaskRun& counter = getCounter(record, run, key);
+    if (late.m_run <= counter.m_failedRun) {
+        // Counted before, or another one was since: which ones were is not kept.
+        return effect;
+    }
+    const HeldRun failed{key, late.m_run, late.m_worker, Millis(0), false, false};
+    effect.m_isCurrent = true;
+    effect.m_endsJob = countFailure(record, run, failed, wallNow);
+    if (effect.m_endsJob) {
+        effect.m_toStop = stopAll(key.m_job, run);
+    }
+    return effect;
+}
+
 EndEffect applyNotRunning(const JobRecord& record, JobRun& run, const TaskKey& key,
                           std::uint32_t number, Millis wallNow) {
     return applyEnd(record, run, key, number, RunEnd::LAPSED, "", wallNow);
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -55,6 +55,8 @@
 struct LeaderHello {
     std::uint64_t m_epoch = 0;
     std::string m_node;
+    /** Counts the links of this leader to this host, from 1. */
+    std::uint64_t m_link = 0;
     bool operator==(const LeaderHello&) const = default;
 };
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -30,9 +30,18 @@
     archive(frame.m_number, frame.m_status, frame.m_body);
 }
 
-template <typename Archive>
-void describe(Archive& archive, LeaderHello& frame) {
-    archive(frame.m_epoch, frame.m_node);
+void describe(ArchiveWriter& archive, LeaderHello& frame) {
+    archive(frame.m_epoch, frame.m_node, frame.m_link);
+}
+
+/** Leaders before did not count their links. */
+void describe(ArchiveReader& archive, LeaderHello& frame) {
+    constexpr std::size_t FIELDS_WITHOUT_LINK = 2;
+    if (archive.getSize() == FIELDS_WITHOUT_LINK) {
+        archive(frame.m_epoch, frame.m_node);
+    } else {
+        archive(frame.m_epoch, frame.m_node, frame.m_link);
+    }
 }
 
 template <typename Archive>
