--- a/test/failures/RestartFailuresTest.cpp
+++ b/test/failures/RestartFailuresTest.cpp
@@ -365,7 +365,6 @@
     EXPECT_EQ(fleet.m_witness.getViolations(), std::vector<std::string>());
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, RestartsBesideOtherFaults,
-                         ::testing::Range<std::uint64_t>(1, 25));
+INSTANTIATE_TEST_SUITE_P(Seeds, RestartsBesideOtherFaults, ::testing::Range<std::uint64_t>(1, 25));
 
 }  // namespace pierbank::testing
