A process of a worker is called under a fence of its own from the first call on; what goes on late is held before its task is started again

Change: the fence rises with each failure of a call that had been answered, with each look at a claim, and when another process is found; ends are acknowledged only with the answer of the process that listed them in hand (a call of its own, which doesn't wait); an order whose run is listed is settled; a stray run of a task that is not done is held as one that is being stopped (holdStray). Orders refused for a fence that the sidecar itself has raised since are sent again.

--- a/libs/control/include/pierbank/control/OrderBook.h
+++ b/libs/control/include/pierbank/control/OrderBook.h
@@ -84,11 +84,14 @@
         bool m_isBarring = false;
         bool m_isSent = false;
         std::uint32_t m_tries = 0;
+        /** Under which its last call went out. */
+        std::uint64_t m_fence = 0;
         /** The look that was taken after the run was barred; zero before. */
         std::uint64_t m_checkLook = 0;
         std::string m_reason;
     };
 
+    std::uint64_t getFence() const { return m_context.getCall().m_fence; }
     void forgetBegun();
     void sendStart(const RunKey& key, Order& order, Millis until);
     void handleStarted(const RunKey& key, const RunReply& reply);
--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -98,6 +98,8 @@
     // Holding the worker's lease, and seeing what runs.
     void holdLater(Millis pause);
     void hold(Millis wait);
+    void acknowledge();
+    void sendHold(const HoldCall& call);
     void handleHold(const HoldReply& reply, std::uint64_t number);
     void handleLook(const HoldReply& reply, std::uint64_t number);
     void noteNobodyThere(bool isNobodyThere);
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -74,10 +74,17 @@
         if (found != m_jobs.end() && findRunAt(found->second, *key, running.m_run, worker)) {
             continue;
         }
+        const bool isHeld = found != m_jobs.end() && found->second.m_hasInput &&
+                            holdStray(found->second.m_record, found->second.m_run,
+                                      {*key, running.m_run, worker, m_loop.wallNow(), true, false});
+        if (isHeld) {
+            found->second.m_isDirty = true;
+        }
         logEvent(Severity::WARNING, "jobs", "stray-run",
                  {{"task", running.m_task},
                   {"run", std::to_string(running.m_run)},
-                  {"host", worker.m_host}});
+                  {"host", worker.m_host},
+                  {"held", isHeld ? "yes" : "no"}});
         m_workers.send(worker.m_host,
                        RunStop{m_epoch, worker.m_life, running.m_task, running.m_run});
     }
--- a/libs/control/src/OrderBook.cpp
+++ b/libs/control/src/OrderBook.cpp
@@ -62,6 +62,7 @@
 
 void OrderBook::sendStart(const RunKey& key, Order& order, Millis until) {
     order.m_isSent = true;
+    order.m_fence = getFence();
     ++order.m_tries;
     StartCall start;
     start.m_task = key.first;
@@ -90,7 +91,7 @@
              {{"task", key.first.toText()},
               {"run", std::to_string(key.second)},
               {"worker", m_context.getCall().m_id},
-              {"fence", std::to_string(m_context.getCall().m_fence)},
+              {"fence", std::to_string(order.m_fence)},
               {"try", std::to_string(order.m_tries)},
               {"status", std::string(toText(reply.m_status))},
               {"reason", reply.m_reason}});
@@ -102,7 +103,9 @@
     if (reply.m_status == WorkerStatus::REFUSED && order.m_tries == 1) {
         m_context.noteRefused(key.first, key.second);
     }
-    const bool mayRetry = reply.m_status == WorkerStatus::UNKNOWN || reply.m_reason == "late";
+    const bool isOvertaken = reply.m_reason == "fence" && order.m_fence < getFence();
+    const bool mayRetry =
+            reply.m_status == WorkerStatus::UNKNOWN || reply.m_reason == "late" || isOvertaken;
     if (mayRetry && order.m_tries < m_settings.m_startTries) {
         order.m_isSent = false;
         pump();
@@ -123,6 +126,7 @@
 }
 
 void OrderBook::sendBar(const RunKey& key) {
+    m_orders[key].m_fence = getFence();
     m_worker.stop(m_context.getCall(), key.first, key.second,
                   [this, key, term = std::weak_ptr(m_term)](const RunReply& reply) {
                       if (!term.expired()) {
@@ -145,7 +149,12 @@
               {"run", std::to_string(key.second)},
               {"reason", reply.m_reason}});
     if (reply.m_status == WorkerStatus::REFUSED && reply.m_reason == "fence") {
-        m_orders.erase(found);
+        if (found->second.m_fence < getFence()) {
+            // A call of this sidecar was quicker that went out later.
+            sendBar(key);
+        } else {
+            m_orders.erase(found);
+        }
         return;
     }
     m_loop.callLater(m_settings.m_pause, [this, key, term = std::weak_ptr(m_term)] {
--- a/libs/control/src/WorkerAgentHold.cpp
+++ b/libs/control/src/WorkerAgentHold.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // How a WorkerAgent holds its worker's lease, and sees what runs.
 #include <algorithm>
+#include <utility>
 
 #include "pierbank/base/Log.h"
 #include "pierbank/control/WorkerAgent.h"
@@ -47,20 +48,31 @@
     if (m_life.isEmpty() || m_leader.getEpoch() == 0) {
         return;
     }
-    // What is said to a process that may be another one: nothing. What is kept is told by a call
-    // that does not wait, whose answer names the process at once.
-    const bool isAcknowledging = m_isAnswering && m_mustAcknowledge;
-    const bool isWaiting = m_isAnswering && !isAcknowledging && wait > Millis(0);
-    m_isHolding = m_isHolding || isWaiting;
+    // To a process that may be another one nothing is said, and its answer names it at once.
     HoldCall call;
-    if (isAcknowledging) {
-        call.m_lastKept = m_lastKept;
-        m_mustAcknowledge = false;
-    }
     if (m_isAnswering) {
         call.m_until = getUntil();
+        call.m_wait = wait;
     }
-    call.m_wait = isWaiting ? wait : Millis(0);
+    sendHold(call);
+}
+
+/**
+ * Ends that are acknowledged to another process are lost: it forgets its own of the same numbers.
+ * So this goes out only with the answer of the process that listed them in hand; to restart, run a
+ * task and end it takes a worker longer than a call on its own machine.
+ */
+void WorkerAgent::acknowledge() {
+    m_mustAcknowledge = false;
+    HoldCall call;
+    call.m_lastKept = m_lastKept;
+    call.m_until = getUntil();
+    sendHold(call);
+}
+
+void WorkerAgent::sendHold(const HoldCall& call) {
+    const bool isWaiting = call.m_wait > Millis(0);
+    m_isHolding = m_isHolding || isWaiting;
     const std::uint64_t number = ++m_holdNumber;
     m_worker.hold(getCall(), call,
                   [this, number, isWaiting, term = std::weak_ptr(m_term)](const HoldReply& reply) {
@@ -101,6 +113,7 @@
         // otherwise.
         ask();
     }
+    const bool mustAcknowledge = m_mustAcknowledge && m_isAnswering;
     // Answers on different connections overtake each other.
     if (number > m_holdSeen) {
         m_holdSeen = number;
@@ -110,19 +123,22 @@
         hold(Millis(0));
         m_orders.pump();
     }
-    if (m_mustAcknowledge && m_isAnswering) {
-        hold(Millis(0));
+    if (mustAcknowledge) {
+        acknowledge();
         return;
     }
     // A hold would be answered at once while ends are listed: wait until they are kept.
+    const bool isListing = !m_ended.empty() || m_mustAcknowledge;
     if (!m_isHolding) {
-        holdLater(m_ended.empty() ? Millis(0) : m_settings.m_pause);
+        holdLater(isListing ? m_settings.m_pause : Millis(0));
     }
 }
 
 /** The process may be gone, and the next one that answers another. */
 void WorkerAgent::noteNoAnswer(const HoldReply& reply) {
-    m_isAnswering = false;
+    if (std::exchange(m_isAnswering, false)) {
+        m_fence.raise();
+    }
     m_firstSince = m_holdNumber + 1;
     m_account.noteNoAnswer(m_loop.now());
     noteNobodyThere(reply.m_isNobodyThere);
@@ -160,7 +176,7 @@
         return end.m_number <= m_lastKept;
     };
     if (std::erase_if(m_ended, isKept) != 0) {
-        // The call that told so is not done.
+        // The call that told so was not done, or is not yet.
         m_mustAcknowledge = true;
     }
     m_account.noteLook(m_running, reply.m_ended, m_loop.now());
--- a/libs/control/src/WorkerAgentLife.cpp
+++ b/libs/control/src/WorkerAgentLife.cpp
@@ -154,6 +154,7 @@
         return;
     }
     m_isVerifying = true;
+    m_fence.raise();
     look(m_claim->m_life.m_id, [this, claimed = m_claim->m_life](const HoldReply& reply) {
         m_isVerifying = false;
         handleVerified(claimed, reply);
@@ -237,7 +238,9 @@
              {{"life", life.toText()}, {"former", m_life.isEmpty() ? "-" : m_lifeName}});
     m_life = life;
     m_lifeName = life.toText();
-    m_fence.handleStart();
+    // What was sent while it was not known: the first look under the next fence lists it, or bars
+    // it.
+    m_fence.raise();
     m_isGone = false;
     m_isNobodyThere = false;
     m_answeredAt = m_loop.now();
--- a/libs/control/src/WorkerFence.cpp
+++ b/libs/control/src/WorkerFence.cpp
@@ -8,20 +8,20 @@
 namespace {
 
 /**
- * The lowest bits count processes that are found over one link, the next ones links, the rest is
- * the epoch: a revision of the store, of which 33 bits are left below the 53 that every reader of
- * numbers keeps exactly. Beyond 64 processes over one link, or 16,383 links in one epoch, it still
- * rises for as long as the sidecar lives.
+ * The lowest bits count what raised it over one link, the next ones links, the rest is the epoch: a
+ * revision of the store, of which 29 bits are left below the 53 that every reader of numbers keeps
+ * exactly. Raised more often over one link, or with more links in one epoch, it still rises for as
+ * long as the sidecar lives.
  */
-constexpr unsigned START_BITS = 6;
-constexpr unsigned LINK_BITS = 14;
+constexpr unsigned RAISE_BITS = 12;
+constexpr unsigned LINK_BITS = 12;
 constexpr std::uint64_t MOST_LINKS = (1U << LINK_BITS) - 1;
 
 }  // namespace
 
 void WorkerFence::handleLink(std::uint64_t epoch, std::uint64_t link) {
     const std::uint64_t links = std::min(link, MOST_LINKS);
-    const std::uint64_t least = ((epoch << LINK_BITS) | links) << START_BITS;
+    const std::uint64_t least = ((epoch << LINK_BITS) | links) << RAISE_BITS;
     m_value = std::max(m_value + 1, least);
 }
 
--- a/libs/control/test/OrderBookTest.cpp
+++ b/libs/control/test/OrderBookTest.cpp
@@ -97,6 +97,18 @@
     EXPECT_EQ(m_context.m_absent, "the order is too old");
 }
 
+/** A third try began a run once more, in the worker's next process. */
+TEST_F(OrderBookTest, AStartWhoseRunIsListedIsNotTriedAgain) {
+    m_worker.m_startsToDelay = 2;
+    m_worker.m_startDelay = Millis(100);
+    start();
+    m_loop.advance(Millis(200));
+    ASSERT_TRUE(m_worker.isRunning(TASK));
+    m_book.handleLook(++m_context.m_looks);
+    m_loop.advance(Millis(3000));
+    EXPECT_EQ(m_context.m_sent, 1U);
+}
+
 TEST_F(OrderBookTest, AStartWithoutAnAnswerIsTriedThreeTimesWithinTheLifeOfItsOrder) {
     m_worker.m_isSilent = true;
     start();
--- a/libs/job/include/pierbank/job/JobRun.h
+++ b/libs/job/include/pierbank/job/JobRun.h
@@ -213,6 +213,14 @@
 /** A run turns out to be on another life of its worker. */
 void moveRun(JobRun& run, const HeldRun& held, const WorkerId& worker);
 
+/**
+ * A run that nothing was held for any more turns out to go on: a start was carried out late, by the
+ * next process of a worker. From now on it is held and being stopped, so that the task is not
+ * started again before its end is known. Not for gangs, whose runs are held whole or not at all.
+ * @return whether it is held now.
+ */
+bool holdStray(const JobRecord& record, JobRun& run, const HeldRun& stray);
+
 /** A run is being stopped from now on. */
 void markStopping(JobRun& run, const HeldRun& held);
 
--- a/libs/job/test/JobTransitionsTest.cpp
+++ b/libs/job/test/JobTransitionsTest.cpp
@@ -57,5 +57,85 @@
     EXPECT_FALSE(end(FIRST, RunEnd::DONE).m_isCurrent);
 }
 
+TEST_F(JobTransitionsTest, ARunMovesToTheNextProcessOfItsWorker) {
+    const WorkerId next{"a", "next"};
+    moveRun(m_run, *m_run.findHeldRun(FIRST, 1), next);
+    EXPECT_EQ(m_run.findHeldRun(FIRST, 1)->m_worker, next);
+    applyCopy(m_run, SECOND, HOST_A, NOW);
+    moveRun(m_run, *m_run.findHeldRun(SECOND, 2), next);
+    EXPECT_EQ(m_run.findHeldRun(SECOND, 2)->m_worker, next);
+    EXPECT_EQ(m_run.findHeldRun(SECOND, 1)->m_worker, HOST_B);
+}
+
+namespace {
+
+/** A run was given up, and is heard of again. */
+class ARunThatWasGivenUp : public JobTransitionsTest {
+protected:
+    void SetUp() override {
+        JobTransitionsTest::SetUp();
+        m_record.m_policy.m_attempts = 2;
+        applyNotRunning(m_record, m_run, FIRST, 1, NOW);
+    }
+
+    EndEffect endLate(RunEnd how, std::uint32_t run = 1) {
+        return applyLateEnd(m_record, m_run, {FIRST, run, HOST_A}, how, NOW);
+    }
+
+    HeldRun makeStray(std::uint32_t run) const { return {FIRST, run, HOST_A, NOW, true, false}; }
+};
+
+}  // namespace
+
+TEST_F(ARunThatWasGivenUp, CountsOnceAsAFailureIfItFailed) {
+    EXPECT_TRUE(endLate(RunEnd::FAILED).m_isCurrent);
+    EXPECT_FALSE(endLate(RunEnd::FAILED).m_isCurrent);
+    EXPECT_EQ(m_run.findTask(FIRST)->m_failures, 1U);
+    EXPECT_EQ(m_run.m_phase, JobPhase::RUNNING);
+}
+
+TEST_F(ARunThatWasGivenUp, EndsTheJobIfThatWasItsLastAttempt) {
+    endLate(RunEnd::FAILED);
+    applyPlacement(m_run, FIRST, 2, HOST_A, NOW);
+    applyNotRunning(m_record, m_run, FIRST, 2, NOW);
+    const EndEffect effect = endLate(RunEnd::FAILED, 2);
+    EXPECT_TRUE(effect.m_endsJob);
+    EXPECT_EQ(effect.m_toStop.size(), 1U);
+    EXPECT_EQ(m_run.m_phase, JobPhase::FAILED);
+}
+
+TEST_F(ARunThatWasGivenUp, CountsForNothingIfItEndedOtherwise) {
+    EXPECT_FALSE(endLate(RunEnd::LAPSED).m_isCurrent);
+    EXPECT_FALSE(endLate(RunEnd::DONE).m_isCurrent);
+    EXPECT_FALSE(endLate(RunEnd::FAILED, 7).m_isCurrent) << "there was no such run";
+    EXPECT_EQ(m_run.findTask(FIRST)->m_failures, 0U);
+}
+
+/** Before, the task was started elsewhere while the stop was on its way. */
+TEST_F(ARunThatWasGivenUp, IsHeldWhileItGoesOnAfterAll) {
+    ASSERT_TRUE(holdStray(m_record, m_run, makeStray(1)));
+    EXPECT_EQ(m_run.findTask(FIRST)->m_state, TaskState::STOPPING);
+    EXPECT_TRUE(end(FIRST, RunEnd::STOPPED).m_isCurrent);
+    EXPECT_EQ(m_run.findTask(FIRST)->m_state, TaskState::WAITING);
+}
+
+TEST_F(ARunThatWasGivenUp, IsHeldBesideTheNextOneAndGoesFirst) {
+    applyPlacement(m_run, FIRST, 2, HOST_B, NOW);
+    ASSERT_TRUE(holdStray(m_record, m_run, makeStray(1)));
+    applyNotRunning(m_record, m_run, FIRST, 2, NOW);
+    EXPECT_EQ(m_run.findTask(FIRST)->m_state, TaskState::STOPPING);
+    EXPECT_TRUE(end(FIRST, RunEnd::DONE).m_isCurrent);
+    EXPECT_EQ(m_run.findTask(FIRST)->m_state, TaskState::DONE);
+}
+
+TEST_F(ARunThatWasGivenUp, IsNotHeldForAGangNorForATaskThatIsDone) {
+    m_record.m_spec.m_steps[0].m_isGang = true;
+    EXPECT_FALSE(holdStray(m_record, m_run, makeStray(1)));
+    m_record.m_spec.m_steps[0].m_isGang = false;
+    applyPlacement(m_run, FIRST, 2, HOST_B, NOW);
+    applyEnd(m_record, m_run, FIRST, 2, RunEnd::DONE, "", NOW);
+    EXPECT_FALSE(holdStray(m_record, m_run, makeStray(1)));
+}
+
 }  // namespace
 }  // namespace pierbank
--- a/model/check.sh
+++ b/model/check.sh
@@ -61,5 +61,9 @@
 for mutant in PLACE_BEFORE_READING NO_AGE AGE_FROM_ANSWER SEND_UNCHECKED RESEND_UNCHECKED TRY_FOR_EVER; do
     verify refuted evacuation.pml "MUTANT_$mutant"
 done
+verify holds restart.pml
+for mutant in ID_ALONE LEDGER_BY_ID NO_FENCE NO_ADOPTION LOSE_BEFORE_REPORT ACKNOWLEDGE_UNSEEN; do
+    verify refuted restart.pml "MUTANT_$mutant"
+done
 echo "$passed passed, $failed failed"
 ((failed == 0))
--- a/test/failures/CrashFailuresTest.cpp
+++ b/test/failures/CrashFailuresTest.cpp
@@ -26,10 +26,22 @@
 /** Three crashes prove it, and two more starts may be under way until that is known. */
 constexpr std::size_t MOST_STARTS = 5;
 
+/** Each of these holds whatever id a worker comes back under. */
+class CrashTest : public JobFleetTest, public ::testing::WithParamInterface<RestartForm> {
+protected:
+    explicit CrashTest(std::size_t workers = 4) : JobFleetTest(workers) {
+        m_fleet.setRestartForm(GetParam());
+    }
+};
+
+std::string nameForm(const ::testing::TestParamInfo<RestartForm>& info) {
+    return ::testing::PrintToString(info.param);
+}
+
 /** Ten workers that come back 3 s after a crash. */
-class ATaskThatCrashesEveryWorker : public JobFleetTest {
+class ATaskThatCrashesEveryWorker : public CrashTest {
 protected:
-    ATaskThatCrashesEveryWorker() : JobFleetTest(10) {}
+    ATaskThatCrashesEveryWorker() : CrashTest(10) {}
 
     void stayAwayFor(Millis time) {
         for (auto& sidecar : m_fleet.m_sidecars) {
@@ -44,7 +56,7 @@
 
 }  // namespace
 
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpAndItsJobShownAsFailed) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpAndItsJobShownAsFailed) {
     m_fleet.submit(ID, SMALL, "x10", "/urgent/");
     m_fleet.m_loop.advance(Millis(90'000));
     EXPECT_LE(countStarts(), MOST_STARTS);
@@ -52,7 +64,7 @@
 }
 
 /** The lease lapses first, so that the run is released long before anything proves the crash. */
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughWorkersStayAwayForLongerThanTheirLease) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpThoughWorkersStayAwayForLongerThanTheirLease) {
     stayAwayFor(Millis(12'000));
     m_fleet.submit(ID, SMALL, "x10", "/urgent/");
     m_fleet.m_loop.advance(Millis(150'000));
@@ -61,7 +73,7 @@
 }
 
 /** What a leader counts in its memory goes with it. */
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughTheLeaderIsKilledWithEachCrash) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpThoughTheLeaderIsKilledWithEachCrash) {
     m_fleet.submit(ID, SMALL, "x10", "/urgent/");
     std::size_t seen = 0;
     for (Millis passed{0}; passed < Millis(90'000); passed += Millis(20)) {
@@ -77,7 +89,7 @@
     EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
 }
 
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughWorkersAreBackAtOnce) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpThoughWorkersAreBackAtOnce) {
     stayAwayFor(Millis(100));
     m_fleet.submit(ID, SMALL, "x10", "/urgent/");
     m_fleet.m_loop.advance(Millis(60'000));
@@ -86,14 +98,14 @@
 }
 
 /** Nothing tells at the first crash whose doing it was; the users' rule leaves five starts. */
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughItWorksForAWhileFirst) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpThoughItWorksForAWhileFirst) {
     m_fleet.submit(ID, SMALL, "x1500", "/urgent/");
     m_fleet.m_loop.advance(Millis(90'000));
     EXPECT_LE(countStarts(), MOST_STARTS);
     EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
 }
 
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpAsAMemberOfAGang) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpAsAMemberOfAGang) {
     m_fleet.submit(ID, R"({"count":4,"cpu":1000,"mem_mb":100,"gpu":4,"est_ms":3000,"gang":true})",
                    "x10/2/8000", "/urgent/");
     m_fleet.m_loop.advance(Millis(120'000));
@@ -101,7 +113,7 @@
     EXPECT_EQ(m_fleet.getState(ID, "/urgent/"), "failed");
 }
 
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpAsOneOfManyOfItsStep) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpAsOneOfManyOfItsStep) {
     m_fleet.submit(ID, R"({"count":8,"cpu":1000,"mem_mb":100,"gpu":1,"est_ms":3000})",
                    "x10/5/3000");
     m_fleet.m_loop.advance(Millis(120'000));
@@ -109,7 +121,7 @@
     EXPECT_EQ(m_fleet.getState(ID), "failed");
 }
 
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughItLasts) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpThoughItLasts) {
     m_fleet.submit(
             ID, R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":1,"est_ms":1000,"long_running":true})",
             "x10");
@@ -119,7 +131,7 @@
 }
 
 /** Then nobody can tell whether the worker went or the whole host. */
-TEST_F(ATaskThatCrashesEveryWorker, IsGivenUpThoughOneSidecarIsKilledBeforeItCanTell) {
+TEST_P(ATaskThatCrashesEveryWorker, IsGivenUpThoughOneSidecarIsKilledBeforeItCanTell) {
     m_fleet.submit(ID, SMALL, "x10", "/urgent/");
     ASSERT_TRUE(waitUntil(Millis(2000), [&] { return countStarts() == 1; }));
     m_fleet.m_loop.advance(Millis(500));
@@ -136,7 +148,7 @@
 
 /** It works for 1.5 s before it crashes its worker, and is made to give way before that after the
  * third. */
-TEST_F(ATaskThatCrashesEveryWorker, IsNotStartedOnBecauseItGaveWayBetween) {
+TEST_P(ATaskThatCrashesEveryWorker, IsNotStartedOnBecauseItGaveWayBetween) {
     m_fleet.submit(ID, R"({"count":1,"cpu":8000,"mem_mb":100,"gpu":8,"est_ms":60000})", "x1500");
     int urgent = 0;
     for (int i = 0; i < 6000; ++i) {
@@ -152,7 +164,7 @@
     EXPECT_EQ(m_fleet.getState(ID), "failed");
 }
 
-TEST_F(ATaskThatCrashesEveryWorker, IsNamedWithTheEvidenceToWhoAsksWhy) {
+TEST_P(ATaskThatCrashesEveryWorker, IsNamedWithTheEvidenceToWhoAsksWhy) {
     m_fleet.submit(ID, SMALL, "x10", "/urgent/");
     m_fleet.m_loop.advance(Millis(30'000));
     const StatementAnswer answer = m_fleet.state(getLeader(), std::string("why job ") + ID);
@@ -214,13 +226,13 @@
 }  // namespace
 
 /** Before, not all of the twenty came through in two minutes. */
-TEST_F(OrdinaryJobsBesideThem, AllSucceedInTenSeconds) {
+TEST_P(OrdinaryJobsBesideThem, AllSucceedInTenSeconds) {
     handIn(20, 3, SMALL);
     EXPECT_LE(measureOrdinary(), Millis(10'000));
     expectVerdicts();
 }
 
-TEST_F(OrdinaryJobsBesideThem, AllSucceedOnAFullFleetToo) {
+TEST_P(OrdinaryJobsBesideThem, AllSucceedOnAFullFleetToo) {
     handIn(60, 6, R"({"count":1,"cpu":4000,"mem_mb":100,"gpu":4,"est_ms":3000})");
     const Millis took = measureOrdinary();
     RecordProperty("took_ms", std::to_string(took.count()));
@@ -231,7 +243,7 @@
 namespace {
 
 /** Jobs that do nothing wrong on workers that go for reasons of their own. */
-class AnInnocentTask : public JobFleetTest {
+class AnInnocentTask : public CrashTest {
 protected:
     void handIn(int jobs, const char* length) {
         for (int i = 0; i < jobs; ++i) {
@@ -250,7 +262,7 @@
 
 }  // namespace
 
-TEST_F(AnInnocentTask, SucceedsThoughItsHostIsCutOffFourTimes) {
+TEST_P(AnInnocentTask, SucceedsThoughItsHostIsCutOffFourTimes) {
     handIn(1, "20000");
     for (int cut = 0; cut < 4; ++cut) {
         std::optional<std::size_t> place;
@@ -271,7 +283,7 @@
 }
 
 /** Sidecar and worker go at once. */
-TEST_F(AnInnocentTask, SucceedsThoughHostsLosePowerByTurns) {
+TEST_P(AnInnocentTask, SucceedsThoughHostsLosePowerByTurns) {
     handIn(20, "3000");
     for (std::size_t turn = 0; turn < 12; ++turn) {
         const std::size_t place = turn % m_fleet.m_sidecars.size();
@@ -285,7 +297,7 @@
 }
 
 /** The workers alone go, at any time of what they run. */
-TEST_F(AnInnocentTask, SucceedsThoughWorkersCrashByTurns) {
+TEST_P(AnInnocentTask, SucceedsThoughWorkersCrashByTurns) {
     handIn(20, "3000");
     for (std::size_t turn = 0; turn < 12; ++turn) {
         getSidecar(turn % m_fleet.m_sidecars.size()).m_worker->crash();
@@ -296,10 +308,11 @@
 
 /** Each worker is up for some seconds only, so that some runs are lost again and again: 1 of 240
  * five times. */
-TEST_F(AnInnocentTask, IsHardlyEverGivenUpHoweverOftenWorkersCrash) {
+TEST_P(AnInnocentTask, IsHardlyEverGivenUpHoweverOftenWorkersCrash) {
     int givenUp = 0;
     for (Millis turn(2200); turn <= Millis(3300); turn += Millis(100)) {
         JobFleet fleet(3, 4);
+        fleet.setRestartForm(GetParam());
         ASSERT_TRUE(fleet.waitForLeader());
         fleet.m_loop.advance(Millis(500));
         for (int i = 0; i < 20; ++i) {
@@ -349,16 +362,25 @@
 
 }  // namespace
 
-TEST_F(ATaskOnAWorkerThatLeaves, IsNoSuspectWhenItLeftAsItSaid) {
+TEST_P(ATaskOnAWorkerThatLeaves, IsNoSuspectWhenItLeftAsItSaid) {
     EXPECT_TRUE(loseIt(true).isEmpty());
 }
 
 /** It may have crashed before its time, or have gone at once as its machine was taken away. */
-TEST_F(ATaskOnAWorkerThatLeaves, IsNoSuspectWhenItWentWithoutAWordButItCounts) {
+TEST_P(ATaskOnAWorkerThatLeaves, IsNoSuspectWhenItWentWithoutAWordButItCounts) {
     const RunLosses& losses = loseIt(false);
     ASSERT_EQ(losses.list().size(), 1U);
     EXPECT_EQ(losses.list().front().m_verdict, LossVerdict::BESIDE);
     EXPECT_FALSE(losses.isSuspect());
 }
 
+INSTANTIATE_TEST_SUITE_P(Workers, ATaskThatCrashesEveryWorker,
+                         ::testing::Values(RestartForm::NEW_ID, RestartForm::SAME_ID), nameForm);
+INSTANTIATE_TEST_SUITE_P(Workers, OrdinaryJobsBesideThem,
+                         ::testing::Values(RestartForm::NEW_ID, RestartForm::SAME_ID), nameForm);
+INSTANTIATE_TEST_SUITE_P(Workers, AnInnocentTask,
+                         ::testing::Values(RestartForm::NEW_ID, RestartForm::SAME_ID), nameForm);
+INSTANTIATE_TEST_SUITE_P(Workers, ATaskOnAWorkerThatLeaves,
+                         ::testing::Values(RestartForm::NEW_ID, RestartForm::SAME_ID), nameForm);
+
 }  // namespace pierbank::testing
--- a/test/failures/RestartFailuresTest.cpp
+++ b/test/failures/RestartFailuresTest.cpp
@@ -365,6 +365,11 @@
     EXPECT_EQ(fleet.m_witness.getViolations(), std::vector<std::string>());
 }
 
+/** Each of these once had a task run twice: begun again by a third try of its order, or started
+ * elsewhere while a late start of it was known to go on. */
+INSTANTIATE_TEST_SUITE_P(Found, RestartsBesideOtherFaults,
+                         ::testing::Values<std::uint64_t>(950, 1183, 1239));
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RestartsBesideOtherFaults, ::testing::Range<std::uint64_t>(1, 25));
 
 }  // namespace pierbank::testing
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,10 @@
     SAME_ID,
 };
 
+inline void PrintTo(RestartForm form, std::ostream* out) {
+    *out << (form == RestartForm::NEW_ID ? "UnderANewId" : "UnderItsId");
+}
+
 /** What all workers of a test saw together, and what must never be. */
 class RunWitness {
 public:
