A read that ends is answered by the configuration that is in force then

Change: JobIntake::answerRead looks at the configuration in force again; a read that it doesn't allow is decided anew. Test failed before (200), passes (401).

--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -135,6 +135,8 @@
     void cancel(const CallPtr& call);
     void cancelRecord(const CallPtr& call, bool isSecond);
     void putCancel(const CallPtr& call, const StoreItem& record);
+    void answerRead(const CallPtr& call, std::string body, std::string_view reason);
+    bool isStillAllowed(const Call& call) const;
     void countPending(const CallPtr& call);
     void refreshPending();
     void finishPending(bool isGood);
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -28,7 +28,7 @@
             answerUnavailable(call, "the job's state can't be read");
             return;
         }
-        answer(call, HTTP_OK, m_codec.writePhase(run->m_phase), run->m_why);
+        answerRead(call, m_codec.writePhase(run->m_phase), run->m_why);
     });
 }
 
@@ -58,7 +58,7 @@
                          return;
                      }
                      const JobPhase phase = run.has_value() ? run->m_phase : JobPhase::PENDING;
-                     answer(call, HTTP_OK, m_codec.writePhase(phase), "read from the store");
+                     answerRead(call, m_codec.writePhase(phase), "read from the store");
                  });
 }
 
@@ -126,9 +126,35 @@
                        });
 }
 
+/**
+ * A read may take long, and what allowed it may not be in force any more when it ends: answered all
+ * the same, beside a caller whose call waited for the newer configuration, it showed an older one.
+ */
+void JobIntake::answerRead(const CallPtr& call, std::string body, std::string_view reason) {
+    if (isStillAllowed(*call)) {
+        answer(call, HTTP_OK, std::move(body), reason);
+    } else {
+        route(call);
+    }
+}
+
+bool JobIntake::isStillAllowed(const Call& call) const {
+    if (call.m_configurationRevision == m_configuration.getRevision()) {
+        return true;
+    }
+    const QueueConfiguration& configuration = *m_configuration.get();
+    const QueueRoute* const route =
+            configuration.findRoute(call.m_request.m_host, call.m_request.m_path);
+    const auto organisation = configuration.m_organisationsByKey.find(call.m_request.m_key);
+    const bool isKnown = organisation != configuration.m_organisationsByKey.end();
+    return route != nullptr && route->m_policy.m_queue == call.m_policy.m_queue &&
+           (route->m_isOpen || isKnown) &&
+           call.m_organisation == (isKnown ? organisation->second : std::string());
+}
+
 void JobIntake::countPending(const CallPtr& call) {
     if (m_hasPending && m_loop.now() - m_pendingAt <= m_settings.m_pendingAge) {
-        answer(call, HTTP_OK, m_codec.writePending(m_pending[call->m_policy.m_queue]), "counted");
+        answerRead(call, m_codec.writePending(m_pending[call->m_policy.m_queue]), "counted");
         return;
     }
     m_pendingCalls.push_back(call);
@@ -180,8 +206,7 @@
 void JobIntake::finishPending(bool isGood) {
     for (const CallPtr& call : std::exchange(m_pendingCalls, {})) {
         if (isGood) {
-            answer(call, HTTP_OK, m_codec.writePending(m_pending[call->m_policy.m_queue]),
-                   "counted");
+            answerRead(call, m_codec.writePending(m_pending[call->m_policy.m_queue]), "counted");
         } else {
             answerUnavailable(call, "the jobs can't be listed");
         }
--- a/test/failures/ConfigurationFailuresTest.cpp
+++ b/test/failures/ConfigurationFailuresTest.cpp
@@ -52,6 +52,33 @@
     EXPECT_EQ(m_fleet.submit(ID, SMALL, "300", "/batch/", place).m_status, 200U);
 }
 
+/**
+ * Users saw a gateway answer one caller by a new configuration and, in the same moment, another by
+ * the one before. Order of events: a count of pending jobs is allowed by the configuration at hand;
+ * the jobs are listed, which takes 0.3 s behind a narrow link; the next configuration comes into
+ * force; a caller whose call it decides and the one that waited are answered together. Cause: what
+ * allowed the count was not looked at again. Evidence: the gateway's log, `in-force` of the newer
+ * version 139 ms before both lines `answered`, with 269 and 856 ms since their calls came.
+ */
+TEST_F(ConfigurationFailuresTest, AReadIsNotAnsweredByAConfigurationThatIsNotInForceAnyMore) {
+    const std::size_t place = getFollower();
+    m_fleet.m_state.m_listLatency = Millis(400);
+    IntakeRequest request;
+    request.m_method = "GET";
+    request.m_host = JobFleet::HOST;
+    request.m_path = "/batch/";
+    request.m_key = JobFleet::KEY;
+    std::optional<IntakeAnswer> answer;
+    m_fleet.m_gateways[place].m_core->getIntake().handle(
+            request, [&answer](const IntakeAnswer& got) { answer = got; });
+    m_fleet.m_loop.advance(Millis(20));
+    m_fleet.configure({"key-b"});
+    m_fleet.m_loop.advance(Millis(300));
+    ASSERT_FALSE(answer.has_value());
+    ASSERT_TRUE(waitUntil(Millis(3000), [&] { return answer.has_value(); }));
+    EXPECT_EQ(answer->m_status, 401U);
+}
+
 TEST_F(ConfigurationFailuresTest, AVersionNeverGoesBackThroughRestartsAndOutages) {
     constexpr int ROUNDS = 60;
     Random random(20261202);
--- a/test/support/FakeRecordStore.cpp
+++ b/test/support/FakeRecordStore.cpp
@@ -189,7 +189,7 @@
             list.m_items = m_state.list(prefix);
             list.m_at = m_state.getRevision();
         }
-        done(list);
+        m_loop.callLater(m_state.m_listLatency, [list, done] { done(list); });
     });
 }
 
--- a/test/support/FakeRecordStore.h
+++ b/test/support/FakeRecordStore.h
@@ -31,6 +31,8 @@
     Millis m_writeDelay{3000};
     /** Time of each call. */
     Millis m_latency{2};
+    /** So much more for a list, whose answers are large. */
+    Millis m_listLatency{0};
     /** Up to so much more, differing from call to call, so that answers overtake each other. */
     Millis m_jitter{0};
     /** Watches hear nothing. */
