--- a/test/failures/RestartFailuresTest.cpp
+++ b/test/failures/RestartFailuresTest.cpp
@@ -177,6 +177,21 @@
     expectThatAllWorkersWork();
 }
 
+/** Its new sidecar has seen the present process only; what is there is asked, not believed. */
+TEST_F(WordsOfItsFormerProcess, AreNoCrashOfThePresentOne) {
+    m_fleet.killSidecar(0);
+    m_fleet.startSidecar(0);
+    m_fleet.m_loop.advance(Millis(1500));
+    m_fleet.deliver(0, m_former);
+    m_fleet.m_loop.advance(Millis(1000));
+    const auto* const host =
+            m_fleet.m_gateways[getLeader()].m_core->getJobs().getWorkers().findHost(
+                    getSidecar(0).m_address);
+    ASSERT_TRUE(host != nullptr && host->m_notice.has_value());
+    EXPECT_TRUE(host->m_notice->m_crashes.empty());
+    expectThatAllWorkersWork();
+}
+
 TEST_F(WordsOfItsFormerProcess, ChangeNothingAsALateGoodbye) {
     getSidecar(0).m_agent->handleLeave({m_former.m_life.m_id, 0});
     m_fleet.m_loop.advance(Millis(500));
@@ -255,6 +270,28 @@
     expectSuccess(30, 24, 2);
 }
 
+/**
+ * A hold names a time of the former clock, which is far ahead of the next one's: what that runs is
+ * leased for the longest time, and its host must not be taken for lost before that.
+ */
+TEST_F(ACallToItsFormerProcess, LeasesNothingForLongerThanItsLeaderCounts) {
+    m_fleet.m_loop.advance(Millis(20'000));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->m_startDelay = Millis(300);
+        sidecar.m_worker->m_holdsToDelay = 1;
+    }
+    m_fleet.m_loop.advance(Millis(150));
+    for (auto& sidecar : m_fleet.m_sidecars) {
+        sidecar.m_worker->restart();
+    }
+    m_fleet.m_loop.advance(Millis(850));
+    handIn(30, 1, "60000");
+    ASSERT_TRUE(waitUntil(Millis(1000), [&] { return findWorker(taskOf(idOf(30))).has_value(); }));
+    m_fleet.killSidecar(*findWorker(taskOf(idOf(30))));
+    EXPECT_TRUE(waitUntil(Millis(10'000),
+                          [&] { return m_fleet.m_witness.countStarts(taskOf(idOf(30))) == 2; }));
+}
+
 TEST_F(ACallToItsFormerProcess, StopsNothingForGoodAsALateStop) {
     for (auto& sidecar : m_fleet.m_sidecars) {
         sidecar.m_worker->m_stopsToDelay = 4;
