--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -9,17 +9,6 @@
 
 namespace {
 
-OccurrenceRun makeOccurrence(const JobSpec& spec, std::uint32_t number) {
-    OccurrenceRun occurrence;
-    occurrence.m_number = number;
-    for (const StepSpec& step : spec.m_steps) {
-        StepRun run;
-        run.m_tasks.resize(step.m_tasks);
-        occurrence.m_steps.push_back(std::move(run));
-    }
-    return occurrence;
-}
-
 void release(TaskRun& task) {
     task.m_state = TaskState::WAITING;
     task.m_worker = WorkerId();
@@ -254,81 +243,6 @@
     }
 }
 
-void moveRun(JobRun& run, const HeldRun& held, const WorkerId& worker) {
-    if (!held.m_isCopy) {
-        run.findTask(held.m_task)->m_worker = worker;
-        return;
-    }
-    StepRun& step = run.findOccurrence(held.m_task.m_occurrence)->m_steps[held.m_task.m_step];
-    for (TaskCopy& copy : step.m_copies) {
-        if (copy.m_index == held.m_task.m_index && copy.m_run == held.m_run) {
-            copy.m_worker = worker;
-        }
-    }
-}
-
-bool holdStray(const JobRecord& record, JobRun& run, const HeldRun& stray) {
-    const TaskKey& key = stray.m_task;
-    TaskRun* const task = run.findTask(key);
-    const auto& steps = record.m_spec.m_steps;
-    const bool mayHold = task != nullptr && !run.isOver() && key.m_step < steps.size() &&
-                         !steps[key.m_step].m_isGang && stray.m_run <= task->m_lastRun &&
-                         task->m_state != TaskState::DONE;
-    if (!mayHold) {
-        return false;
-    }
-    if (task->m_state == TaskState::WAITING) {
-        task->m_state = TaskState::STOPPING;
-        task->m_run = stray.m_run;
-        task->m_worker = stray.m_worker;
-        task->m_placedAt = stray.m_placedAt;
-        return true;
-    }
-    run.findOccurrence(key.m_occurrence)
-            ->m_steps[key.m_step]
-            .m_copies.push_back({key.m_index, stray.m_run, stray.m_worker, stray.m_placedAt, true});
-    return true;
-}
-
-JobRun makeJobRun(const JobRecord& record) {
-    JobRun run;
-    run.m_organisation = record.m_organisation;
-    run.m_queue = record.m_policy.m_queue;
-    run.m_isTimed = record.m_spec.isTimed();
-    run.m_why = "accepted; no decision yet";
-    if (!run.m_isTimed) {
-        run.m_occurrences.push_back(makeOccurrence(record.m_spec, 0));
-        run.m_startedOccurrences = 1;
-    }
-    return run;
-}
-
-std::optional<Millis> getNextDue(const JobRecord& record, const JobRun& run) {
-    const JobSpec& spec = record.m_spec;
-    if (!spec.isTimed() || run.isOver() || run.m_startedOccurrences >= spec.m_occurrences) {
-        return std::nullopt;
-    }
-    return spec.m_firstDue + spec.m_interval * run.m_startedOccurrences;
-}
-
-bool addDueOccurrences(const JobRecord& record, JobRun& run, Millis wallNow) {
-    bool isAdded = false;
-    for (auto due = getNextDue(record, run); due.has_value() && *due <= wallNow;
-         due = getNextDue(record, run)) {
-        run.m_occurrences.push_back(makeOccurrence(record.m_spec, run.m_startedOccurrences));
-        ++run.m_startedOccurrences;
-        isAdded = true;
-    }
-    return isAdded;
-}
-
-bool isStepReady(const JobRecord& record, const OccurrenceRun& occurrence, std::uint32_t step) {
-    const auto& after = record.m_spec.m_steps[step].m_after;
-    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
-        return earlier < occurrence.m_steps.size() && occurrence.m_steps[earlier].isDone();
-    });
-}
-
 namespace {
 
 /** Where a task's failed runs are counted: of a gang at its first member. */
