--- a/test/failures/FormerLivesTest.cpp
+++ b/test/failures/FormerLivesTest.cpp
@@ -44,12 +44,7 @@
 }
 
 TEST_F(ADelayedHeartbeatOfAFormerLife, DoesNotDoSoWhenItsSidecarIsNewEither) {
-    m_fleet.killSidecar(0);
-    getSidecar(0).m_isMute = true;
-    m_fleet.startSidecar(0);
-    m_fleet.deliver(0, m_former);
-    m_fleet.m_loop.advance(Millis(1500));
-    getSidecar(0).m_isMute = false;
+    restartSidecarUnder(0, m_former);
     m_fleet.beat(0);
     expectThatAllRanOnce();
 }
--- a/test/support/JobFleetTest.h
+++ b/test/support/JobFleetTest.h
@@ -65,6 +65,16 @@
         return m_fleet.m_loop.advanceUntil(limit, condition);
     }
 
+    /** A sidecar that knows nothing hears first what a process that is over once said. */
+    void restartSidecarUnder(std::size_t place, const WorkerBeat& former) {
+        m_fleet.killSidecar(place);
+        getSidecar(place).m_isMute = true;
+        m_fleet.startSidecar(place);
+        m_fleet.deliver(place, former);
+        m_fleet.m_loop.advance(Millis(1500));
+        getSidecar(place).m_isMute = false;
+    }
+
     JobFleet m_fleet;
 };
 
--- /dev/null
+++ b/test/support/RunWitness.cpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RunWitness.h"
+
+#include <algorithm>
+
+namespace pierbank::testing {
+
+void RunWitness::noteStart(const TaskKey& task, std::uint32_t run, const std::string& worker) {
+    ++m_starts[task];
+    if (m_running.count(task) != 0) {
+        m_violations.push_back(task.toText() + " run " + std::to_string(run) + " on " + worker +
+                               " while it runs on " + m_running[task]);
+    }
+    if (m_kept.count(task) != 0) {
+        m_violations.push_back(task.toText() + " started on " + worker + " after it was done");
+    }
+    m_running[task] = worker;
+    m_stories[task].m_starts.push_back(++m_events);
+    checkStory(task);
+}
+
+void RunWitness::noteCounted(const TaskKey& task, RunEnd how, std::size_t end) {
+    Story& story = m_stories[task];
+    if (how == RunEnd::DONE) {
+        story.m_done.push_back(end);
+    } else if (how == RunEnd::FAILED) {
+        story.m_failed.push_back(end);
+        std::sort(story.m_failed.begin(), story.m_failed.end());
+    }
+    checkStory(task);
+}
+
+/** An end may be taken note of only after the start that it forbids. */
+void RunWitness::checkStory(const TaskKey& task) {
+    const Story& story = m_stories[task];
+    const std::size_t last = story.m_starts.empty() ? 0 : story.m_starts.back();
+    const auto isBefore = [last](std::size_t end) {
+        return end < last;
+    };
+    if (std::any_of(story.m_done.begin(), story.m_done.end(), isBefore)) {
+        m_violations.push_back(task.toText() + " started after an end that counts as done");
+    }
+    const auto failed = std::count_if(story.m_failed.begin(), story.m_failed.end(), isBefore);
+    if (m_attempts > 0 && failed >= static_cast<std::ptrdiff_t>(m_attempts)) {
+        m_violations.push_back(task.toText() + " started after " + std::to_string(failed) +
+                               " failed runs");
+    }
+}
+
+void RunWitness::noteStop(const TaskKey& task, const std::string& worker) {
+    const auto found = m_running.find(task);
+    if (found != m_running.end() && found->second == worker) {
+        m_running.erase(found);
+    }
+}
+
+std::size_t RunWitness::countStarts(const TaskKey& task) const {
+    const auto found = m_starts.find(task);
+    return found == m_starts.end() ? 0 : found->second;
+}
+
+}  // namespace pierbank::testing
