--- a/libs/wire/src/SocketLink.cpp
+++ b/libs/wire/src/SocketLink.cpp
@@ -8,9 +8,11 @@
 
 namespace pierbank {
 
-SocketLink::SocketLink(GSocketConnection* connection, WebSocketCodec::Role role,
-                       const std::string& peer)
-        : m_connection(connection), m_socket(g_socket_connection_get_socket(connection)) {
+SocketLink::SocketLink(std::shared_ptr<SocketPoller> poller, GSocketConnection* connection,
+                       WebSocketCodec::Role role, const std::string& peer)
+        : m_connection(connection),
+          m_socket(g_socket_connection_get_socket(connection)),
+          m_poller(std::move(poller)) {
     g_object_ref(m_connection);
     g_socket_set_blocking(m_socket, FALSE);
     constexpr int TCP_LEVEL = 6;
@@ -41,7 +43,7 @@
     m_onReady = std::move(onReady);
     m_selfWhileOpening = shared_from_this();
     m_handshakeTimer = g_timeout_add(HANDSHAKE_TIMEOUT_MS, &onHandshakeTimeout, this);
-    watchFor(G_IO_IN);
+    m_polled = m_poller->add(g_socket_get_fd(m_socket), *this);
     m_codec->start();
 }
 
@@ -73,7 +75,7 @@
         return;
     }
     m_isClosed = true;
-    stopWatching();
+    m_poller->remove(m_polled);
     if (m_handshakeTimer != 0) {
         g_source_remove(m_handshakeTimer);
         m_handshakeTimer = 0;
@@ -81,36 +83,21 @@
     g_io_stream_close(G_IO_STREAM(m_connection), nullptr, nullptr);
 }
 
-void SocketLink::watchFor(GIOCondition condition) {
-    if (m_isClosed || condition == m_condition) {
-        return;
+void SocketLink::waitForRoom(bool waits) {
+    if (!m_isClosed && std::exchange(m_waitsForRoom, waits) != waits) {
+        m_poller->setWaitsForRoom(m_polled, waits);
     }
-    stopWatching();
-    m_condition = condition;
-    m_source = g_socket_create_source(m_socket, condition, nullptr);
-    g_source_set_callback(m_source, G_SOURCE_FUNC(&onSocket), this, nullptr);
-    g_source_attach(m_source, nullptr);
 }
 
-void SocketLink::stopWatching() {
-    if (m_source != nullptr) {
-        g_source_destroy(m_source);
-        g_source_unref(m_source);
-        m_source = nullptr;
-    }
-    m_condition = GIOCondition(0);
-}
-
-gboolean SocketLink::onSocket(GSocket*, GIOCondition condition, gpointer self) {
+void SocketLink::handleReady(bool canRead, bool canWrite) {
     // A callback may drop the last other owner.
-    const auto link = static_cast<SocketLink*>(self)->shared_from_this();
-    if ((condition & G_IO_OUT) != 0) {
-        link->flush();
+    const auto link = shared_from_this();
+    if (canWrite) {
+        flush();
     }
-    if ((condition & ~G_IO_OUT) != 0 && !link->m_isClosed) {
-        link->readAvailable();
+    if (canRead && !m_isClosed) {
+        readAvailable();
     }
-    return G_SOURCE_CONTINUE;
 }
 
 void SocketLink::readAvailable() {
@@ -148,14 +135,14 @@
         if (count < 0) {
             // A broken socket also becomes readable; the reader reports the end.
             g_clear_error(&error);
-            watchFor(GIOCondition(G_IO_IN | G_IO_OUT));
+            waitForRoom(true);
             return;
         }
         m_sent += static_cast<std::size_t>(count);
     }
     m_waiting.clear();
     m_sent = 0;
-    watchFor(G_IO_IN);
+    waitForRoom(false);
 }
 
 void SocketLink::handleOpen() {
--- a/libs/wire/src/SocketLink.h
+++ b/libs/wire/src/SocketLink.h
@@ -10,16 +10,20 @@
 
 #include "pierbank/wire/Transport.h"
 #include "pierbank/wire/WebSocketCodec.h"
+#include "SocketPoller.h"
 
 namespace pierbank {
 
 /** A Link on a GLib socket. It reads and writes without blocking, on the main context. */
-class SocketLink final : public Link, public std::enable_shared_from_this<SocketLink> {
+class SocketLink final : public Link,
+                         public std::enable_shared_from_this<SocketLink>,
+                         private SocketPoller::Listener {
 public:
     /** Called once: with true when the handshake is done, with false when it failed. */
     using ReadyCallback = std::function<void(bool isOpen)>;
 
-    SocketLink(GSocketConnection* connection, WebSocketCodec::Role role, const std::string& peer);
+    SocketLink(std::shared_ptr<SocketPoller> poller, GSocketConnection* connection,
+               WebSocketCodec::Role role, const std::string& peer);
     ~SocketLink() override;
     SocketLink(const SocketLink&) = delete;
     SocketLink& operator=(const SocketLink&) = delete;
@@ -32,14 +36,13 @@
     void close() override;
 
 private:
-    static gboolean onSocket(GSocket* socket, GIOCondition condition, gpointer self);
+    void handleReady(bool canRead, bool canWrite) override;
     static gboolean onHandshakeTimeout(gpointer self);
 
     void readAvailable();
     void write(std::string_view bytes);
     void flush();
-    void watchFor(GIOCondition condition);
-    void stopWatching();
+    void waitForRoom(bool waits);
     void handleMessage(std::string_view message);
     void handleOpen();
     void fail();
@@ -59,8 +62,9 @@
     std::shared_ptr<SocketLink> m_selfWhileOpening;
     std::string m_waiting;
     std::size_t m_sent = 0;
-    GSource* m_source = nullptr;
-    GIOCondition m_condition = GIOCondition(0);
+    const std::shared_ptr<SocketPoller> m_poller;
+    SocketPoller::Id m_polled = SocketPoller::Id::NONE;
+    bool m_waitsForRoom = false;
     guint m_handshakeTimer = 0;
     bool m_isClosed = false;
 };
--- a/libs/wire/src/SocketTransport.cpp
+++ b/libs/wire/src/SocketTransport.cpp
@@ -15,6 +15,7 @@
 
 /** What an asynchronous connect carries to its end. */
 struct Connecting {
+    std::shared_ptr<SocketPoller> m_poller;
     std::string m_peer;
     Transport::LinkCallback m_done;
 };
@@ -27,8 +28,8 @@
         connecting->m_done(nullptr);
         return;
     }
-    const auto link = std::make_shared<SocketLink>(connection, WebSocketCodec::Role::CLIENT,
-                                                   connecting->m_peer);
+    const auto link = std::make_shared<SocketLink>(
+            connecting->m_poller, connection, WebSocketCodec::Role::CLIENT, connecting->m_peer);
     g_object_unref(connection);
     link->start([link = link.get(), done = connecting->m_done](bool isOpen) {
         done(isOpen ? link->shared_from_this() : nullptr);
@@ -82,7 +83,7 @@
 
     void connect(const Address& address, LinkCallback done) {
         GSocketAddress* socketAddress = makeSocketAddress(address);
-        auto* connecting = new Connecting{address.toText(), std::move(done)};
+        auto* connecting = new Connecting{m_poller, address.toText(), std::move(done)};
         g_socket_client_connect_async(m_client, G_SOCKET_CONNECTABLE(socketAddress), nullptr,
                                       &finishConnect, connecting);
         g_object_unref(socketAddress);
@@ -92,8 +93,8 @@
     static gboolean onIncoming(GSocketService*, GSocketConnection* connection, GObject*,
                                gpointer data) {
         auto* self = static_cast<Detail*>(data);
-        const auto link =
-                std::make_shared<SocketLink>(connection, WebSocketCodec::Role::SERVER, "");
+        const auto link = std::make_shared<SocketLink>(self->m_poller, connection,
+                                                       WebSocketCodec::Role::SERVER, "");
         link->start([link = link.get(), onLink = self->m_onLink](bool isOpen) {
             if (isOpen) {
                 onLink(link->shared_from_this());
@@ -102,6 +103,7 @@
         return TRUE;
     }
 
+    const std::shared_ptr<SocketPoller> m_poller = std::make_shared<SocketPoller>();
     GSocketClient* m_client;
     GSocketService* m_service = nullptr;
     LinkCallback m_onLink;
--- a/test/support/GlibFixture.h
+++ b/test/support/GlibFixture.h
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <functional>
+
 #include "pierbank/base/Address.h"
 #include "pierbank/base/Findings.h"
 #include "pierbank/base/GlibEventLoop.h"
@@ -24,6 +26,12 @@
         m_loop.cancel(limit);
     }
 
+    /** Runs the loop until a condition holds; fails the test when that takes far too long. */
+    void runUntil(const std::function<bool()>& condition) {
+        checkLater(condition);
+        run();
+    }
+
     /** Lets a server listen on a free port: the first that works from one of this process's own. */
     template <typename Server>
     Address listen(Server& server) {
@@ -44,6 +52,17 @@
     }
 
     GlibEventLoop m_loop;
+
+private:
+    void checkLater(const std::function<bool()>& condition) {
+        m_loop.callLater(Millis(1), [this, condition] {
+            if (condition()) {
+                m_loop.quit();
+            } else {
+                checkLater(condition);
+            }
+        });
+    }
 };
 
 }  // namespace pierbank::testing
