A count of pending jobs is the leader's

Cause: each count was a list of all accepted jobs and one of all runs at the gateway that was asked.

A gateway with a leader's link asks the leader, which counts what it has in memory, and only while its leadership was confirmed less than 0.9 s ago (its lease is 1 s): a successor may know of jobs that it does not. Else the gateway lists as before; the leader's own callers are answered by its lists too.

AReadIsNotAnsweredByAConfigurationThatIsNotInForceAnyMore asks the leader now, whose count is still a slow list: the scenario is the same, and a follower's count has no such time any more.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -86,6 +86,9 @@
     Millis m_stallPatience{8000};
     /** A host's report that does not show what was ordered so long before it: it got lost. */
     Millis m_orderPatience{2000};
+    /** So long after its leadership was confirmed a leader tells others what it knows of jobs: less
+     * than the lease under which it leads. */
+    Millis m_sureToLead{900};
     /** How long the state of a job that is over is kept (users' bound, and more). */
     Millis m_keepOver{180'000};
 };
@@ -196,7 +199,7 @@
     void handleHostGone(const std::string& host) override;
     void handleInputNotice(const InputNotice& notice) override;
     void handleRelayed(const std::string& host, const RelayedRequest& request) override;
-    void handleConfigurationAsk(const std::string& host, const ConfigurationAsk& ask) override;
+    void handleGatewayAsk(const std::string& host, const GatewayAsk& ask) override;
 
 private:
     // Loading and watching what lies in the store (JobControllerStore.cpp).
@@ -213,7 +216,9 @@
     void learnWeight(std::string_view text);
     void learnHold(const std::string& host, std::string_view word);
     void learnDomain(const std::string& domain, std::string_view word);
-    ConfigurationTold tellConfiguration(std::uint64_t question) const;
+    GatewayTold tellGateway(std::uint64_t question) const;
+    bool isSureToLead() const;
+    std::vector<PendingEntry> countPending() const;
 
     // Deciding.
     /** Something that a plan depends on has changed. */
@@ -321,6 +326,7 @@
         return 0U;
     };
 
+    std::function<Millis()> m_getConfirmedAt;
     bool m_isLeading = false;
     bool m_isLoaded = false;
     StoreRevision m_epoch = 0;
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -63,6 +63,9 @@
     }
     void relay(const IntakeRequest& request, Millis patience,
                std::function<void(const std::optional<IntakeAnswer>&)> done) override;
+    void countPending(std::function<void(const std::optional<PendingJobs>&)> done) override {
+        m_leaderLink.askPending(std::move(done));
+    }
     void answerRelayed(const RelayedRequest& request,
                        std::function<void(const RelayedAnswer&)> done);
 
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -73,6 +73,9 @@
     Millis m_answerMargin{100};
 };
 
+/** Accepted jobs that have not begun, by queue; queues without any may be left out. */
+using PendingJobs = std::map<std::string, std::size_t>;
+
 /** A gateway that can answer a request when this one can't reach the store. */
 class IntakeRelay {
 public:
@@ -81,6 +84,8 @@
     /** `done` is called once; with an empty answer when none came in time. */
     virtual void relay(const IntakeRequest& request, Millis patience,
                        std::function<void(const std::optional<IntakeAnswer>&)> done) = 0;
+    /** `done` is called once; with nothing when no answer came in time. */
+    virtual void countPending(std::function<void(const std::optional<PendingJobs>&)> done) = 0;
 };
 
 /**
@@ -141,6 +146,7 @@
     bool isStillAllowed(const Call& call) const;
     void countPending(const CallPtr& call);
     void refreshPending();
+    void listPending();
     void finishPending(bool isGood);
 
     void answer(const CallPtr& call, std::uint32_t status, std::string body,
@@ -165,7 +171,7 @@
                                                                              std::string_view) {
     };
     /** Pending jobs by queue, and when they were counted. */
-    std::map<std::string, std::size_t> m_pending;
+    PendingJobs m_pending;
     Millis m_pendingAt{0};
     bool m_hasPending = false;
     std::vector<CallPtr> m_pendingCalls;
--- a/libs/control/include/pierbank/control/LeaderLink.h
+++ b/libs/control/include/pierbank/control/LeaderLink.h
@@ -11,6 +11,7 @@
 
 #include "pierbank/base/EventLoop.h"
 #include "pierbank/control/ConfigurationFeed.h"
+#include "pierbank/control/JobIntake.h"
 #include "pierbank/control/LeaderPort.h"
 #include "pierbank/control/LeadershipBid.h"
 
@@ -51,10 +52,13 @@
     bool isUsable() const;
 
     using WordCallback = std::function<void(const std::optional<ConfigurationWord>&)>;
+    using PendingCallback = std::function<void(const std::optional<PendingJobs>&)>;
 
     /** Asks the leader how old the configuration is. `done` is called once; with nothing when no
      * answer came in time. */
     void ask(WordCallback done);
+    /** The same for the jobs that have not begun; with nothing when the leader can't tell. */
+    void askPending(PendingCallback done);
 
     /**
      * Lets the leader answer a request. `done` is called once; with a status of zero when no
@@ -71,8 +75,10 @@
     void keepAlive();
     void learnWord(const std::optional<ConfigurationWord>& word);
     void noteUse();
-    void finishQuestion(std::uint64_t number, const std::optional<ConfigurationWord>& word);
-    void handleTold(const ConfigurationTold& told);
+    using ToldCallback = std::function<void(const std::optional<GatewayTold>&, Millis sentAt)>;
+    void sendQuestion(bool asksPending, ToldCallback done);
+    void finishQuestion(std::uint64_t number, const std::optional<GatewayTold>& told);
+    void handleTold(const GatewayTold& told);
     void finishRelay(std::uint64_t number, const RelayedAnswer& answer);
 
     EventLoop& m_loop;
@@ -86,7 +92,7 @@
     LeadershipBid& m_bid;
     struct Question {
         Millis m_sentAt{0};
-        WordCallback m_done;
+        ToldCallback m_done;
     };
     std::map<std::uint64_t, Question> m_questions;
     std::uint64_t m_lastQuestion = 0;
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -65,7 +65,7 @@
     /** A gateway that can't reach the store asks for a caller's request to be answered. */
     virtual void handleRelayed(const std::string& host, const RelayedRequest& request) = 0;
     /** A gateway asks how old the configuration is. */
-    virtual void handleConfigurationAsk(const std::string& host, const ConfigurationAsk& ask) = 0;
+    virtual void handleGatewayAsk(const std::string& host, const GatewayAsk& ask) = 0;
     /** Whatever ran there under an earlier grant has surely stopped. */
     virtual void handleHostLost(const std::string& host) = 0;
     /** It was out of reach for so long that the pool has forgotten it. */
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -51,6 +51,7 @@
     m_isLeading = true;
     m_epoch = epoch;
     m_term = std::make_shared<bool>(true);
+    m_getConfirmedAt = getConfirmedAt;
     m_workers.start(epoch, std::move(getConfirmedAt));
     m_evacuations.start();
     load();
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -206,7 +206,7 @@
         return;
     }
     constexpr std::uint64_t UNASKED = 0;
-    const ConfigurationTold told = tellConfiguration(UNASKED);
+    const GatewayTold told = tellGateway(UNASKED);
     for (const auto& [address, host] : m_workers.getHosts()) {
         if (host.m_fitness.has_value()) {
             m_workers.send(address, told);
@@ -214,12 +214,38 @@
     }
 }
 
-void JobController::handleConfigurationAsk(const std::string& host, const ConfigurationAsk& ask) {
-    m_workers.send(host, tellConfiguration(ask.m_number));
+void JobController::handleGatewayAsk(const std::string& host, const GatewayAsk& ask) {
+    GatewayTold told = tellGateway(ask.m_number);
+    if (ask.m_asksPending && isSureToLead()) {
+        told.m_knowsPending = true;
+        told.m_pending = countPending();
+    }
+    m_workers.send(host, told);
+}
+
+/** A successor may know of jobs that this gateway does not, as soon as its lease may be over. */
+bool JobController::isSureToLead() const {
+    return m_isLoaded && m_loop.now() - m_getConfirmedAt() <= m_settings.m_sureToLead;
+}
+
+std::vector<PendingEntry> JobController::countPending() const {
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto& [id, entry] : m_jobs) {
+        const bool isPending = entry.m_hasInput && !entry.m_run.m_hasBegun &&
+                               !entry.m_run.isOver() && !entry.m_record.m_spec.isTimed();
+        if (isPending) {
+            ++counts[entry.m_record.m_policy.m_queue];
+        }
+    }
+    std::vector<PendingEntry> pending;
+    for (const auto& [queue, jobs] : counts) {
+        pending.push_back({queue, jobs});
+    }
+    return pending;
 }
 
-ConfigurationTold JobController::tellConfiguration(std::uint64_t question) const {
-    ConfigurationTold told;
+GatewayTold JobController::tellGateway(std::uint64_t question) const {
+    GatewayTold told;
     told.m_number = question;
     const auto age = m_configuration.getAge();
     if (age.has_value()) {
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -163,8 +163,30 @@
     }
 }
 
-/** Accepted jobs without a begun run, of both prefixes; a job that begins between is counted. */
+/** The leader knows them without a list of all jobs. */
 void JobIntake::refreshPending() {
+    if (m_relay == nullptr || !m_relay->isUsable()) {
+        listPending();
+        return;
+    }
+    m_relay->countPending([this, at = m_loop.now(), alive = std::weak_ptr(m_isAlive)](
+                                  const std::optional<PendingJobs>& pending) {
+        if (alive.expired()) {
+            return;
+        }
+        if (!pending.has_value()) {
+            listPending();
+            return;
+        }
+        m_pending = *pending;
+        m_pendingAt = at;
+        m_hasPending = true;
+        finishPending(true);
+    });
+}
+
+/** Accepted jobs without a begun run, of both prefixes; a job that begins between is counted. */
+void JobIntake::listPending() {
     const Millis at = m_loop.now();
     m_store.list(JOB_PREFIX, [this, at, alive = std::weak_ptr(m_isAlive)](const StoreList& jobs) {
         if (alive.expired()) {
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -12,8 +12,8 @@
 constexpr Millis ASK_INTERVAL{500};
 /** The leader answers each question; so long after the next was due it is taken for gone. */
 constexpr Millis ANSWER_PATIENCE{800};
-/** After this time a question is answered by a read of the own. */
-constexpr Millis WORD_PATIENCE{300};
+/** Who asked goes to the store after this time. */
+constexpr Millis ANSWER_TIMEOUT{300};
 
 }  // namespace
 
@@ -62,10 +62,34 @@
 }
 
 void LeaderLink::ask(WordCallback done) {
+    sendQuestion(false, [done = std::move(done)](const auto& told, Millis sentAt) {
+        if (!told.has_value()) {
+            done(std::nullopt);
+            return;
+        }
+        done(ConfigurationWord{told->m_revision, sentAt - Millis(told->m_ageMs)});
+    });
+}
+
+void LeaderLink::askPending(PendingCallback done) {
+    sendQuestion(true, [done = std::move(done)](const auto& told, Millis) {
+        if (!told.has_value() || !told->m_knowsPending) {
+            done(std::nullopt);
+            return;
+        }
+        PendingJobs pending;
+        for (const PendingEntry& entry : told->m_pending) {
+            pending[entry.m_queue] = entry.m_jobs;
+        }
+        done(pending);
+    });
+}
+
+void LeaderLink::sendQuestion(bool asksPending, ToldCallback done) {
     const std::uint64_t number = ++m_lastQuestion;
     m_questions[number] = {m_loop.now(), std::move(done)};
-    const bool isSent = m_port.send(ConfigurationAsk{number, m_bid.getFitness()});
-    m_loop.callLater(isSent ? WORD_PATIENCE : Millis(0),
+    const bool isSent = m_port.send(GatewayAsk{number, m_bid.getFitness(), asksPending});
+    m_loop.callLater(isSent ? ANSWER_TIMEOUT : Millis(0),
                      [this, number, alive = std::weak_ptr(m_isAlive)] {
                          if (!alive.expired()) {
                              finishQuestion(number, std::nullopt);
@@ -73,37 +97,35 @@
                      });
 }
 
-void LeaderLink::finishQuestion(std::uint64_t number,
-                                const std::optional<ConfigurationWord>& word) {
+void LeaderLink::finishQuestion(std::uint64_t number, const std::optional<GatewayTold>& told) {
     const auto found = m_questions.find(number);
     if (found == m_questions.end()) {
         return;
     }
-    const WordCallback done = std::move(found->second.m_done);
+    const Question question = std::move(found->second);
     m_questions.erase(found);
-    done(word);
+    question.m_done(told, question.m_sentAt);
 }
 
-void LeaderLink::handleTold(const ConfigurationTold& told) {
+void LeaderLink::handleTold(const GatewayTold& told) {
     m_bid.noteFleet(told.m_gateways, told.m_bestFitness);
     if (told.m_askAfterMs != 0) {
         m_askInterval = Millis(told.m_askAfterMs);
     }
-    const auto asked = m_questions.find(told.m_number);
-    if (asked == m_questions.end()) {
-        // What nobody asked for has no date: it only says that there may be a newer one.
+    if (m_questions.count(told.m_number) != 0) {
+        finishQuestion(told.m_number, told);
+    } else {
+        // Nobody asked, or not any more: it has no date, and only says that there may be a newer
+        // one.
         m_onWord({told.m_revision, Millis(0)});
-        return;
     }
-    const Millis confirmedAt = asked->second.m_sentAt - Millis(told.m_ageMs);
-    finishQuestion(told.m_number, ConfigurationWord{told.m_revision, confirmedAt});
 }
 
 void LeaderLink::handleFrame(const Frame& frame) {
     m_wasUsable = true;
     if (const auto* const answer = std::get_if<RelayedAnswer>(&frame)) {
         finishRelay(answer->m_number, *answer);
-    } else if (const auto* const told = std::get_if<ConfigurationTold>(&frame)) {
+    } else if (const auto* const told = std::get_if<GatewayTold>(&frame)) {
         handleTold(*told);
     }
 }
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -301,12 +301,12 @@
         m_listener.handleInputNotice(*input);
     } else if (const auto* const request = std::get_if<RelayedRequest>(&frame)) {
         m_listener.handleRelayed(address, *request);
-    } else if (const auto* const asked = std::get_if<ConfigurationAsk>(&frame)) {
+    } else if (const auto* const asked = std::get_if<GatewayAsk>(&frame)) {
         host.m_fitness = asked->m_fitness;
         host.m_isLost = false;
         host.m_grantedUntil = m_loop.now() + getLongestGrant();
         noteOpened(address);
-        m_listener.handleConfigurationAsk(address, *asked);
+        m_listener.handleGatewayAsk(address, *asked);
     }
 }
 
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -32,13 +32,25 @@
     bool operator==(const LeaseRenewal&) const = default;
 };
 
-/** Gateway to leader: how old is the configuration? Also the gateway's sign of life. */
-struct ConfigurationAsk {
+/** Accepted jobs of one queue that have not begun. */
+struct PendingEntry {
+    std::string m_queue;
+    std::uint64_t m_jobs = 0;
+    bool operator==(const PendingEntry&) const = default;
+};
+
+/**
+ * Gateway to leader: how old is the configuration, and how many jobs are pending? Also the
+ * gateway's sign of life.
+ */
+struct GatewayAsk {
     /** Unique on the link, from 1. */
     std::uint64_t m_number = 0;
     /** How well the sender could lead (LeadershipBid). */
     std::uint32_t m_fitness = 0;
-    bool operator==(const ConfigurationAsk&) const = default;
+    /** The pending jobs are asked for too. */
+    bool m_asksPending = false;
+    bool operator==(const GatewayAsk&) const = default;
 };
 
 /**
@@ -47,7 +59,7 @@
  * from the sending of its question. Without a question (number zero) it only says that there is a
  * newer one.
  */
-struct ConfigurationTold {
+struct GatewayTold {
     std::uint64_t m_number = 0;
     /** The store's revision; zero: the leader has none. */
     std::uint64_t m_revision = 0;
@@ -57,7 +69,11 @@
     /** Gateways that are linked, and the best fitness among them and the leader. */
     std::uint32_t m_gateways = 0;
     std::uint32_t m_bestFitness = 0;
-    bool operator==(const ConfigurationTold&) const = default;
+    /** They were asked for, and the sender surely leads. */
+    bool m_knowsPending = false;
+    /** Queues without any are left out. */
+    std::vector<PendingEntry> m_pending;
+    bool operator==(const GatewayTold&) const = default;
 };
 
 /** Gateway to leader: a caller's request that the gateway can't answer without the store. */
@@ -220,7 +236,7 @@
 /** Any message between processes of the system. The order is the wire's type number. */
 using Frame = std::variant<LeaderHello, LeaseAsk, LeaseRenewal, WorkerNotice, RunReport, RunOrder,
                            RunStop, RunAbsent, EndsKept, InputNotice, RelayedRequest, RelayedAnswer,
-                           ConfigurationAsk, ConfigurationTold>;
+                           GatewayAsk, GatewayTold>;
 
 }  // namespace pierbank
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -20,14 +20,19 @@
 }
 
 template <typename Archive>
-void describe(Archive& archive, ConfigurationAsk& frame) {
-    archive(frame.m_number, frame.m_fitness);
+void describe(Archive& archive, PendingEntry& entry) {
+    archive(entry.m_queue, entry.m_jobs);
 }
 
 template <typename Archive>
-void describe(Archive& archive, ConfigurationTold& frame) {
+void describe(Archive& archive, GatewayAsk& frame) {
+    archive(frame.m_number, frame.m_fitness, frame.m_asksPending);
+}
+
+template <typename Archive>
+void describe(Archive& archive, GatewayTold& frame) {
     archive(frame.m_number, frame.m_revision, frame.m_ageMs, frame.m_askAfterMs, frame.m_gateways,
-            frame.m_bestFitness);
+            frame.m_bestFitness, frame.m_knowsPending, frame.m_pending);
 }
 
 template <typename Archive>
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -34,8 +34,8 @@
             InputNotice{"k", "v"},
             RelayedRequest{1, "POST", "h", "/x", "k", "body", 99},
             RelayedAnswer{1, 200, "body"},
-            ConfigurationAsk{3, 120},
-            ConfigurationTold{3, 8, 40, 500, 183, 1000}};
+            GatewayAsk{3, 120, true},
+            GatewayTold{3, 8, 40, 500, 183, 1000, true, {{"q", 4}}}};
     return frames;
 }
 
--- a/test/failures/ConfigurationFailuresTest.cpp
+++ b/test/failures/ConfigurationFailuresTest.cpp
@@ -61,7 +61,8 @@
  * version 139 ms before both lines `answered`, with 269 and 856 ms since their calls came.
  */
 TEST_F(ConfigurationFailuresTest, AReadIsNotAnsweredByAConfigurationThatIsNotInForceAnyMore) {
-    const std::size_t place = getFollower();
+    // The others ask the leader for the count.
+    const std::size_t place = getLeader();
     m_fleet.m_state.m_listLatency = Millis(400);
     IntakeRequest request;
     request.m_method = "GET";
--- a/test/failures/FollowersTest.cpp
+++ b/test/failures/FollowersTest.cpp
@@ -60,6 +60,30 @@
     EXPECT_LE(getFeed(place).getAge().value(), Millis(1200));
 }
 
+/** Each count of pending jobs was two lists of all jobs at the gateway that was asked. */
+TEST_F(FollowersTest, ACountOfPendingJobsIsTheLeadersAndCostsNoList) {
+    constexpr const char* HUGE = R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":8,"est_ms":60000})";
+    const std::size_t place = getFollower();
+    for (int i = 10; i < 20; ++i) {
+        const std::string id = "00000000000000" + std::to_string(i);
+        ASSERT_EQ(m_fleet.submit(id, HUGE, "60000").m_status, 200U);
+    }
+    m_fleet.m_loop.advance(Millis(3000));
+    const std::uint64_t before = countCalls(place);
+    EXPECT_EQ(m_fleet.ask(place, "GET", "/batch/").m_body, R"({"pending":6})");
+    EXPECT_LE(countCalls(place) - before, 1U);
+}
+
+TEST_F(FollowersTest, APendingCountIsReadFromTheStoreWhenTheLeaderMayHaveBeenReplaced) {
+    const std::size_t place = getFollower();
+    m_fleet.m_loop.advance(Millis(3000));
+    m_fleet.m_state.m_cutOff.insert(m_fleet.m_gateways[getLeader()].m_name);
+    m_fleet.m_loop.advance(Millis(1000));
+    const std::uint64_t before = countCalls(place);
+    EXPECT_EQ(m_fleet.ask(place, "GET", "/batch/").m_status, 200U);
+    EXPECT_GE(countCalls(place) - before, 2U);
+}
+
 /** A leader that is frozen, or has been replaced and does not know it, tells nothing new. */
 TEST_F(FollowersTest, AKeyThatIsRevokedWhileTheLeaderIsFrozenIsNotServed) {
     const std::size_t place = getFollower();
