Plans leave most of a slow leader's time to the rest of its work

Cause: while hundreds of workers link, each is a reason for a new plan after 3 ms.

PlanPace: after a plan that took a time, three times as long goes to other work; a plan that takes less than a millisecond delays nothing. Advice is wished for only when a queue has it. Runs that only go on are reported as often as the lease is asked for, if that is less often than each second.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -20,6 +20,7 @@
 #include "pierbank/control/EvacuationFeed.h"
 #include "pierbank/control/HostSpeeds.h"
 #include "pierbank/control/JobTable.h"
+#include "pierbank/control/PlanPace.h"
 #include "pierbank/control/ProgressTracker.h"
 #include "pierbank/control/RoomRefusals.h"
 #include "pierbank/control/UrgentDemand.h"
@@ -226,6 +227,7 @@
     void scheduleStep();
     void step();
     bool isPlanDue() const;
+    void planLater();
     void applyCancels();
     void addOccurrences();
     void plan();
@@ -350,6 +352,8 @@
     /** Units that the last plan left waiting. */
     std::size_t m_waiting = 0;
     Millis m_plannedAt{0};
+    PlanPace m_pace;
+    TimerId m_planTimer = TimerId::NONE;
     /** What is known of the workers but for what may change at any time; see updateView(). */
     mutable std::vector<WorkerView> m_views;
     mutable bool m_areViewsStale = true;
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -64,6 +64,7 @@
     m_isCommitting = false;
     m_loop.cancel(std::exchange(m_stepTimer, TimerId::NONE));
     m_loop.cancel(std::exchange(m_withdrawTimer, TimerId::NONE));
+    m_loop.cancel(std::exchange(m_planTimer, TimerId::NONE));
     m_evacuations.stop();
     m_emptiedDomains.clear();
     m_workers.stop();
@@ -132,13 +133,26 @@
     if (isPlanDue()) {
         moveStalled();
         plan();
+    } else if (m_isPlanStale) {
+        planLater();
     }
     commitDirty();
 }
 
+void JobController::planLater() {
+    const Millis wait = m_pace.getNextAt() - m_loop.now();
+    if (wait <= Millis(0) || m_planTimer != TimerId::NONE) {
+        return;
+    }
+    m_planTimer = m_loop.callLater(wait, guarded([this] {
+                                       m_planTimer = TimerId::NONE;
+                                       scheduleStep();
+                                   }));
+}
+
 /** Not before the evacuations are known: a plan made without would place work there. */
 bool JobController::isPlanDue() const {
-    if (!m_evacuations.isCertain()) {
+    if (!m_evacuations.isCertain() || m_loop.now() < m_pace.getNextAt()) {
         return false;
     }
     const Millis interval =
@@ -177,6 +191,7 @@
     m_isPlanStale = false;
     m_waiting = plan.m_waiting;
     m_plannedAt = m_loop.now();
+    m_pace.notePlan(begunAt, m_plannedAt);
     notePlanTime(m_plannedAt - begunAt, plan);
     noteUrgentWaits(plan);
     place(plan.m_placements);
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -155,6 +155,13 @@
 
 /** For all steps that are not done, so that tickets are there before room is. */
 void JobController::wishForAdvice() {
+    const bool isWished = std::any_of(m_jobs.begin(), m_jobs.end(), [](const auto& job) {
+        return job.second.m_record.m_policy.m_advice.has_value();
+    });
+    if (!isWished) {
+        m_advice.wish({});
+        return;
+    }
     std::vector<AdviceWish> wishes;
     const std::vector<WorkerView>& workers = viewWorkers();
     for (const auto& [id, entry] : m_jobs) {
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -11,7 +11,7 @@
 
 /** Questions whose answer may still come. */
 constexpr std::size_t MAX_ASKS = 32;
-/** What runs is reported at least so often, for its progress. */
+/** What runs is reported so often, for its progress, or as often as the lease is asked for. */
 constexpr Millis REPORT_INTERVAL{1000};
 
 }  // namespace
@@ -212,7 +212,8 @@
     }
     const bool isNews = report.m_ended != m_sentReport.m_ended ||
                         report.m_running.size() != m_sentReport.m_running.size();
-    if (!isNews && !m_mustReport && m_loop.now() - m_reportedAt < REPORT_INTERVAL) {
+    if (!isNews && !m_mustReport &&
+        m_loop.now() - m_reportedAt < std::max(REPORT_INTERVAL, m_askInterval)) {
         return;
     }
     if (m_leader.send(report)) {
