Store calls are counted by kind and keys; the age of a told configuration has a model

CountedStore passes calls on and counts them; pierbank_store_calls_total on the metrics page of each gateway.

model/confirmation.pml: two gateways tell (one was replaced and does not know it), readings, questions and answers take any time, get lost and overtake each other, no clock is compared.

--- a/libs/base/include/pierbank/base/Metrics.h
+++ b/libs/base/include/pierbank/base/Metrics.h
@@ -3,6 +3,7 @@
 #define PIERBANK_BASE_METRICS_H
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -35,6 +36,9 @@
 class MetricsPage {
 public:
     void addCounter(std::string_view name, std::string_view help, std::uint64_t value);
+    /** One counter in several parts; each is named by its labels, as `kind="read"`. */
+    void addCounters(std::string_view name, std::string_view help,
+                     const std::map<std::string, std::uint64_t>& values);
     void addGauge(std::string_view name, std::string_view help, double value);
     void addSummary(std::string_view name, std::string_view help, const LatencySummary& summary);
 
--- a/libs/base/src/Metrics.cpp
+++ b/libs/base/src/Metrics.cpp
@@ -63,6 +63,15 @@
     m_text.append(name).append(" ").append(std::to_string(value)).append("\n");
 }
 
+void MetricsPage::addCounters(std::string_view name, std::string_view help,
+                              const std::map<std::string, std::uint64_t>& values) {
+    addHead(name, help, "counter");
+    for (const auto& [labels, value] : values) {
+        m_text.append(name).append("{").append(labels).append("} ");
+        m_text.append(std::to_string(value)).append("\n");
+    }
+}
+
 void MetricsPage::addGauge(std::string_view name, std::string_view help, double value) {
     addHead(name, help, "gauge");
     m_text.append(name).append(" ").append(std::to_string(value)).append("\n");
--- a/libs/daemon/include/pierbank/daemon/Gateway.h
+++ b/libs/daemon/include/pierbank/daemon/Gateway.h
@@ -11,6 +11,7 @@
 #include "pierbank/daemon/GatewaySettings.h"
 #include "pierbank/http/HttpServer.h"
 #include "pierbank/operators/JobBackend.h"
+#include "pierbank/store/CountedStore.h"
 
 namespace pierbank {
 
@@ -47,6 +48,7 @@
     EventLoop& m_loop;
     const CallerHeaders m_headers;
     const GatewaySettings m_settings;
+    CountedStore m_store;
     JobCore m_core;
     HttpServer m_front;
     HttpServer m_ready;
--- a/libs/daemon/src/Gateway.cpp
+++ b/libs/daemon/src/Gateway.cpp
@@ -38,7 +38,9 @@
         : m_loop(loop),
           m_headers(std::move(headers)),
           m_settings(std::move(settings)),
-          m_core(platform, loop, transport, m_settings.m_core),
+          m_store(platform.m_store),
+          m_core({m_store, platform.m_advisor, platform.m_fleet, platform.m_codec}, loop, transport,
+                 m_settings.m_core),
           m_front([this](const HttpServerRequest& request,
                          const std::shared_ptr<HttpServerCall>& call) {
               handleCaller(request, call);
@@ -46,8 +48,10 @@
           m_ready([this](const HttpServerRequest&, const std::shared_ptr<HttpServerCall>& call) {
               handleReady(call);
           }),
-          m_backend(platform.m_store, loop, m_core, m_callers),
-          m_operators(m_backend, client, m_settings.m_tokens) {}
+          m_backend(m_store, loop, m_core, m_callers),
+          m_operators(m_backend, client, m_settings.m_tokens) {
+    m_backend.setCountedStore(m_store);
+}
 
 Gateway::~Gateway() = default;
 
--- a/libs/operators/include/pierbank/operators/JobBackend.h
+++ b/libs/operators/include/pierbank/operators/JobBackend.h
@@ -9,6 +9,7 @@
 #include "pierbank/control/JobCore.h"
 #include "pierbank/operators/AuditTrail.h"
 #include "pierbank/operators/OperatorServer.h"
+#include "pierbank/store/CountedStore.h"
 
 namespace pierbank {
 
@@ -33,6 +34,9 @@
                const CallerFigures& callers)
             : m_loop(loop), m_core(core), m_callers(callers), m_audit(store, loop) {}
 
+    /** Whose calls the metrics show; it must outlive the backend. */
+    void setCountedStore(const CountedStore& store) { m_countedStore = &store; }
+
     bool isLeading() const override { return m_core.getJobs().isLeading(); }
     std::optional<Address> getLeader() const override { return m_core.getLock().getLeader(); }
     void execute(StatementRequest request, StatementCallback done) override;
@@ -60,6 +64,7 @@
                       StatementCallback done);
     void setWeights(const StatementRequest& request, const SetWeights& weights,
                     StatementCallback done);
+    void addStoreCalls(MetricsPage& page) const;
     /** Commits a change of the leader's, with its audit entry. */
     void commit(const StatementRequest& request, StoreTransaction change, std::string outcome,
                 StatementCallback done);
@@ -67,6 +72,7 @@
     EventLoop& m_loop;
     const JobCore& m_core;
     const CallerFigures& m_callers;
+    const CountedStore* m_countedStore = nullptr;
     AuditTrail m_audit;
 };
 
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -297,9 +297,21 @@
                     m_callers.m_refused);
     page.addSummary("pierbank_request_ms", "from a caller's request to its answer",
                     m_callers.m_latency);
+    addStoreCalls(page);
     page.addGauge("pierbank_configuration_revision", "revision of the configuration in force",
                   static_cast<double>(m_core.getConfiguration().getRevision()));
     return page.getText();
 }
 
+void JobBackend::addStoreCalls(MetricsPage& page) const {
+    if (m_countedStore == nullptr) {
+        return;
+    }
+    std::map<std::string, std::uint64_t> calls;
+    for (const auto& [call, count] : m_countedStore->getCounts()) {
+        calls["kind=\"" + call.first + "\",keys=\"" + call.second + "\""] = count;
+    }
+    page.addCounters("pierbank_store_calls_total", "calls of the platform's store", calls);
+}
+
 }  // namespace pierbank
--- /dev/null
+++ b/libs/store/src/CountedStore.cpp
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/store/CountedStore.h"
+
+namespace pierbank {
+
+namespace {
+
+std::string_view getFirstKey(const StoreTransaction& transaction) {
+    if (!transaction.m_puts.empty()) {
+        return transaction.m_puts.front().m_key;
+    }
+    return transaction.m_removals.empty() ? "" : transaction.m_removals.front();
+}
+
+}  // namespace
+
+void CountedStore::count(std::string_view kind, std::string_view key) {
+    ++m_counts[{std::string(kind), std::string(key.substr(0, key.find('/')))}];
+}
+
+void CountedStore::read(std::string_view key, std::function<void(const StoreRead&)> done) {
+    count("read", key);
+    m_store.read(key, std::move(done));
+}
+
+void CountedStore::list(std::string_view prefix, std::function<void(const StoreList&)> done) {
+    count("list", prefix);
+    m_store.list(prefix, std::move(done));
+}
+
+void CountedStore::watch(std::string_view prefix, StoreRevision after, Millis wait,
+                         std::function<void(const StoreChanges&)> done) {
+    count("watch", prefix);
+    m_store.watch(prefix, after, wait, std::move(done));
+}
+
+void CountedStore::commit(const StoreTransaction& transaction, Millis patience,
+                          std::function<void(const StoreCommit&)> done) {
+    count("commit", getFirstKey(transaction));
+    m_store.commit(transaction, patience, std::move(done));
+}
+
+void CountedStore::createLease(Millis timeToLive,
+                               std::function<void(const StoreLeaseReply&)> done) {
+    count("lease", "leader");
+    m_store.createLease(timeToLive, std::move(done));
+}
+
+void CountedStore::renewLease(StoreLease lease, std::function<void(const StoreLeaseReply&)> done) {
+    count("renewal", "leader");
+    m_store.renewLease(lease, std::move(done));
+}
+
+void CountedStore::endLease(StoreLease lease) {
+    count("lease-end", "leader");
+    m_store.endLease(lease);
+}
+
+}  // namespace pierbank
--- /dev/null
+++ b/libs/store/test/CountedStoreTest.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/store/CountedStore.h"
+
+#include <gtest/gtest.h>
+
+#include "FakeRecordStore.h"
+#include "ManualEventLoop.h"
+#include "pierbank/base/Metrics.h"
+
+namespace pierbank::testing {
+
+class CountedStoreTest : public ::testing::Test {
+protected:
+    ManualEventLoop m_loop;
+    FakeStoreState m_state{m_loop};
+    FakeRecordStore m_store{m_state, m_loop, "gateway"};
+    CountedStore m_counted{m_store};
+};
+
+TEST_F(CountedStoreTest, PassesCallsOnAndCountsThemByKindAndFamily) {
+    StoreTransaction transaction;
+    transaction.m_puts = {{"input/job/1", "v", 0}};
+    bool isCommitted = false;
+    m_counted.commit(transaction, Millis(1000), [&](const StoreCommit& commit) {
+        isCommitted = commit.m_status == StoreStatus::OK;
+    });
+    m_loop.advance(Millis(10));
+    std::string value;
+    m_counted.read("input/job/1", [&](const StoreRead& read) { value = read.m_item.m_value; });
+    m_counted.read("leader", [](const StoreRead&) {});
+    m_counted.list("input/", [](const StoreList&) {});
+    m_loop.advance(Millis(10));
+    EXPECT_TRUE(isCommitted);
+    EXPECT_EQ(value, "v");
+    const CountedStore::Counts expected = {{{"commit", "input"}, 1},
+                                           {{"list", "input"}, 1},
+                                           {{"read", "input"}, 1},
+                                           {{"read", "leader"}, 1}};
+    EXPECT_EQ(m_counted.getCounts(), expected);
+}
+
+TEST_F(CountedStoreTest, CountsBecomeOneMetricWithLabels) {
+    MetricsPage page;
+    page.addCounters("calls_total", "calls", {{"kind=\"read\"", 3}, {"kind=\"list\"", 1}});
+    EXPECT_NE(page.getText().find("calls_total{kind=\"read\"} 3\n"), std::string::npos);
+    EXPECT_NE(page.getText().find("calls_total{kind=\"list\"} 1\n"), std::string::npos);
+}
+
+}  // namespace pierbank::testing
--- a/model/check.sh
+++ b/model/check.sh
@@ -65,5 +65,11 @@
 for mutant in ID_ALONE LEDGER_BY_ID NO_FENCE NO_ADOPTION LOSE_BEFORE_REPORT ACKNOWLEDGE_UNSEEN; do
     verify refuted restart.pml "MUTANT_$mutant"
 done
+verify holds confirmation.pml TELLERS=2 QUESTIONS=1
+verify holds confirmation.pml TELLERS=1 QUESTIONS=2
+for mutant in AGE_FROM_ARRIVAL NO_TOLD_AGE UNASKED ANY_REVISION READ_FROM_ANSWER; do
+    verify refuted confirmation.pml TELLERS=2 QUESTIONS=1 "MUTANT_$mutant"
+done
+verify refuted confirmation.pml TELLERS=1 QUESTIONS=2 MUTANT_OTHER_QUESTION
 echo "$passed passed, $failed failed"
 ((failed == 0))
