While a leader is heard of, a follower that loses the store does not ask for its key five times a second

Cause: a failed look at the leader key was tried again after 0.2 s, and each failure now also had the configuration read. While the leader's link lives, nothing hangs on the key: 1.5 s, and no read of the configuration that is known to be lost.

--- a/libs/control/include/pierbank/control/LeaderLock.h
+++ b/libs/control/include/pierbank/control/LeaderLock.h
@@ -72,6 +72,7 @@
     void look();
     void handleLook(const StoreRead& read);
     void lookLater(Millis pause);
+    Millis getRetryPause() const;
     void follow(StoreRevision after);
     void handleChanges(const StoreChanges& changes);
     void learnLeader(std::string_view value);
--- a/libs/control/src/JobCore.cpp
+++ b/libs/control/src/JobCore.cpp
@@ -35,7 +35,12 @@
 void JobCore::connectLock() {
     m_lock.onBid([this] { return m_bid.drawPause(); });
     m_lock.onAskLed([this] { return m_leaderLink.isUsable(); });
-    m_lock.onUnanswered([this] { m_configuration.confirm([](bool) {}); });
+    m_lock.onUnanswered([this] {
+        // While it is known to be lost its return is looked for anyhow.
+        if (!m_configuration.isLost()) {
+            m_configuration.confirm([](bool) {});
+        }
+    });
     m_lock.onAcquired([this](StoreRevision epoch) {
         m_jobs.lead(epoch, [this] { return m_lock.getConfirmedAt(); });
         m_waves.lead(epoch);
--- a/libs/control/src/LeaderLock.cpp
+++ b/libs/control/src/LeaderLock.cpp
@@ -13,6 +13,8 @@
 
 /** Pause after a call that failed. */
 constexpr Millis RETRY_PAUSE{200};
+/** The same while the leader is heard of: then nothing hangs on it. */
+constexpr Millis LED_RETRY_PAUSE{1500};
 
 }  // namespace
 
@@ -41,6 +43,10 @@
     });
 }
 
+Millis LeaderLock::getRetryPause() const {
+    return m_isLed() ? LED_RETRY_PAUSE : RETRY_PAUSE;
+}
+
 void LeaderLock::lookWithin(Millis pause) {
     if (!m_isReleased && !isHeld()) {
         lookLater(pause);
@@ -68,7 +74,7 @@
         bid();
     } else {
         m_onUnanswered();
-        lookLater(RETRY_PAUSE);
+        lookLater(getRetryPause());
     }
 }
 
@@ -93,7 +99,7 @@
  */
 void LeaderLock::handleChanges(const StoreChanges& changes) {
     if (changes.m_status != StoreStatus::OK) {
-        lookLater(RETRY_PAUSE);
+        lookLater(getRetryPause());
         return;
     }
     if (changes.m_events.empty() && !m_isLed()) {
