Without an earlier leader a weak gateway still bids after strong ones

Without an earlier leader each compares itself with a core of its own on a wide link: a quarter of a core waits 0.11 s longer, once, before traffic.

--- a/libs/control/include/pierbank/control/LeadershipBid.h
+++ b/libs/control/include/pierbank/control/LeadershipBid.h
@@ -26,8 +26,8 @@
  * Decides who goes for a free leader key first. Each gateway waits for a random part of a spread,
  * which grows with the number of gateways: so the first bid comes early whatever their number is,
  * and most of the others see its key before they bid. A gateway that could lead less well than the
- * best one that the last leader knew waits beyond the whole spread. It bids all the same: with none
- * better left it leads.
+ * best one that the last leader knew, or than one with a core of its own if there was none, waits
+ * beyond the whole spread. It bids all the same: with none better left it leads.
  *
  * No clock, no network; the owner calls drawPause() when the key is free.
  */
--- a/libs/control/src/LeadershipBid.cpp
+++ b/libs/control/src/LeadershipBid.cpp
@@ -49,10 +49,11 @@
 
 Millis LeadershipBid::getHandicap(Millis spread) const {
     const double own = getFitness();
-    if (m_bestFitness == 0 || own >= m_bestFitness) {
+    const double best = m_bestFitness == 0 ? WHOLE_CORE : m_bestFitness;
+    if (own >= best) {
         return Millis(0);
     }
-    const double missing = 1.0 - own / m_bestFitness;
+    const double missing = 1.0 - own / best;
     const Millis most = spread + m_settings.m_mostHandicap;
     return Millis(std::llround(missing * static_cast<double>(most.count())));
 }
--- a/libs/control/test/LeadershipBidTest.cpp
+++ b/libs/control/test/LeadershipBidTest.cpp
@@ -96,6 +96,15 @@
     EXPECT_GT(pauses[0], pauses[2]);
 }
 
+/** At the first start nobody has told anything. */
+TEST(LeadershipBidTest, WithoutAnEarlierLeaderStrongGatewaysStillBidFirst) {
+    constexpr std::uint64_t ROUNDS = 100;
+    for (std::uint64_t round = 0; round < ROUNDS; ++round) {
+        EXPECT_LT(makeBid(1.0, round).drawPause(), makeBid(0.12, round + 1000).drawPause());
+        EXPECT_LE(makeBid(0.25, round).drawPause(), Millis(200));
+    }
+}
+
 TEST(LeadershipBidTest, AGatewayBehindANarrowLinkIsLessFit) {
     EXPECT_LT(makeBid(1.0, 1, 20).getFitness(), makeBid(1.0, 1, 1000).getFitness() / 4);
 }
