A new leader stops nothing before it knows of the idle workers

This came with the order of the links.

Until the hosts that were known at the take-over have been linked, or had 0.1 s each, and for a second at most, no work is stopped for other work (PlanInput::m_mayPreempt). Test: 150 workers with work and 250 idle ones on a slow leader; without the change the gang of 150 is stopped.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -87,6 +87,8 @@
     Millis m_stallPatience{8000};
     /** A host's report that does not show what was ordered so long before it: it got lost. */
     Millis m_orderPatience{2000};
+    /** So long a new leader waits for its workers' links before it stops work for other work. */
+    Millis m_firstLinksPatience{1000};
     /** So long after its leadership was confirmed a leader tells others what it knows of jobs: less
      * than the lease under which it leads. */
     Millis m_sureToLead{900};
@@ -239,6 +241,7 @@
     void viewWorkersAnew() const;
     void updateView(WorkerView& view, const WorkerPool::Host& host) const;
     void wishForAdvice();
+    bool mayPreempt() const;
     void notePlanTime(Millis took, const TaskPlan& plan);
     void noteUrgentWaits(const TaskPlan& plan);
     const std::string* findHostOf(std::string_view worker) const;
@@ -331,6 +334,7 @@
     std::function<Millis()> m_getConfirmedAt;
     bool m_isLeading = false;
     bool m_isLoaded = false;
+    Millis m_loadedAt{0};
     StoreRevision m_epoch = 0;
     StoreRevision m_watchedTo = 0;
     JobTable m_jobs;
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -124,6 +124,10 @@
     void addHost(const std::string& address);
     /** These are linked before others; call it before they are added. */
     void setUrgentHosts(std::set<std::string, std::less<>> hosts);
+    /** Hosts that were known at the start of the term are not all linked, and have not had their
+     * time. */
+    bool isOpeningFirst() const noexcept { return m_isOpeningFirst; }
+
     /** Gateways that are linked, as counted a moment ago. */
     struct Gateways {
         std::uint32_t m_count = 0;
@@ -171,6 +175,7 @@
     std::set<std::string, std::less<>> m_urgentHosts;
     /** Hosts whose links wait to be opened; urgent ones at the front. */
     std::deque<std::string> m_toOpen;
+    bool m_isOpeningFirst = false;
     /** Hosts whose links are being opened, and until when others wait for that. */
     std::map<std::string, TimerId> m_opening;
     /** Links to each host in this term; kept when a host is forgotten, since its worker may live.
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -61,6 +61,7 @@
         findOpenLosses();
         m_watchedTo = input.m_at;
         m_isLoaded = true;
+        m_loadedAt = m_loop.now();
         logEvent(Severity::INFO, "jobs", "loaded",
                  {{"epoch", std::to_string(m_epoch)},
                   {"jobs", std::to_string(m_jobs.size())},
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -139,10 +139,19 @@
 
 }  // namespace
 
+/**
+ * A new leader links the workers with work first. Right after a take-over it knew of these alone,
+ * and stopped three gangs of twenty for urgent work, though half of the workers stood idle.
+ */
+bool JobController::mayPreempt() const {
+    return !m_workers.isOpeningFirst() ||
+           m_loop.now() - m_loadedAt > m_settings.m_firstLinksPatience;
+}
+
 TaskPlan JobController::makePlan(const std::vector<PlannedJob>& jobs, bool withReasons) const {
     const ProgressForecast forecast(m_progress, m_loop.now());
     return makePlanner().plan({viewWorkers(), jobs, forecast, getGuarantees(m_configuration),
-                               m_loop.wallNow(), withReasons});
+                               m_loop.wallNow(), withReasons, mayPreempt()});
 }
 
 TaskPlan JobController::tryPlan(const JobRecord& record) const {
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -55,6 +55,7 @@
 
 void WorkerPool::setUrgentHosts(std::set<std::string, std::less<>> hosts) {
     m_urgentHosts = std::move(hosts);
+    m_isOpeningFirst = true;
 }
 
 /**
@@ -181,6 +182,7 @@
                                               });
         connect(address);
     }
+    m_isOpeningFirst = m_isOpeningFirst && !(m_toOpen.empty() && m_opening.empty());
 }
 
 /** A link was opened and its host has told what runs there, or it has had its time. */
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -192,6 +192,8 @@
     Millis m_wallNow{0};
     /** Notes are made; they take longer than the plan when thousands of units wait. */
     bool m_withReasons = true;
+    /** Others may be stopped for urgent work. Not while workers that may have room are unknown. */
+    bool m_mayPreempt = true;
 };
 
 struct TaskPlan {
--- a/libs/job/src/PlanningPassEviction.cpp
+++ b/libs/job/src/PlanningPassEviction.cpp
@@ -94,6 +94,10 @@
 /** Finds the place where the least work is thrown away, or done slowly, and stops what is in the
  * way there. */
 bool PlanningPass::preemptFor(const WorkUnit& unit) {
+    if (!m_input.m_mayPreempt) {
+        noteUrgentWait(unit, UrgentWait::For::WORKERS, 0.0);
+        return false;
+    }
     std::optional<Eviction> best;
     for (const PartNumber part : listParts(unit)) {
         auto eviction = findEviction(unit, part);
--- a/test/failures/TakeOverTest.cpp
+++ b/test/failures/TakeOverTest.cpp
@@ -82,6 +82,33 @@
     EXPECT_EQ(countLinked(), MANY_WORKERS - DARK);
 }
 
+/**
+ * Users saw three gangs of twenty stopped 50 ms after a leader was replaced, for urgent jobs that
+ * were handed in shortly before, while half of the workers stood idle. Cause: the new leader links
+ * the workers with work first, and planned when it knew of these alone. Evidence: its log, "waits
+ * for=workers", 15 ms later "waits for=stops loss_core_s=2276" and 53 lines "gave way".
+ */
+TEST_F(LeadersOnSlowHosts, StopNothingBeforeTheyKnowOfTheIdleWorkers) {
+    listEpochs(Millis(10'000));
+    constexpr const char* ID = "00000000000000a1";
+    constexpr const char* URGENT = "00000000000000a2";
+    constexpr const char* GANG =
+            R"({"count":150,"cpu":1000,"mem_mb":100,"gpu":8,"est_ms":60000,"gang":true})";
+    constexpr const char* SMALL = R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":8,"est_ms":2000})";
+    ASSERT_EQ(m_fleet.submit(ID, GANG, "60000").m_status, 200U);
+    ASSERT_TRUE(m_fleet.m_loop.advanceUntil(
+            Millis(5000), [&] { return m_fleet.m_witness.isRunning(taskOf(ID, 149)); }));
+    m_fleet.m_loop.advance(Millis(2000));
+    const std::size_t leader = *m_fleet.findLeader();
+    m_fleet.killGateway(leader);
+    ASSERT_EQ(m_fleet.submit(URGENT, SMALL, "60000", "/urgent/", (leader + 1) % 3).m_status, 200U);
+    EXPECT_TRUE(m_fleet.m_loop.advanceUntil(
+            Millis(4000), [&] { return m_fleet.m_witness.isRunning(taskOf(URGENT)); }));
+    for (std::uint32_t member = 0; member < 150; ++member) {
+        EXPECT_TRUE(m_fleet.m_witness.isRunning(taskOf(ID, member))) << member;
+    }
+}
+
 TEST_F(LeadersOnSlowHosts, LinkWorkersWithWorkFirst) {
     listEpochs(Millis(10'000));
     constexpr const char* ID = "00000000000000a1";
