--- a/libs/daemon/test/GatewaySettingsTest.cpp
+++ b/libs/daemon/test/GatewaySettingsTest.cpp
@@ -55,6 +55,17 @@
     EXPECT_NE(m_findings.toText().find("bound"), std::string::npos);
 }
 
+TEST_F(GatewaySettingsTest, TakeWhatTheHostGivesAndAllForAlikeWithoutIt) {
+    const LeadershipBidSettings bid =
+            read("[host]\nprocessor-share=0.12\nlink-mbps=20\n").m_core.m_bid;
+    EXPECT_TRUE(m_findings.isEmpty()) << m_findings.toText();
+    EXPECT_DOUBLE_EQ(bid.m_processorShare, 0.12);
+    EXPECT_DOUBLE_EQ(bid.m_linkMbps, 20);
+    EXPECT_DOUBLE_EQ(read("").m_core.m_bid.m_processorShare, 1.0);
+    read("[host]\nprocessor-share=none\n");
+    EXPECT_NE(m_findings.toText().find("processor-share"), std::string::npos);
+}
+
 TEST_F(GatewaySettingsTest, NameASwitchThatIsNeitherOnNorOffAndOneThatIsNotKnown) {
     read("[switches]\nkeeps-room=maybe\nkeep-room=off\n");
     EXPECT_NE(m_findings.toText().find("neither on nor off"), std::string::npos);
--- a/libs/store/src/CountedStore.cpp
+++ b/libs/store/src/CountedStore.cpp
@@ -9,7 +9,10 @@
     if (!transaction.m_puts.empty()) {
         return transaction.m_puts.front().m_key;
     }
-    return transaction.m_removals.empty() ? "" : transaction.m_removals.front();
+    if (!transaction.m_removals.empty()) {
+        return transaction.m_removals.front();
+    }
+    return {};
 }
 
 }  // namespace
--- a/libs/store/test/CountedStoreTest.cpp
+++ b/libs/store/test/CountedStoreTest.cpp
@@ -39,6 +39,16 @@
     EXPECT_EQ(m_counted.getCounts(), expected);
 }
 
+/** The families of long keys that are only removed named what lay in freed memory. */
+TEST_F(CountedStoreTest, CountsATransactionThatOnlyRemovesByWhatItRemoves) {
+    StoreTransaction transaction;
+    transaction.m_removals = {"input/gateway/127.0.0.1:7001/and-longer-than-a-short-string"};
+    m_counted.commit(transaction, Millis(1000), [](const StoreCommit&) {});
+    m_counted.commit(StoreTransaction(), Millis(1000), [](const StoreCommit&) {});
+    const CountedStore::Counts expected = {{{"commit", ""}, 1}, {{"commit", "input"}, 1}};
+    EXPECT_EQ(m_counted.getCounts(), expected);
+}
+
 TEST_F(CountedStoreTest, CountsBecomeOneMetricWithLabels) {
     MetricsPage page;
     page.addCounters("calls_total", "calls", {{"kind=\"read\"", 3}, {"kind=\"list\"", 1}});
