--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -219,6 +219,8 @@
     void learnWeight(std::string_view text);
     void learnHold(const std::string& host, std::string_view word);
     void learnDomain(const std::string& domain, std::string_view word);
+
+    // What it tells the gateways that follow (JobControllerGateways.cpp).
     GatewayTold tellGateway(std::uint64_t question) const;
     bool isSureToLead() const;
     std::vector<PendingEntry> countPending() const;
@@ -302,7 +304,7 @@
     template <typename Function>
     void forEachOpenLoss(Function function);
 
-    // Committing.
+    // Committing (JobControllerCommits.cpp).
     void commitDirty();
     bool addToTransaction(const std::string& id, JobEntry& entry, StoreTransaction& transaction);
     void handleCommitted(const std::vector<std::string>& ids, const StoreCommit& commit);
--- /dev/null
+++ b/libs/control/src/JobControllerGateways.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+// What a JobController tells the gateways that follow.
+#include <algorithm>
+#include <utility>
+
+#include "pierbank/control/JobController.h"
+
+namespace pierbank {
+
+void JobController::handleRelayed(const std::string& host, const RelayedRequest& request) {
+    m_onRelayed(request, [this, host, number = request.m_number,
+                          term = std::weak_ptr(m_term)](RelayedAnswer answer) {
+        if (!term.expired()) {
+            answer.m_number = number;
+            m_workers.send(host, answer);
+        }
+    });
+}
+
+/** Gateways that are linked do not watch the configuration themselves. */
+void JobController::handleConfiguration() {
+    stepSoon();
+    if (!m_isLeading) {
+        return;
+    }
+    constexpr std::uint64_t UNASKED = 0;
+    const GatewayTold told = tellGateway(UNASKED);
+    for (const auto& [address, host] : m_workers.getHosts()) {
+        if (host.m_fitness.has_value()) {
+            m_workers.send(address, told);
+        }
+    }
+}
+
+void JobController::handleGatewayAsk(const std::string& host, const GatewayAsk& ask) {
+    GatewayTold told = tellGateway(ask.m_number);
+    if (ask.m_asksPending && isSureToLead()) {
+        told.m_knowsPending = true;
+        told.m_pending = countPending();
+    }
+    m_workers.send(host, told);
+}
+
+/** A successor may know of jobs that this gateway does not, as soon as its lease may be over. */
+bool JobController::isSureToLead() const {
+    return m_isLoaded && m_loop.now() - m_getConfirmedAt() <= m_settings.m_sureToLead;
+}
+
+std::vector<PendingEntry> JobController::countPending() const {
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto& [id, entry] : m_jobs) {
+        const bool isPending = entry.m_hasInput && !entry.m_run.m_hasBegun &&
+                               !entry.m_run.isOver() && !entry.m_record.m_spec.isTimed();
+        if (isPending) {
+            ++counts[entry.m_record.m_policy.m_queue];
+        }
+    }
+    std::vector<PendingEntry> pending;
+    for (const auto& [queue, jobs] : counts) {
+        pending.push_back({queue, jobs});
+    }
+    return pending;
+}
+
+GatewayTold JobController::tellGateway(std::uint64_t question) const {
+    GatewayTold told;
+    told.m_number = question;
+    const auto age = m_configuration.getAge();
+    if (age.has_value()) {
+        told.m_revision = m_configuration.getRevision();
+        told.m_ageMs = static_cast<std::uint64_t>(age->count());
+    }
+    told.m_askAfterMs = static_cast<std::uint64_t>(m_workers.getAskInterval().count());
+    const WorkerPool::Gateways& gateways = m_workers.getGateways();
+    told.m_gateways = gateways.m_count;
+    told.m_bestFitness = std::max(gateways.m_bestFitness, m_getFitness());
+    return told;
+}
+
+}  // namespace pierbank
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-// What a JobController reads from the store, and how its decisions get there.
+// What a JobController reads from the store.
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -19,8 +19,6 @@
 
 }  // namespace
 
-// Loading and watching what lies in the store.
-
 void JobController::load() {
     m_store.list(INPUT_PREFIX, [this, term = std::weak_ptr(m_term)](const StoreList& input) {
         if (term.expired()) {
@@ -179,16 +177,6 @@
     }
 }
 
-void JobController::handleRelayed(const std::string& host, const RelayedRequest& request) {
-    m_onRelayed(request, [this, host, number = request.m_number,
-                          term = std::weak_ptr(m_term)](RelayedAnswer answer) {
-        if (!term.expired()) {
-            answer.m_number = number;
-            m_workers.send(host, answer);
-        }
-    });
-}
-
 /** Their links are opened first: their leases are running. */
 std::set<std::string, std::less<>> JobController::listHostsWithRuns() const {
     std::set<std::string, std::less<>> hosts;
@@ -200,66 +188,6 @@
     return hosts;
 }
 
-/** Gateways that are linked do not watch the configuration themselves. */
-void JobController::handleConfiguration() {
-    stepSoon();
-    if (!m_isLeading) {
-        return;
-    }
-    constexpr std::uint64_t UNASKED = 0;
-    const GatewayTold told = tellGateway(UNASKED);
-    for (const auto& [address, host] : m_workers.getHosts()) {
-        if (host.m_fitness.has_value()) {
-            m_workers.send(address, told);
-        }
-    }
-}
-
-void JobController::handleGatewayAsk(const std::string& host, const GatewayAsk& ask) {
-    GatewayTold told = tellGateway(ask.m_number);
-    if (ask.m_asksPending && isSureToLead()) {
-        told.m_knowsPending = true;
-        told.m_pending = countPending();
-    }
-    m_workers.send(host, told);
-}
-
-/** A successor may know of jobs that this gateway does not, as soon as its lease may be over. */
-bool JobController::isSureToLead() const {
-    return m_isLoaded && m_loop.now() - m_getConfirmedAt() <= m_settings.m_sureToLead;
-}
-
-std::vector<PendingEntry> JobController::countPending() const {
-    std::map<std::string, std::uint64_t> counts;
-    for (const auto& [id, entry] : m_jobs) {
-        const bool isPending = entry.m_hasInput && !entry.m_run.m_hasBegun &&
-                               !entry.m_run.isOver() && !entry.m_record.m_spec.isTimed();
-        if (isPending) {
-            ++counts[entry.m_record.m_policy.m_queue];
-        }
-    }
-    std::vector<PendingEntry> pending;
-    for (const auto& [queue, jobs] : counts) {
-        pending.push_back({queue, jobs});
-    }
-    return pending;
-}
-
-GatewayTold JobController::tellGateway(std::uint64_t question) const {
-    GatewayTold told;
-    told.m_number = question;
-    const auto age = m_configuration.getAge();
-    if (age.has_value()) {
-        told.m_revision = m_configuration.getRevision();
-        told.m_ageMs = static_cast<std::uint64_t>(age->count());
-    }
-    told.m_askAfterMs = static_cast<std::uint64_t>(m_workers.getAskInterval().count());
-    const WorkerPool::Gateways& gateways = m_workers.getGateways();
-    told.m_gateways = gateways.m_count;
-    told.m_bestFitness = std::max(gateways.m_bestFitness, m_getFitness());
-    return told;
-}
-
 void JobController::addJob(const StoreItem& item) {
     const std::string id = item.m_key.substr(JOB_PREFIX.size());
     if (m_jobs.count(id) != 0 || m_unreadable.count(id) != 0) {
@@ -323,137 +251,4 @@
     }
 }
 
-// Committing.
-
-bool JobController::addToTransaction(const std::string& id, JobEntry& entry,
-                                     StoreTransaction& transaction) {
-    const bool endsInput = entry.m_run.isOver() && entry.m_hasInput && entry.m_run.isIdle();
-    constexpr std::size_t ENTRIES = 2;
-    constexpr std::size_t ENTRIES_AT_END = 4;
-    if (transaction.countEntries() + (endsInput ? ENTRIES_AT_END : ENTRIES) >
-        RecordStore::MAX_ENTRIES) {
-        return false;
-    }
-    transaction.m_conditions.push_back({getRunKey(id), entry.m_runRevision});
-    transaction.m_puts.push_back({getRunKey(id), encodeJobRun(entry.m_run), 0});
-    if (endsInput) {
-        transaction.m_removals.push_back(getJobKey(id));
-        transaction.m_removals.push_back(getCancelKey(id));
-        entry.m_hasInput = false;
-    }
-    return true;
-}
-
-void JobController::commitDirty() {
-    StoreTransaction transaction;
-    transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
-    std::vector<std::pair<std::uint32_t, std::string>> dirty;
-    for (const auto& [id, entry] : m_jobs) {
-        if (entry.m_isDirty) {
-            dirty.emplace_back(entry.m_record.m_policy.m_priority, id);
-        }
-    }
-    std::sort(dirty.begin(), dirty.end());
-    std::vector<std::string> ids;
-    for (const auto& [priority, id] : dirty) {
-        JobEntry& entry = m_jobs.find(id)->second;
-        if (!addToTransaction(id, entry, transaction)) {
-            break;
-        }
-        entry.m_isDirty = false;
-        entry.m_isCommitting = true;
-        ids.push_back(id);
-    }
-    if (ids.empty()) {
-        return;
-    }
-    m_isCommitting = true;
-    ++m_figures.m_commits;
-    CommitPatience patience;
-    patience.m_retriesRefusals = true;
-    // What is decided while the transaction is under way has to wait for the next one.
-    for (const std::string& id : ids) {
-        JobEntry& entry = m_jobs.find(id)->second;
-        entry.m_messagesUnderWay = std::exchange(entry.m_messages, {});
-        entry.m_endsUnderWay = std::exchange(entry.m_ends, {});
-    }
-    CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_term,
-                       [this, ids](const StoreCommit& commit) { handleCommitted(ids, commit); });
-}
-
-void JobController::handleCommitted(const std::vector<std::string>& ids,
-                                    const StoreCommit& commit) {
-    m_isCommitting = false;
-    if (commit.m_status != StoreStatus::OK) {
-        disown("the store did not take a decision: " + std::string(toText(commit.m_status)) + " " +
-               commit.m_reason);
-        return;
-    }
-    for (const std::string& id : ids) {
-        JobEntry& entry = m_jobs.find(id)->second;
-        entry.m_isCommitting = false;
-        entry.m_runRevision = commit.m_revision;
-        for (const PendingMessage& message : std::exchange(entry.m_messagesUnderWay, {})) {
-            sendDecided(message);
-        }
-        for (const auto& [worker, number] : std::exchange(entry.m_endsUnderWay, {})) {
-            m_ledger.keep(worker, number);
-            sendKept(worker);
-        }
-    }
-    step();
-}
-
-void JobController::sendKept(const WorkerId& worker) {
-    const std::uint64_t kept = m_ledger.getKept(worker);
-    const auto report = m_reports.find(worker.m_host);
-    if (kept == 0 || report == m_reports.end() || report->second.m_report.m_life != worker.m_life) {
-        return;
-    }
-    const auto& ended = report->second.m_report.m_ended;
-    const bool isListed = std::any_of(ended.begin(), ended.end(), [kept](const EndedEntry& end) {
-        return end.m_number <= kept;
-    });
-    if (isListed) {
-        m_workers.send(worker.m_host, EndsKept{worker.m_life, kept});
-    }
-}
-
-/** Jobs that have been over for long go, a few at a time. */
-void JobController::forgetOver() {
-    StoreTransaction transaction;
-    transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
-    std::vector<std::string> ids;
-    for (const auto& [id, entry] : m_jobs) {
-        const bool isOld = entry.m_run.isOver() && !entry.m_hasInput && !entry.m_isDirty &&
-                           !entry.m_isCommitting &&
-                           m_loop.wallNow() - entry.m_run.m_endedAt > m_settings.m_keepOver;
-        if (isOld && transaction.countEntries() + 1 <= RecordStore::MAX_ENTRIES) {
-            transaction.m_removals.push_back(getRunKey(id));
-            ids.push_back(id);
-        }
-    }
-    if (ids.empty()) {
-        return;
-    }
-    for (const std::string& id : ids) {
-        m_jobs.erase(id);
-    }
-    // If it is lost, the next leader does it again.
-    constexpr Millis PATIENCE{1000};
-    m_store.commit(transaction, PATIENCE, [](const StoreCommit&) {});
-}
-
-void JobController::handleHostGone(const std::string& host) {
-    m_reports.erase(host);
-    acquit(host, "");
-    m_areViewsStale = true;
-    StoreTransaction transaction;
-    transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
-    transaction.m_removals = {getHostKey(host), getGatewayKey(host)};
-    // If it is lost, the next leader does it again.
-    constexpr Millis PATIENCE{1000};
-    m_store.commit(transaction, PATIENCE, [](const StoreCommit&) {});
-}
-
 }  // namespace pierbank
