Names: notices of the configuration, replies to gateways; a host that registers anew is opened at once

Read as a newcomer would: a 'word', what was 'told' and 'sourced' are a notice, a reply and a usable source now. A host that registers while its link was being opened was passed over until that try had failed (up to 2 s, read, not seen): its try makes room for the new one.

--- a/libs/control/include/pierbank/control/ConfigurationFeed.h
+++ b/libs/control/include/pierbank/control/ConfigurationFeed.h
@@ -28,11 +28,11 @@
     /** Pause before a silent store is asked again; a read that waits finds out when it is back. */
     Millis m_probePause{50};
     /** Led gateways read for themselves only when what the leader tells is older than this. */
-    Millis m_mostToldAge{2500};
+    Millis m_mostNoticeAge{2500};
 };
 
-/** Another gateway's word on the configuration. */
-struct ConfigurationWord {
+/** What another gateway says of the configuration. */
+struct ConfigurationNotice {
     StoreRevision m_revision = 0;
     /** When the read was sent that confirmed it, or before; on the own clock. */
     Millis m_confirmedAt{0};
@@ -45,7 +45,7 @@
     /** It answers; then this gateway need not ask the store itself. */
     virtual bool isUsable() const = 0;
     /** `done` is called once; with nothing when no answer came in time. */
-    virtual void ask(std::function<void(const std::optional<ConfigurationWord>&)> done) = 0;
+    virtual void ask(std::function<void(const std::optional<ConfigurationNotice>&)> done) = 0;
 };
 
 /**
@@ -54,7 +54,7 @@
  * confirmed it. The version never goes back.
  *
  * With a source that is usable it neither reads nor watches: hundreds of gateways that each read
- * the same value twice a second are most of what the store sends. The source's word that the
+ * the same value twice a second are most of what the store sends. The source's notice that the
  * revision at hand is the newest confirms it; for a newer one the value is read once.
  */
 class ConfigurationFeed {
@@ -91,7 +91,7 @@
     bool isSilent() const noexcept { return m_isLost && m_isSilent; }
 
     /** A source is there that answers. */
-    bool isSourced() const { return m_source != nullptr && m_source->isUsable(); }
+    bool hasUsableSource() const { return m_source != nullptr && m_source->isUsable(); }
 
     /** Time since the last confirming read was sent; empty before the first. */
     std::optional<Millis> getAge() const;
@@ -106,7 +106,7 @@
     void refresh(std::function<void()> done);
 
     /** Takes what the source said, asked or not. */
-    void learnWord(const ConfigurationWord& word);
+    void learnNotice(const ConfigurationNotice& notice);
 
     /** Takes an item that came along with another answer, and was read at `sentAt` or later. */
     void learn(const StoreItem& item, Millis sentAt);
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -221,7 +221,7 @@
     void learnDomain(const std::string& domain, std::string_view word);
 
     // What it tells the gateways that follow (JobControllerGateways.cpp).
-    GatewayTold tellGateway(std::uint64_t question) const;
+    GatewayReply makeGatewayReply(std::uint64_t question) const;
     bool isSureToLead() const;
     std::vector<PendingEntry> countPending() const;
 
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -58,7 +58,7 @@
 
     // IntakeRelay and ConfigurationSource: another gateway leads, and is heard of.
     bool isUsable() const override;
-    void ask(std::function<void(const std::optional<ConfigurationWord>&)> done) override {
+    void ask(std::function<void(const std::optional<ConfigurationNotice>&)> done) override {
         m_leaderLink.ask(std::move(done));
     }
     void relay(const IntakeRequest& request, Millis patience,
--- a/libs/control/include/pierbank/control/LeaderLink.h
+++ b/libs/control/include/pierbank/control/LeaderLink.h
@@ -42,8 +42,8 @@
     void onSilence(std::function<void()> callback) { m_onSilence = std::move(callback); }
 
     /** Called with what the leader says of the configuration without being asked for it. */
-    void onWord(std::function<void(const ConfigurationWord&)> callback) {
-        m_onWord = std::move(callback);
+    void onNotice(std::function<void(const ConfigurationNotice&)> callback) {
+        m_onNotice = std::move(callback);
     }
 
     using AnswerCallback = std::function<void(const RelayedAnswer&)>;
@@ -51,12 +51,12 @@
     /** Whether a leader is linked that has been heard of lately. */
     bool isUsable() const;
 
-    using WordCallback = std::function<void(const std::optional<ConfigurationWord>&)>;
+    using NoticeCallback = std::function<void(const std::optional<ConfigurationNotice>&)>;
     using PendingCallback = std::function<void(const std::optional<PendingJobs>&)>;
 
     /** Asks the leader how old the configuration is. `done` is called once; with nothing when no
      * answer came in time. */
-    void ask(WordCallback done);
+    void ask(NoticeCallback done);
     /** The same for the jobs that have not begun; with nothing when the leader can't tell. */
     void askPending(PendingCallback done);
 
@@ -73,12 +73,12 @@
     void handleFrame(const Frame& frame);
     void handleLeader(const LeaderHello& hello);
     void keepAlive();
-    void learnWord(const std::optional<ConfigurationWord>& word);
+    void learnNotice(const std::optional<ConfigurationNotice>& notice);
     void noteUse();
-    using ToldCallback = std::function<void(const std::optional<GatewayTold>&, Millis sentAt)>;
-    void sendQuestion(bool asksPending, ToldCallback done);
-    void finishQuestion(std::uint64_t number, const std::optional<GatewayTold>& told);
-    void handleTold(const GatewayTold& told);
+    using ReplyCallback = std::function<void(const std::optional<GatewayReply>&, Millis sentAt)>;
+    void sendQuestion(bool asksPending, ReplyCallback done);
+    void finishQuestion(std::uint64_t number, const std::optional<GatewayReply>& reply);
+    void handleReply(const GatewayReply& reply);
     void finishRelay(std::uint64_t number, const RelayedAnswer& answer);
 
     EventLoop& m_loop;
@@ -87,12 +87,12 @@
     };
     std::function<void()> m_onSilence = [] {
     };
-    std::function<void(const ConfigurationWord&)> m_onWord = [](const ConfigurationWord&) {
+    std::function<void(const ConfigurationNotice&)> m_onNotice = [](const ConfigurationNotice&) {
     };
     LeadershipBid& m_bid;
     struct Question {
         Millis m_sentAt{0};
-        ToldCallback m_done;
+        ReplyCallback m_done;
     };
     std::map<std::uint64_t, Question> m_questions;
     std::uint64_t m_lastQuestion = 0;
--- a/libs/control/src/ConfigurationFeed.cpp
+++ b/libs/control/src/ConfigurationFeed.cpp
@@ -36,8 +36,8 @@
 /** While the store is lost its return is looked for, whatever the source says. */
 void ConfigurationFeed::poll() {
     const auto age = getAge();
-    const bool isOld = m_configuration.has_value() && *age > m_settings.m_mostToldAge;
-    if (!isSourced() || m_isLost || isOld) {
+    const bool isOld = m_configuration.has_value() && *age > m_settings.m_mostNoticeAge;
+    if (!hasUsableSource() || m_isLost || isOld) {
         confirm([](bool) {});
     }
     keepWatching();
@@ -56,31 +56,32 @@
 }
 
 void ConfigurationFeed::refresh(std::function<void()> done) {
-    if (!isSourced()) {
+    if (!hasUsableSource()) {
         confirm([done = std::move(done)](bool) { done(); });
         return;
     }
-    m_source->ask([this, done = std::move(done),
-                   alive = std::weak_ptr(m_isAlive)](const std::optional<ConfigurationWord>& word) {
+    m_source->ask([this, done = std::move(done), alive = std::weak_ptr(m_isAlive)](
+                          const std::optional<ConfigurationNotice>& notice) {
         if (alive.expired()) {
             return;
         }
         // A source that is behind must not decide by what is older here.
-        if (!word.has_value() || word->m_revision < m_revision) {
+        if (!notice.has_value() || notice->m_revision < m_revision) {
             confirm([done](bool) { done(); });
             return;
         }
         // A newer one may take seconds to read; until then the source can answer in this place.
-        learnWord(*word);
+        learnNotice(*notice);
         done();
     });
 }
 
-void ConfigurationFeed::learnWord(const ConfigurationWord& word) {
-    if (word.m_revision > m_revision) {
+void ConfigurationFeed::learnNotice(const ConfigurationNotice& notice) {
+    if (notice.m_revision > m_revision) {
         confirm([](bool) {});
-    } else if (word.m_revision == m_revision && m_configuration.has_value()) {
-        m_confirmedAt = std::max(m_confirmedAt.value_or(word.m_confirmedAt), word.m_confirmedAt);
+    } else if (notice.m_revision == m_revision && m_configuration.has_value()) {
+        m_confirmedAt =
+                std::max(m_confirmedAt.value_or(notice.m_confirmedAt), notice.m_confirmedAt);
     }
 }
 
@@ -172,7 +173,7 @@
 }
 
 void ConfigurationFeed::keepWatching() {
-    if (!m_isWatching && !isSourced()) {
+    if (!m_isWatching && !hasUsableSource()) {
         watch();
     }
 }
--- a/libs/control/src/JobControllerGateways.cpp
+++ b/libs/control/src/JobControllerGateways.cpp
@@ -24,21 +24,21 @@
         return;
     }
     constexpr std::uint64_t UNASKED = 0;
-    const GatewayTold told = tellGateway(UNASKED);
+    const GatewayReply reply = makeGatewayReply(UNASKED);
     for (const auto& [address, host] : m_workers.getHosts()) {
         if (host.m_fitness.has_value()) {
-            m_workers.send(address, told);
+            m_workers.send(address, reply);
         }
     }
 }
 
 void JobController::handleGatewayAsk(const std::string& host, const GatewayAsk& ask) {
-    GatewayTold told = tellGateway(ask.m_number);
+    GatewayReply reply = makeGatewayReply(ask.m_number);
     if (ask.m_asksPending && isSureToLead()) {
-        told.m_knowsPending = true;
-        told.m_pending = countPending();
+        reply.m_knowsPending = true;
+        reply.m_pending = countPending();
     }
-    m_workers.send(host, told);
+    m_workers.send(host, reply);
 }
 
 /** A successor may know of jobs that this gateway does not, as soon as its lease may be over. */
@@ -62,19 +62,19 @@
     return pending;
 }
 
-GatewayTold JobController::tellGateway(std::uint64_t question) const {
-    GatewayTold told;
-    told.m_number = question;
+GatewayReply JobController::makeGatewayReply(std::uint64_t question) const {
+    GatewayReply reply;
+    reply.m_number = question;
     const auto age = m_configuration.getAge();
     if (age.has_value()) {
-        told.m_revision = m_configuration.getRevision();
-        told.m_ageMs = static_cast<std::uint64_t>(age->count());
+        reply.m_revision = m_configuration.getRevision();
+        reply.m_ageMs = static_cast<std::uint64_t>(age->count());
     }
-    told.m_askAfterMs = static_cast<std::uint64_t>(m_workers.getAskInterval().count());
+    reply.m_askAfterMs = static_cast<std::uint64_t>(m_workers.getAskInterval().count());
     const WorkerPool::Gateways& gateways = m_workers.getGateways();
-    told.m_gateways = gateways.m_count;
-    told.m_bestFitness = std::max(gateways.m_bestFitness, m_getFitness());
-    return told;
+    reply.m_gateways = gateways.m_count;
+    reply.m_bestFitness = std::max(gateways.m_bestFitness, m_getFitness());
+    return reply;
 }
 
 }  // namespace pierbank
--- a/libs/control/src/JobCore.cpp
+++ b/libs/control/src/JobCore.cpp
@@ -58,9 +58,9 @@
             m_lock.abandon();
         }
     });
-    m_leaderLink.onWord([this](const ConfigurationWord& word) {
+    m_leaderLink.onNotice([this](const ConfigurationNotice& notice) {
         if (isUsable()) {
-            m_configuration.learnWord(word);
+            m_configuration.learnNotice(notice);
         }
     });
     m_leaderLink.onSilence([this] { m_lock.lookWithin(m_bid.drawPause()); });
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -77,7 +77,7 @@
         route(call);
         return;
     }
-    if (m_configuration.isSourced() && !call->m_isRefreshed) {
+    if (m_configuration.hasUsableSource() && !call->m_isRefreshed) {
         refreshAndHandle(call);
         return;
     }
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -30,14 +30,14 @@
 /** A new leader knows neither how many gateways there are nor how well they could lead. */
 void LeaderLink::handleLeader(const LeaderHello& hello) {
     m_askInterval = ASK_INTERVAL;
-    ask([this](const auto& word) { learnWord(word); });
+    ask([this](const auto& notice) { learnNotice(notice); });
     m_onLeader(hello.m_epoch);
 }
 
 void LeaderLink::keepAlive() {
     noteUse();
     if (m_port.isLinked()) {
-        ask([this](const auto& word) { learnWord(word); });
+        ask([this](const auto& notice) { learnNotice(notice); });
     }
     const Millis dueAt = m_loop.now() + m_askInterval;
     m_loop.callLater(m_askInterval, [this, dueAt, alive = std::weak_ptr(m_isAlive)] {
@@ -48,9 +48,9 @@
     });
 }
 
-void LeaderLink::learnWord(const std::optional<ConfigurationWord>& word) {
-    if (word.has_value()) {
-        m_onWord(*word);
+void LeaderLink::learnNotice(const std::optional<ConfigurationNotice>& notice) {
+    if (notice.has_value()) {
+        m_onNotice(*notice);
     }
 }
 
@@ -61,31 +61,31 @@
     }
 }
 
-void LeaderLink::ask(WordCallback done) {
-    sendQuestion(false, [done = std::move(done)](const auto& told, Millis sentAt) {
-        if (!told.has_value()) {
+void LeaderLink::ask(NoticeCallback done) {
+    sendQuestion(false, [done = std::move(done)](const auto& reply, Millis sentAt) {
+        if (!reply.has_value()) {
             done(std::nullopt);
             return;
         }
-        done(ConfigurationWord{told->m_revision, sentAt - Millis(told->m_ageMs)});
+        done(ConfigurationNotice{reply->m_revision, sentAt - Millis(reply->m_ageMs)});
     });
 }
 
 void LeaderLink::askPending(PendingCallback done) {
-    sendQuestion(true, [done = std::move(done)](const auto& told, Millis) {
-        if (!told.has_value() || !told->m_knowsPending) {
+    sendQuestion(true, [done = std::move(done)](const auto& reply, Millis) {
+        if (!reply.has_value() || !reply->m_knowsPending) {
             done(std::nullopt);
             return;
         }
         PendingJobs pending;
-        for (const PendingEntry& entry : told->m_pending) {
+        for (const PendingEntry& entry : reply->m_pending) {
             pending[entry.m_queue] = entry.m_jobs;
         }
         done(pending);
     });
 }
 
-void LeaderLink::sendQuestion(bool asksPending, ToldCallback done) {
+void LeaderLink::sendQuestion(bool asksPending, ReplyCallback done) {
     const std::uint64_t number = ++m_lastQuestion;
     m_questions[number] = {m_loop.now(), std::move(done)};
     const bool isSent = m_port.send(GatewayAsk{number, m_bid.getFitness(), asksPending});
@@ -97,27 +97,27 @@
                      });
 }
 
-void LeaderLink::finishQuestion(std::uint64_t number, const std::optional<GatewayTold>& told) {
+void LeaderLink::finishQuestion(std::uint64_t number, const std::optional<GatewayReply>& reply) {
     const auto found = m_questions.find(number);
     if (found == m_questions.end()) {
         return;
     }
     const Question question = std::move(found->second);
     m_questions.erase(found);
-    question.m_done(told, question.m_sentAt);
+    question.m_done(reply, question.m_sentAt);
 }
 
-void LeaderLink::handleTold(const GatewayTold& told) {
-    m_bid.noteFleet(told.m_gateways, told.m_bestFitness);
-    if (told.m_askAfterMs != 0) {
-        m_askInterval = Millis(told.m_askAfterMs);
+void LeaderLink::handleReply(const GatewayReply& reply) {
+    m_bid.noteFleet(reply.m_gateways, reply.m_bestFitness);
+    if (reply.m_askAfterMs != 0) {
+        m_askInterval = Millis(reply.m_askAfterMs);
     }
-    if (m_questions.count(told.m_number) != 0) {
-        finishQuestion(told.m_number, told);
+    if (m_questions.count(reply.m_number) != 0) {
+        finishQuestion(reply.m_number, reply);
     } else {
         // Nobody asked, or not any more: it has no date, and only says that there may be a newer
         // one.
-        m_onWord({told.m_revision, Millis(0)});
+        m_onNotice({reply.m_revision, Millis(0)});
     }
 }
 
@@ -125,8 +125,8 @@
     m_wasUsable = true;
     if (const auto* const answer = std::get_if<RelayedAnswer>(&frame)) {
         finishRelay(answer->m_number, *answer);
-    } else if (const auto* const told = std::get_if<GatewayTold>(&frame)) {
-        handleTold(*told);
+    } else if (const auto* const reply = std::get_if<GatewayReply>(&frame)) {
+        handleReply(*reply);
     }
 }
 
--- a/libs/control/src/LeadershipBid.cpp
+++ b/libs/control/src/LeadershipBid.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** A leader of a thousand hosts sends and receives a tenth of this. */
+/** Behind a narrower link a large configuration, or all links at a take-over, take seconds. */
 constexpr double WIDE_LINK_MBPS = 100.0;
 /** A loop that lags this much on the mean has half of its processor left. */
 constexpr double HALVING_LAG_MS = 20.0;
--- a/libs/control/src/WorkerPoolLinks.cpp
+++ b/libs/control/src/WorkerPoolLinks.cpp
@@ -19,6 +19,7 @@
         dropLink(host.m_address, "registered anew");
     }
     host.m_isConnecting = false;
+    noteOpened(host.m_address);
     connectSoon(host.m_address);
 }
 
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -59,7 +59,7 @@
  * from the sending of its question. Without a question (number zero) it only says that there is a
  * newer one.
  */
-struct GatewayTold {
+struct GatewayReply {
     std::uint64_t m_number = 0;
     /** The store's revision; zero: the leader has none. */
     std::uint64_t m_revision = 0;
@@ -73,7 +73,7 @@
     bool m_knowsPending = false;
     /** Queues without any are left out. */
     std::vector<PendingEntry> m_pending;
-    bool operator==(const GatewayTold&) const = default;
+    bool operator==(const GatewayReply&) const = default;
 };
 
 /** Gateway to leader: a caller's request that the gateway can't answer without the store. */
@@ -236,7 +236,7 @@
 /** Any message between processes of the system. The order is the wire's type number. */
 using Frame = std::variant<LeaderHello, LeaseAsk, LeaseRenewal, WorkerNotice, RunReport, RunOrder,
                            RunStop, RunAbsent, EndsKept, InputNotice, RelayedRequest, RelayedAnswer,
-                           GatewayAsk, GatewayTold>;
+                           GatewayAsk, GatewayReply>;
 
 }  // namespace pierbank
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -30,7 +30,7 @@
 }
 
 template <typename Archive>
-void describe(Archive& archive, GatewayTold& frame) {
+void describe(Archive& archive, GatewayReply& frame) {
     archive(frame.m_number, frame.m_revision, frame.m_ageMs, frame.m_askAfterMs, frame.m_gateways,
             frame.m_bestFitness, frame.m_knowsPending, frame.m_pending);
 }
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -35,7 +35,7 @@
             RelayedRequest{1, "POST", "h", "/x", "k", "body", 99},
             RelayedAnswer{1, 200, "body"},
             GatewayAsk{3, 120, true},
-            GatewayTold{3, 8, 40, 500, 183, 1000, true, {{"q", 4}}}};
+            GatewayReply{3, 8, 40, 500, 183, 1000, true, {{"q", 4}}}};
     return frames;
 }
 
