--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -140,8 +140,8 @@
 }  // namespace
 
 /**
- * A new leader links the workers with work first. Right after a take-over it knew of these alone,
- * and stopped three gangs of twenty for urgent work, though half of the workers stood idle.
+ * A new leader links the workers with work first. As long as it knows of these alone, it would stop
+ * their work for urgent work although others stand idle.
  */
 bool JobController::mayPreempt() const {
     return !m_workers.isOpeningFirst() ||
