A worker whose connection breaks is called again at once, so that the next process does no late start

Callers saw tasks run again after an end that was taken note of, on two workers at once, or once more often than their queue allows, around workers that had restarted under their ids.

Cause: a start whose answer was lost arrives after the worker's restart. The new process has seen no fence, so it begins the run. Only a call of the sidecar tells it the fence, and that waited: 150 ms after a connection broke, 40 ms between two calls while nothing listened.

Evidence: the fake worker now logs what it does beside the processes under test. Ruled out: another cause for one of the kinds; the leader's records (they were right each time).

Change: the first failed hold is followed by another at once; while nothing listens and calls to the former process may still arrive (5 s) the sidecar calls each 10 ms, after that each 150 ms (40 ms for ever before). Failed holds are logged once a second.

--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -35,11 +35,12 @@
     /** Pause after a hold that failed, and while ends wait to be kept. */
     Millis m_pause{150};
     /**
-     * Pause while nothing listens. The next process does what was sent to the former one until it
-     * is called under a higher fence: with 150 ms, 16 of 2000 seeds of restarts beside late calls
-     * had a task started again by a call that came before (RestartsBesideOtherFaults).
+     * Pause while nothing listens and calls to the former process may still arrive: the next
+     * process does them until it is called under a higher fence.
      */
-    Millis m_awayPause{40};
+    Millis m_awayPause{10};
+    /** Calls left without an answer arrive within this time, or are not known to. */
+    Millis m_lateCalls{5000};
     /** A leader that has not answered so long after the next question was due is not asked any
      * more. */
     Millis m_silence{1500};
@@ -110,6 +111,8 @@
     bool hasLease() const;
     bool isWorkerSilent() const;
     void noteNoAnswer(const HoldReply& reply);
+    void logNoAnswer(const HoldReply& reply, bool isFirst);
+    Millis getAwayPause(const HoldReply& reply) const;
     void noteAnswer(std::uint64_t number);
 
     // The worker's processes (WorkerAgentLife.cpp).
@@ -195,6 +198,7 @@
     bool m_isHolding = false;
     /** When the worker last answered a hold, or began its life here. */
     Millis m_answeredAt{0};
+    Millis m_noAnswerLoggedAt{0};
     /** The last look found nothing that listens. */
     bool m_isNobodyThere = false;
     TimerId m_holdTimer = TimerId::NONE;
--- a/libs/control/src/WorkerAgentHold.cpp
+++ b/libs/control/src/WorkerAgentHold.cpp
@@ -12,6 +12,8 @@
 
 /** A lease that ends sooner than this starts nothing. */
 constexpr Millis LEAST_LEASE{300};
+/** Between log lines of a worker that goes on not answering. */
+constexpr Millis LOG_INTERVAL{1000};
 
 }  // namespace
 
@@ -134,23 +136,42 @@
     }
 }
 
-/** The process may be gone, and the next one that answers another. */
+/**
+ * The process may be gone, and the next one that answers another. That one does what was sent to
+ * its predecessor and arrives late until it has been called, so it is called at once.
+ */
 void WorkerAgent::noteNoAnswer(const HoldReply& reply) {
-    if (std::exchange(m_isAnswering, false)) {
+    const bool wasAnswering = std::exchange(m_isAnswering, false);
+    if (wasAnswering) {
         m_fence.raise();
     }
     m_firstSince = m_holdNumber + 1;
     m_account.noteNoAnswer(m_loop.now());
     noteNobodyThere(reply.m_isNobodyThere);
-    logEvent(Severity::WARNING, "agent", "hold-failed",
-             {{"life", m_lifeName},
-              {"reason", reply.m_reason},
-              {"epoch", std::to_string(m_leader.getEpoch())}});
+    logNoAnswer(reply, wasAnswering);
     if (reply.m_status == WorkerStatus::OTHER_LIFE && m_claim.has_value()) {
         changeLife(m_claim->m_life);
         return;
     }
-    holdLater(reply.m_isNobodyThere ? m_settings.m_awayPause : m_settings.m_pause);
+    holdLater(wasAnswering ? Millis(0) : getAwayPause(reply));
+}
+
+Millis WorkerAgent::getAwayPause(const HoldReply& reply) const {
+    const bool mayComeLate = m_loop.now() - m_answeredAt <= m_settings.m_lateCalls;
+    return reply.m_isNobodyThere && mayComeLate ? m_settings.m_awayPause : m_settings.m_pause;
+}
+
+/** Not each of many alike. */
+void WorkerAgent::logNoAnswer(const HoldReply& reply, bool isFirst) {
+    if (!isFirst && m_loop.now() - m_noAnswerLoggedAt < LOG_INTERVAL) {
+        return;
+    }
+    m_noAnswerLoggedAt = m_loop.now();
+    logEvent(Severity::WARNING, "agent", "hold-failed",
+             {{"life", m_lifeName},
+              {"reason", reply.m_reason},
+              {"silent_ms", std::to_string((m_loop.now() - m_answeredAt).count())},
+              {"epoch", std::to_string(m_leader.getEpoch())}});
 }
 
 void WorkerAgent::noteAnswer(std::uint64_t number) {
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -6,6 +6,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "pierbank/base/Log.h"
+
 namespace pierbank::testing {
 
 namespace {
@@ -28,13 +30,33 @@
     return m_loop.now() - m_clockOffset;
 }
 
+/** Also as a log line, among those of the processes under test. */
 void FakeTaskWorker::note(const char* what, const TaskKey& task, std::uint32_t run) {
+    logEvent(Severity::INFO, "worker", what,
+             {{"name", m_name},
+              {"task", task.toText()},
+              {"run", std::to_string(run)},
+              {"fence", std::to_string(m_fence)},
+              {"at_ms", std::to_string(m_loop.now().count())}});
     m_journal.append(m_journal.empty() ? "" : ",");
     m_journal.append("[\"").append(what).append("\",\"").append(task.toText());
     m_journal.append("\",").append(std::to_string(run)).append(",");
     m_journal.append(std::to_string(m_loop.now().count())).append("]");
 }
 
+/** A call that was left without an answer is carried out. */
+void FakeTaskWorker::noteLate(const char* call, const TaskKey& task, std::uint32_t run,
+                              const RunReply& reply) const {
+    logEvent(Severity::INFO, "worker", "late-call",
+             {{"name", m_name},
+              {"call", call},
+              {"task", task.toText()},
+              {"run", std::to_string(run)},
+              {"done", reply.m_status == WorkerStatus::OK ? "yes" : "no"},
+              {"reason", reply.m_reason},
+              {"at_ms", std::to_string(m_loop.now().count())}});
+}
+
 void FakeTaskWorker::restart() {
     restart(m_restartForm);
 }
@@ -56,6 +78,8 @@
     m_until = Millis(0);
     m_beats = 0;
     ++m_lives;
+    logEvent(Severity::INFO, "worker", "restarted",
+             {{"name", m_name}, {"at_ms", std::to_string(m_loop.now().count())}});
     // Two starts within one millisecond are two starts.
     const auto wallNow = static_cast<std::uint64_t>((m_loop.wallNow() + m_wallClockError).count());
     m_bornAt = wallNow == m_bornAt ? wallNow + 1 : wallNow;
@@ -187,7 +211,8 @@
             --m_startsToDelay;
             m_loop.callLater(m_startDelay, [this, call, start, alive] {
                 if (!alive.expired()) {
-                    begin(call, start);
+                    const RunReply reply = begin(call, start);
+                    noteLate("start", start.m_task, start.m_run, reply);
                 }
             });
             m_loop.callLater(LOST_ANSWER, [done] { done({WorkerStatus::UNKNOWN, "lost"}); });
@@ -210,16 +235,16 @@
         }
         return checked;
     };
-    m_loop.callLater(LATENCY, [this, carryOut, done = std::move(done),
+    m_loop.callLater(LATENCY, [this, task, run, carryOut, done = std::move(done),
                                alive = std::weak_ptr(m_isAlive)] {
         if (alive.expired()) {
             return;
         }
         if (m_stopsToDelay > 0) {
             --m_stopsToDelay;
-            m_loop.callLater(m_startDelay, [carryOut, alive] {
+            m_loop.callLater(m_startDelay, [this, task, run, carryOut, alive] {
                 if (!alive.expired()) {
-                    carryOut();
+                    noteLate("stop", task, run, carryOut());
                 }
             });
             m_loop.callLater(LOST_ANSWER, [done] { done({WorkerStatus::UNKNOWN, "lost"}); });
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -107,6 +107,8 @@
     void takeHold(const HoldCall& hold);
     void waitHeld(Millis until, unsigned lives, std::function<void(const HoldReply&)> done);
     void note(const char* what, const TaskKey& task, std::uint32_t run);
+    void noteLate(const char* call, const TaskKey& task, std::uint32_t run,
+                  const RunReply& reply) const;
     struct Run {
         std::uint32_t m_number = 0;
         Millis m_startedAt{0};
