Behind a narrow link the value of a large configuration comes once, not once for each job handed in

Callers of gateways behind 10 Mbit/s got answers after 3 to 6 s, or none in their time, while the configuration grew by thousands of routes. On the users' shifted site few notice: three of nine gateways are so narrow, and wider ones lead and answer in their place. With narrow links alone 10 to 19 of 100 requests were lost.

Cause: a job is written on condition that the configuration is still the one by which it was decided. A store whose condition fails answers with the present value, a megabyte. Each job that was handed in before the news had come through brought one, beside the leader's watch, which brings it, and a read, which brought it again; what conditions and watches brought was thrown away. Evidence: nine jobs answered within 0.03 s, 1.7 to 6.1 s after they came, in the moment in which the gateway's configuration came into force. Ruled out: the store (its link carries a hundred times as much), the time-out of calls (no call was cut off).

Change: what a refused condition or a watch brings is learnt. A value that takes the gateway's link more than 0.2 s is heavy: jobs have the configuration confirmed first, one call for all that wait, and it is confirmed at intervals instead of watched. The fake store has links on which answers wait for each other; the test of values that are read counts those in other answers too (its bound stands).

--- a/libs/control/include/pierbank/control/ConfigurationFeed.h
+++ b/libs/control/include/pierbank/control/ConfigurationFeed.h
@@ -29,6 +29,11 @@
     Millis m_probePause{50};
     /** Led gateways read for themselves only when what the leader tells is older than this. */
     Millis m_mostNoticeAge{2500};
+    /** Of this gateway's host, in megabits a second. */
+    double m_linkMbps = 1000.0;
+    /** A value that the link carries no faster is heavy: it is fetched once, and not by accident.
+     */
+    Millis m_heavyTransfer{200};
 };
 
 /** What another gateway says of the configuration. */
@@ -53,6 +58,9 @@
  * silence proves nothing: how old the view is counts from the sending of the last read that
  * confirmed it. The version never goes back.
  *
+ * A value that is large for the gateway's link is not watched but confirmed at intervals, since a
+ * watch would bring it beside a read.
+ *
  * With a source that is usable it neither reads nor watches: hundreds of gateways that each read
  * the same value twice a second are most of what the store sends. The source's notice that the
  * revision at hand is the newest confirms it; for a newer one the value is read once.
@@ -114,6 +122,13 @@
     /** Takes what the source said, asked or not. */
     void learnNotice(const ConfigurationNotice& notice);
 
+    /**
+     * The value keeps this gateway's link busy for so long that no more than one may be under way:
+     * what is decided by the view at hand has it confirmed first, since a transaction that meets a
+     * newer configuration is answered with its value, each of them.
+     */
+    bool isHeavy() const;
+
     /** Takes an item that came along with another answer, and was read at `sentAt` or later. */
     void learn(const StoreItem& item, Millis sentAt);
 
@@ -124,6 +139,7 @@
     void read();
     void handleRead(const StoreRead& read, Millis sentAt);
     void probeLater();
+    void takeChanges(const StoreChanges& changes);
 
     RecordStore& m_store;
     EventLoop& m_loop;
@@ -134,6 +150,7 @@
     };
     std::optional<QueueConfiguration> m_configuration;
     StoreRevision m_revision = 0;
+    std::size_t m_valueBytes = 0;
     /** The newest that was heard of. */
     StoreRevision m_newest = 0;
     StoreRevision m_watchedTo = 0;
--- a/libs/control/src/ConfigurationFeed.cpp
+++ b/libs/control/src/ConfigurationFeed.cpp
@@ -160,10 +160,13 @@
         }
         m_configuration = std::move(configuration);
         m_revision = item.m_revision;
+        m_valueBytes = item.m_value.size();
         logEvent(Severity::INFO, "configuration", "in-force",
                  {{"version", std::to_string(m_configuration->m_version)},
                   {"revision", std::to_string(m_revision)},
-                  {"routes", std::to_string(m_configuration->m_routes.size())}});
+                  {"routes", std::to_string(m_configuration->m_routes.size())},
+                  {"bytes", std::to_string(m_valueBytes)},
+                  {"heavy", isHeavy() ? "yes" : "no"}});
         if (m_onChange) {
             m_onChange();
         }
@@ -173,8 +176,16 @@
     }
 }
 
+bool ConfigurationFeed::isHeavy() const {
+    constexpr double BITS = 8.0;
+    constexpr double BITS_PER_MILLI = 1000.0;
+    const double transfer =
+            static_cast<double>(m_valueBytes) * BITS / (m_settings.m_linkMbps * BITS_PER_MILLI);
+    return transfer > static_cast<double>(m_settings.m_heavyTransfer.count());
+}
+
 void ConfigurationFeed::keepWatching() {
-    if (!m_isWatching && !hasUsableSource()) {
+    if (!m_isWatching && !hasUsableSource() && !isHeavy()) {
         watch();
     }
 }
@@ -189,6 +200,7 @@
         // After an error the reads say how far the view surely reaches.
         m_watchedTo = isGood ? changes.m_at : m_readAt;
         if (isGood && !changes.m_events.empty()) {
+            takeChanges(changes);
             confirm([](bool) {});
         }
         m_loop.callLater(isGood ? Millis(0) : WATCH_PAUSE,
@@ -202,4 +214,14 @@
     m_store.watch(CONFIGURATION_KEY, m_watchedTo, m_settings.m_watchWait, onChanges);
 }
 
+/** They bring the value, which need not be read again, and tell nothing of its age. */
+void ConfigurationFeed::takeChanges(const StoreChanges& changes) {
+    for (const StoreEvent& event : changes.m_events) {
+        if (m_confirmedAt.has_value() && !event.m_isGone &&
+            event.m_item.m_key == CONFIGURATION_KEY) {
+            learn(event.m_item, *m_confirmedAt);
+        }
+    }
+}
+
 }  // namespace pierbank
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -164,6 +164,8 @@
         countPending(call);
     } else if (!isJobId(call->m_id)) {
         answer(call, HTTP_BAD_REQUEST, "", "the path does not end in a job id of 16 hex digits");
+    } else if (method == "POST" && m_configuration.isHeavy() && !call->m_isConfirmed) {
+        confirmAndRoute(call);
     } else if (method == "POST") {
         submit(call);
     } else if (method == "GET") {
@@ -198,6 +200,7 @@
                                 {getRunKey(call->m_id), 0}};
     call->m_written = encodeJobRecord(record);
     transaction.m_puts = {{getJobKey(call->m_id), call->m_written, 0}};
+    call->m_submittedAt = m_loop.now();
     CommitPatience patience;
     patience.m_limit = std::clamp(getTimeLeft(*call), Millis(1), m_settings.m_commitPatience);
     CertainCommit::run(m_store, m_loop, std::move(transaction), patience, m_isAlive,
@@ -237,6 +240,16 @@
         answerUnavailable(call, "the configuration keeps changing");
         return;
     }
+    // The answer brought the configuration along; read again it would take a narrow link seconds.
+    const StoreItem* const configuration = findItem(commit.m_items, CONFIGURATION_KEY);
+    if (configuration != nullptr && configuration->m_revision > call->m_configurationRevision) {
+        m_configuration.learn(*configuration, call->m_submittedAt);
+        if (m_configuration.getRevision() == configuration->m_revision) {
+            call->m_isConfirmed = true;
+            route(call);
+            return;
+        }
+    }
     confirmAndRoute(call);
 }
 
--- a/libs/control/src/JobIntakeCall.h
+++ b/libs/control/src/JobIntakeCall.h
@@ -26,6 +26,8 @@
     bool m_isRefreshed = false;
     /** The configuration was confirmed by a read sent after the request came. */
     bool m_isConfirmed = false;
+    /** When it last went out. */
+    Millis m_submittedAt{0};
     /** The record that goes to the store. */
     std::string m_written;
     std::uint32_t m_tries = 0;
--- a/libs/daemon/src/GatewaySettings.cpp
+++ b/libs/daemon/src/GatewaySettings.cpp
@@ -153,6 +153,7 @@
     readAddresses(file, settings);
     readGrace(file, settings);
     readHost(file, settings.m_core.m_bid);
+    settings.m_core.m_configuration.m_linkMbps = settings.m_core.m_bid.m_linkMbps;
     settings.m_tokens = readOperatorTokens(file);
     readSchedule(file, settings);
     readEvacuations(file, settings.m_core.m_jobs);
--- a/test/support/FakeRecordStore.cpp
+++ b/test/support/FakeRecordStore.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "pierbank/control/StoreKeys.h"
+
 namespace pierbank::testing {
 
 namespace {
@@ -11,6 +13,11 @@
 constexpr Millis CUT_TIMEOUT{1000};
 constexpr Millis WATCH_STEP{10};
 
+/** Bytes of the value, if it is that of the configuration. */
+std::size_t countConfiguration(const StoreItem& item) {
+    return item.m_key == CONFIGURATION_KEY ? item.m_value.size() : 0;
+}
+
 }  // namespace
 
 Millis FakeStoreState::nextLatency() {
@@ -167,18 +174,30 @@
 void FakeRecordStore::read(std::string_view key, std::function<void(const StoreRead&)> done) {
     count();
     call([this, key = std::string(key), done = std::move(done)](StoreStatus status) {
-        finishRead(makeRead(key, status), done);
+        const StoreRead read = makeRead(key, status);
+        carry(countConfiguration(read.m_item), [read, done] { done(read); });
     });
 }
 
-void FakeRecordStore::finishRead(const StoreRead& read,
-                                 const std::function<void(const StoreRead&)>& done) {
-    m_state.m_bytesRead += read.m_item.m_value.size();
-    if (m_state.m_narrow.count(m_process) == 0 || read.m_item.m_value.empty()) {
-        done(read);
+void FakeRecordStore::carry(std::size_t bytes, std::function<void()> answer) {
+    if (bytes != 0) {
+        ++m_state.m_values[m_process];
+        m_state.m_bytesRead += bytes;
+    }
+    if (m_state.m_narrow.count(m_process) == 0) {
+        answer();
         return;
     }
-    m_loop.callLater(m_state.m_narrowLatency, [read, done] { done(read); });
+    Millis& busyUntil = m_state.m_busyUntil[m_process];
+    busyUntil = std::max(busyUntil, m_loop.now());
+    if (bytes != 0) {
+        busyUntil += m_state.m_narrowLatency;
+    }
+    if (busyUntil <= m_loop.now()) {
+        answer();
+        return;
+    }
+    m_loop.callLater(busyUntil - m_loop.now(), std::move(answer));
 }
 
 void FakeRecordStore::readNewer(std::string_view key, StoreRevision revision,
@@ -189,7 +208,7 @@
         if (read.m_item.m_revision == revision) {
             read.m_item.m_value.clear();
         }
-        finishRead(read, done);
+        carry(countConfiguration(read.m_item), [read, done] { done(read); });
     });
 }
 
@@ -253,7 +272,11 @@
             changes.m_at = m_state.getRevision();
         }
         if (!changes.m_events.empty() || m_loop.now() >= until) {
-            done(changes);
+            std::size_t bytes = 0;
+            for (const StoreEvent& event : changes.m_events) {
+                bytes += countConfiguration(event.m_item);
+            }
+            carry(bytes, [changes, done] { done(changes); });
             return;
         }
         m_loop.callLater(WATCH_STEP, [this, prefix, after, until, done] {
@@ -288,7 +311,11 @@
             loseAnswer();
             return;
         }
-        done(commit);
+        std::size_t bytes = 0;
+        for (const StoreItem& item : commit.m_items) {
+            bytes += countConfiguration(item);
+        }
+        carry(bytes, [commit, done] { done(commit); });
     });
 }
 
--- a/test/support/FakeRecordStore.h
+++ b/test/support/FakeRecordStore.h
@@ -33,9 +33,16 @@
     Millis m_latency{2};
     /** So much more for a list, whose answers are large. */
     Millis m_listLatency{0};
-    /** Reads of these processes that bring a value take so much longer: their links are narrow. */
+    /**
+     * The links of these processes are narrow: an answer with the value of the configuration takes
+     * so much longer, one after the other, whichever call it answers, and others wait behind it.
+     */
     std::set<std::string> m_narrow;
     Millis m_narrowLatency{800};
+    /** Until when such answers keep a process's link busy. */
+    std::map<std::string, Millis> m_busyUntil;
+    /** Answers that brought a process the value of the configuration. */
+    std::map<std::string, unsigned> m_values;
     /** Up to so much more, differing from call to call, so that answers overtake each other. */
     Millis m_jitter{0};
     /** Watches hear nothing. */
@@ -48,7 +55,7 @@
         unsigned m_count = 0;
     };
     LostLists m_listsToLose;
-    /** Bytes of values that were read. */
+    /** Bytes of the configuration's value that answers brought, whatever they answered. */
     std::uint64_t m_bytesRead = 0;
     /** Calls of each process; a waiting watch is one. */
     std::map<std::string, std::uint64_t> m_callsOf;
@@ -110,7 +117,8 @@
 
 private:
     void count() { ++m_state.m_callsOf[m_process]; }
-    void finishRead(const StoreRead& read, const std::function<void(const StoreRead&)>& done);
+    /** Calls `answer` when the process's link has carried it, with so much of the configuration. */
+    void carry(std::size_t bytes, std::function<void()> answer);
     StoreRead makeRead(const std::string& key, StoreStatus status) const;
     /** Calls `answer` after the store's latency, with how the call fares. */
     void call(std::function<void(StoreStatus)> answer);
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -67,6 +67,7 @@
     JobCoreSettings settings;
     settings.m_leader.m_node = gateway.m_name;
     settings.m_workers.m_node = gateway.m_name;
+    settings.m_configuration.m_linkMbps = m_linkMbps;
     settings.m_links = {"127.0.2." + std::to_string(place + 1), 7001};
     const PlatformPorts platform{*gateway.m_store, m_advisor, m_fleet, m_documents};
     gateway.m_core =
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -64,6 +64,8 @@
     /** From the next configuration on, the queue `/batch/` is one with advice. */
     bool m_hasAdvice = false;
 
+    /** Of gateways that are started from then on. */
+    double m_linkMbps = 1000.0;
     void startGateway(std::size_t place);
     void killGateway(std::size_t place);
     void startSidecar(std::size_t place);
