--- a/model/check.sh
+++ b/model/check.sh
@@ -65,6 +65,8 @@
 for mutant in ID_ALONE LEDGER_BY_ID NO_FENCE NO_ADOPTION LOSE_BEFORE_REPORT ACKNOWLEDGE_UNSEEN; do
     verify refuted restart.pml "MUTANT_$mutant"
 done
+# No mutant: an assumption that no caller of a worker can make true.
+verify refuted restart.pml LATE_BEFORE_FIRST_CALL
 verify holds confirmation.pml TELLERS=2 QUESTIONS=1
 verify holds confirmation.pml TELLERS=1 QUESTIONS=2
 for mutant in AGE_FROM_ARRIVAL NO_TOLD_AGE UNASKED ANY_REVISION READ_FROM_ANSWER; do
--- a/model/restart.pml
+++ b/model/restart.pml
@@ -7,8 +7,9 @@
  * end is forgotten that the leader has not heard.
  *
  * Assumed: a restart is noticed, since a call breaks off or is refused; a worker does not restart and end a task within one call on its own machine; a start arrives once, at once or
- * late; a late one does not arrive at a process that nobody has called yet unless its run is still held there (open: what
- * the next process does before its first call can't be barred).
+ * late; a late one does not arrive at a process that nobody has called yet unless its run is still held there. Without the
+ * last (-DLATE_BEFORE_FIRST_CALL) there is a counterexample: nothing that a caller of the worker can say reaches the next
+ * process before its own first call.
  *
  * Mutants (-D): MUTANT_ID_ALONE, MUTANT_LEDGER_BY_ID, MUTANT_NO_FENCE, MUTANT_NO_ADOPTION, MUTANT_LOSE_BEFORE_REPORT,
  * MUTANT_ACKNOWLEDGE_UNSEEN.
@@ -105,7 +106,9 @@
         isBroken = true }
     :: atomic { lateStart != 0 ->
         if
+#ifndef LATE_BEFORE_FIRST_CALL
         :: fence == 0 && !(record == HERE && recordRun == lateStart) -> skip
+#endif
         :: else -> begin(lateStart, lateStartFence)
         fi;
         lateStart = 0 }
