--- a/libs/job/include/pierbank/job/RunLosses.h
+++ b/libs/job/include/pierbank/job/RunLosses.h
@@ -88,6 +88,8 @@
     bool isEmpty() const noexcept { return m_list.empty(); }
     /** It may crash the next worker: nothing else should have to be there. */
     bool isSuspect() const;
+    /** Several workers crashed under it: one more, and it may be given up. */
+    bool isSeries() const;
     /** Its worker crashed there: the next run tells more, and may do better, elsewhere. */
     bool hasCrashedOn(std::string_view host) const;
     /** A run of a suspect that is not older than the ones that were lost. */
--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -191,13 +191,14 @@
 /**
  * Workers may go in turn, as in a rolling restart, in the order in which hosts are tried here: each
  * new start of a task that was lost would be on the next one to go, and be taken for the cause.
+ * After one crash a good host counts for more.
  */
 double PlanningPass::rateAfterLoss(const WorkUnit& unit, std::uint32_t index,
                                    std::string_view host) {
     constexpr double SPREAD = 20.0;
     constexpr std::size_t STEPS = 1024;
     const TaskRun& task = unit.getStep().m_tasks[index];
-    if (task.m_losses.isEmpty()) {
+    if (!task.m_losses.isSeries()) {
         return 0.0;
     }
     std::string text = unit.getRecord().m_id;
--- a/libs/job/src/RunLosses.cpp
+++ b/libs/job/src/RunLosses.cpp
@@ -125,6 +125,13 @@
            static_cast<std::size_t>(beside) >= SEVERAL;
 }
 
+bool RunLosses::isSeries() const {
+    const auto seen = std::count_if(m_list.begin(), m_list.end(), [](const RunLoss& loss) {
+        return loss.m_verdict > LossVerdict::HOST_LOST;
+    });
+    return static_cast<std::size_t>(seen) >= SEVERAL;
+}
+
 bool RunLosses::hasCrashedOn(std::string_view host) const {
     return std::any_of(m_list.begin(), m_list.end(), [host](const RunLoss& loss) {
         return loss.m_verdict > LossVerdict::HOST_LOST && loss.m_worker.m_host == host;
@@ -142,10 +149,7 @@
     if (loss.m_verdict == LossVerdict::OPEN) {
         return withOpen;
     }
-    const auto seen = std::count_if(m_list.begin(), m_list.end(), [](const RunLoss& one) {
-        return one.m_verdict > LossVerdict::HOST_LOST;
-    });
-    return loss.m_verdict > LossVerdict::HOST_LOST || static_cast<std::size_t>(seen) >= SEVERAL;
+    return loss.m_verdict > LossVerdict::HOST_LOST || isSeries();
 }
 
 unsigned RunLosses::weigh(bool withOpen) const {
