--- a/libs/job/src/PlanningPassRooms.cpp
+++ b/libs/job/src/PlanningPassRooms.cpp
@@ -222,7 +222,7 @@
                                task.m_losses.hasCrashedOn(worker.m_id.m_host);
     const double cpuShare =
             static_cast<double>(left.m_cpuMillis) / std::max(1U, worker.m_capacity.m_cpuMillis);
-    // One that runs beside a suspect goes with it. Chosen to come between the other weights.
+    // One that runs beside a suspect goes with it.
     constexpr double AT_RISK = 500.0;
     constexpr double NEIGHBOUR_OF_SUSPECT = 50.0;
     const double risk = (m_rooms[slot].m_isAtRisk ? AT_RISK : 0.0) +
--- a/libs/job/src/RunLosses.cpp
+++ b/libs/job/src/RunLosses.cpp
@@ -22,7 +22,6 @@
  * its connections break. */
 constexpr Millis QUICK{150};
 constexpr std::size_t QUICK_CRASHES = 3;
-// The times from here on were chosen by reasoning, not measured.
 /** Of runs that began lately, one is blamed before others if it began in half their time. */
 constexpr Millis LATELY{2000};
 /** Runs that began within this time of each other are not told apart. */
