--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -17,15 +17,13 @@
 #include "pierbank/control/CommitResolver.h"
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EvacuationFeed.h"
-#include "pierbank/control/HostSpeeds.h"
 #include "pierbank/control/JobTable.h"
+#include "pierbank/control/LearnedState.h"
 #include "pierbank/control/PersistedEnds.h"
 #include "pierbank/control/PlanThrottle.h"
 #include "pierbank/control/ProgressTracker.h"
 #include "pierbank/control/TicketCache.h"
-#include "pierbank/control/UrgentDemand.h"
 #include "pierbank/control/WaveController.h"
-#include "pierbank/control/WorkerHealth.h"
 #include "pierbank/control/WorkerPool.h"
 #include "pierbank/job/TaskPlanner.h"
 #include "pierbank/store/RecordStore.h"
@@ -35,8 +33,7 @@
 /** Settings of a JobController and of the parts that it owns. */
 struct JobControllerSettings {
     TaskPlannerSettings m_planner;
-    WorkerHealthSettings m_health;
-    UrgentDemandSettings m_demand;
+    LearnedStateSettings m_learned;
     EvacuationFeedSettings m_evacuations;
     /**
      * Time from the receipt of an evacuation until the runs in its failure domain that have not
@@ -57,6 +54,8 @@
     bool m_scoresHosts = true;
     /** Whether stalled hosts get no new work and their runs may be restarted on other hosts. */
     bool m_detectsStalls = true;
+    /** Whether the sidecars keep what the leader has learned, for its successor. */
+    bool m_keepsLearned = true;
     /** Whether urgent work prefers hosts that were observed to be fast, which other work avoids. */
     bool m_learnsSpeeds = true;
     /**
@@ -218,7 +217,7 @@
      * worker.
      */
     double getSlowness(std::string_view incarnation) const {
-        return m_speeds.getSlowness(incarnation);
+        return m_learned.speeds().getSlowness(incarnation);
     }
     /**
      * Returns when a host's worker will have warmed up; empty if the worker did not report itself
@@ -379,12 +378,9 @@
     ConfigurationFeed& m_configuration;
     const JobControllerSettings m_settings;
     WorkerPool m_workers;
-    WorkerHealth m_health;
+    LearnedState m_learned;
     CapacityRefusals m_capacityRefusals;
     ProgressTracker m_progress;
-    /** Keyed by incarnation, since another incarnation of a worker may run on another machine. */
-    HostSpeeds m_speeds;
-    UrgentDemand m_demand;
     TicketCache m_ticketCache;
     EvacuationFeed m_evacuations;
     std::function<void()> m_onLeadershipLost;
--- a/libs/control/include/pierbank/control/WorkerHealth.h
+++ b/libs/control/include/pierbank/control/WorkerHealth.h
@@ -45,6 +45,9 @@
      * force.
      */
     double m_jobRetentionFactor = 4.0;
+    /** Whether a host that failed many tasks of large steps is paused and then tested with single
+     * tasks, see switch `probes-hosts`. */
+    bool m_probesHosts = true;
 };
 
 /** End of a run, as evidence for or against its host. */
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -27,8 +27,7 @@
           m_configuration(configuration),
           m_settings(settings),
           m_workers(transport, loop, *this, std::move(workers)),
-          m_health(m_settings.m_health),
-          m_demand(m_settings.m_demand),
+          m_learned(m_settings.m_learned),
           m_ticketCache(loop, advisor),
           m_evacuations(store, loop, m_settings.m_evacuations),
           m_currentFragmentationWeight(m_settings.m_planner.m_fragmentationWeight) {
@@ -76,11 +75,9 @@
     m_waitingUnits = 0;
     m_waitingUrgentJobs.clear();
     m_earlyCancels.clear();
-    m_health.clear();
+    m_learned.clear();
     m_capacityRefusals.clear();
-    m_demand.clear();
     m_progress.clear();
-    m_speeds.clear();
     m_ticketCache.clear();
     m_adminStates.clear();
     m_unreadableRuns.clear();
--- a/libs/control/src/JobControllerOrders.cpp
+++ b/libs/control/src/JobControllerOrders.cpp
@@ -125,7 +125,7 @@
 
 /** Returns whether the host is avoided because of its failure score. */
 bool JobController::isAvoided(const std::string& host) const {
-    return m_settings.m_scoresHosts && m_health.isAvoided(host, m_loop.now());
+    return m_settings.m_scoresHosts && m_learned.health().isAvoided(host, m_loop.now());
 }
 
 bool JobController::isStalled(const std::string& host) const {
@@ -171,7 +171,7 @@
                       {"task", run.m_task.toText()},
                       {"still_ms", std::to_string(stalledTime.count())},
                       {"ran_ms", std::to_string((m_loop.wallNow() - run.m_placedAt).count())}});
-            m_health.recordStalled(run.m_worker.m_host, m_loop.now());
+            m_learned.health().recordStalled(run.m_worker.m_host, m_loop.now());
             stop({run.m_task, run.m_run, "nothing advances on " + run.m_worker.m_host});
         }
     }
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -155,11 +155,12 @@
         }
         TaskKey step = rate.m_task;
         step.m_index = 0;
-        m_speeds.recordSample({report.m_incarnation, step.toText(), rate.m_rate}, m_loop.now());
+        m_learned.speeds().recordSample({report.m_incarnation, step.toText(), rate.m_rate},
+                                        m_loop.now());
     }
-    const auto stalledAt = m_health.getStalledAt(host);
+    const auto stalledAt = m_learned.health().getStalledAt(host);
     if (stalledAt.has_value() && m_progress.hasAdvancedSince(host, *stalledAt)) {
-        m_health.recordAdvanced(host, m_loop.now());
+        m_learned.health().recordAdvanced(host, m_loop.now());
         invalidatePlan();
     }
     if (!wasStalled && isStalled(host)) {
@@ -231,7 +232,8 @@
               {"current", effect.m_isApplied ? "yes" : "no"}});
     if (isActive) {
         const Millis runTime = m_loop.wallNow() - activeRun->m_placedAt;
-        m_health.recordRunEnd({worker.m_host, key->m_job, endKind, runTime}, m_loop.now());
+        m_learned.health().recordRunEnd({worker.m_host, key->m_job, endKind, runTime},
+                                        m_loop.now());
     }
     if (effect.m_isApplied) {
         entry.m_endsToPersist.emplace_back(worker, end.m_number);
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -83,7 +83,7 @@
             continue;
         }
         for (const std::string_view host : listStalledHosts(entry.m_run)) {
-            m_health.recordStalled(std::string(host), m_loop.now());
+            m_learned.health().recordStalled(std::string(host), m_loop.now());
         }
     }
 }
@@ -218,7 +218,7 @@
              {"steps", std::to_string(entry.m_record.m_spec.m_steps.size())},
              {"objective_ms", std::to_string(getObjectiveSpan(entry.m_record).count())},
              {"age_ms", std::to_string((m_loop.wallNow() - entry.m_record.m_acceptedAt).count())}});
-    m_demand.recordArrival(entry.m_record);
+    m_learned.demand().recordArrival(entry.m_record);
     m_jobs.emplace(id, std::move(entry));
 }
 
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -62,10 +62,15 @@
             !isStalled(address) && !m_capacityRefusals.isPaused(address, m_loop.now());
     const auto coldUntil = getColdUntil(address);
     const bool isCold = coldUntil.has_value() && m_loop.now() < *coldUntil;
-    snapshot.m_slowness =
-            m_settings.m_learnsSpeeds ? m_speeds.getSlowness(snapshot.m_id.m_incarnation) : 1.0;
+    snapshot.m_slowness = m_settings.m_learnsSpeeds
+                                  ? m_learned.speeds().getSlowness(snapshot.m_id.m_incarnation)
+                                  : 1.0;
     snapshot.m_slowness *= m_settings.m_learnsSpeeds && isCold ? m_settings.m_coldSlowdown : 1.0;
-    snapshot.m_isSuspect = m_settings.m_scoresHosts && m_health.isSuspect(address, m_loop.now());
+    snapshot.m_slownessSamples =
+            m_settings.m_learnsSpeeds ? m_learned.speeds().getEvidence(snapshot.m_id.m_incarnation)
+                                      : 0.0;
+    snapshot.m_isSuspect =
+            m_settings.m_scoresHosts && m_learned.health().isSuspect(address, m_loop.now());
 }
 
 /**
@@ -128,9 +133,10 @@
 TaskPlanner JobController::makePlanner() const {
     TaskPlannerSettings settings = m_settings.m_planner;
     settings.m_fragmentationWeight = m_currentFragmentationWeight;
-    for (const std::string& service : m_demand.listServices()) {
+    for (const std::string& service : m_learned.demand().listServices()) {
         if (m_settings.m_reservesHeadroom) {
-            settings.m_urgentHeadroom[service] = m_demand.getHeadroom(service, m_loop.wallNow());
+            settings.m_urgentHeadroom[service] =
+                    m_learned.demand().getHeadroom(service, m_loop.wallNow());
         }
     }
     return TaskPlanner(settings);
--- a/libs/daemon/src/GatewaySettings.cpp
+++ b/libs/daemon/src/GatewaySettings.cpp
@@ -136,6 +136,11 @@
     if (!file.getSwitch({"switches", "claims"}, true)) {
         planner.m_maxReservations = 0;
     }
+    planner.m_forecastsCompletion = file.getSwitch({"switches", "forecasts-completion"}, true);
+    planner.m_reservesEarly = file.getSwitch({"switches", "reserves-early"}, true);
+    core.m_jobs.m_keepsLearned = file.getSwitch({"switches", "keeps-learned"}, true);
+    core.m_jobs.m_learned.m_health.m_probesHosts =
+            file.getSwitch({"switches", "probes-hosts"}, true);
     core.m_jobs.m_reservesHeadroom = file.getSwitch({"switches", "keeps-room"}, true);
     core.m_jobs.m_scoresHosts = file.getSwitch({"switches", "judges-hosts"}, true);
     core.m_jobs.m_learnsSpeeds = file.getSwitch({"switches", "learns-speeds"}, true);
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -40,6 +40,15 @@
     bool m_isSuspect = false;
     /** Observed run time of tasks there as a multiple of the declared time; 1 is normal. */
     double m_slowness = 1.0;
+    /** Number of runs from which m_slowness was observed; 0 if no run was observed yet. */
+    double m_slownessSamples = 0;
+    /** Whether a run ended well there recently and none has failed since. */
+    bool m_isProven = false;
+    /**
+     * Maximum number of tasks of one job that may run there at the same time, so that a host which
+     * may fail them all does not use up their attempts at once; zero for no limit.
+     */
+    std::uint32_t m_maxTasksPerJob = 0;
 };
 
 /**
@@ -132,6 +141,12 @@
     bool m_copiesSlowTasks = true;
     /** A lasting task counts as unavailable until its run has lasted for this long. */
     Millis m_settleTime{5000};
+    /** Urgent work is placed where it is forecast to meet its objective, see switch
+     * `forecasts-completion`. */
+    bool m_forecastsCompletion = true;
+    /** Workers are reserved for large units as soon as smaller work would keep them out, see switch
+     * `reserves-early`. */
+    bool m_reservesEarly = true;
 };
 
 /** One run to start. A plan has placements for all members of a gang or for none. */
@@ -200,6 +215,13 @@
     TaskRef(const TaskKey& key) : TaskRef(key.m_job, key.m_occurrence, key.m_step, key.m_index) {}
 };
 
+/** Expected run time of a task on a host of normal speed, with its uncertainty. */
+struct RunTimeEstimate {
+    Millis m_expected{0};
+    /** Run time that few tasks exceed; at least m_expected. */
+    Millis m_high{0};
+};
+
 /** Estimates when runs end. Queried only for the runs on which a decision depends. */
 class RunForecast {
 public:
@@ -207,6 +229,8 @@
     /** Returns the time until the run of a task on a host ends; empty if it cannot be estimated. */
     virtual std::optional<Millis> getRemaining(std::string_view host,
                                                const TaskRef& task) const = 0;
+    /** Returns the run time of a task of the step; without observations, the declared time. */
+    virtual RunTimeEstimate getRunTime(const JobRecord& record, const StepSpec& step) const;
 };
 
 /**
--- a/libs/job/src/TaskPlanner.cpp
+++ b/libs/job/src/TaskPlanner.cpp
@@ -27,6 +27,10 @@
 
 }  // namespace
 
+RunTimeEstimate RunForecast::getRunTime(const JobRecord&, const StepSpec& step) const {
+    return {step.m_estimate, step.m_estimate};
+}
+
 std::string_view toText(UrgentWait::Cause cause) {
     switch (cause) {
         case UrgentWait::Cause::STOPS:
