--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -219,6 +219,8 @@
     double getSlowness(std::string_view incarnation) const {
         return m_learned.speeds().getSlowness(incarnation);
     }
+    /** Returns the observed run times of images. */
+    const RunTimes& getRunTimes() const noexcept { return m_learned.runTimes(); }
     /**
      * Returns when a host's worker will have warmed up; empty if the worker did not report itself
      * as cold.
@@ -334,6 +336,7 @@
     void resendOrderOrStop(JobEntry& entry, const ActiveRun& run, const RunReport& report);
     static bool isInReport(const ActiveRun& run, const RunReport& report);
     void recordProgress(const std::string& host, const RunReport& report);
+    void recordRunTime(const std::string& incarnation, const ProgressRate& rate);
     static bool hasFailedOnSeveralHosts(const JobEntry& entry, const TaskKey& task);
     bool isWholeGangRunning(const JobEntry& entry, const TaskKey& member, std::uint32_t run) const;
     std::optional<ActiveRun> findOrRebindRun(JobEntry& entry, const TaskKey& key, std::uint32_t run,
--- a/libs/control/include/pierbank/control/LearnedState.h
+++ b/libs/control/include/pierbank/control/LearnedState.h
@@ -3,6 +3,7 @@
 #define PIERBANK_CONTROL_LEARNEDSTATE_H
 
 #include "pierbank/control/HostSpeeds.h"
+#include "pierbank/control/RunTimes.h"
 #include "pierbank/control/UrgentDemand.h"
 #include "pierbank/control/WorkerHealth.h"
 
@@ -32,17 +33,22 @@
     /** Arrivals of urgent work, by service. */
     UrgentDemand& demand() noexcept { return m_demand; }
     const UrgentDemand& demand() const noexcept { return m_demand; }
+    /** Run times compared with the declared ones, by queue and image. */
+    RunTimes& runTimes() noexcept { return m_runTimes; }
+    const RunTimes& runTimes() const noexcept { return m_runTimes; }
 
     void clear() {
         m_health.clear();
         m_speeds.clear();
         m_demand.clear();
+        m_runTimes.clear();
     }
 
 private:
     WorkerHealth m_health;
     HostSpeeds m_speeds;
     UrgentDemand m_demand;
+    RunTimes m_runTimes;
 };
 
 }  // namespace pierbank
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -243,6 +243,7 @@
                  {{"job", std::string(wait.m_job)},
                   {"for", std::string(toText(wait.m_cause))},
                   {"guaranteed", wait.m_isGuaranteed ? "yes" : "no"},
+                  {"forecast", std::string(toText(wait.m_outlook))},
                   {"loss_core_s", std::to_string(std::lround(wait.m_wastedWork))},
                   {"age_ms",
                    std::to_string((m_loop.wallNow() - entry.m_record.m_acceptedAt).count())}});
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -153,6 +153,7 @@
         if (reported != runs.end() && wasPlacedWhileCold(host, rate.m_task, reported->m_run)) {
             continue;
         }
+        recordRunTime(report.m_incarnation, rate);
         TaskKey step = rate.m_task;
         step.m_index = 0;
         m_learned.speeds().recordSample({report.m_incarnation, step.toText(), rate.m_rate},
@@ -168,6 +169,17 @@
     }
 }
 
+/** Records how long a run takes compared with its declared time, the speed of its host taken out.
+ */
+void JobController::recordRunTime(const std::string& incarnation, const ProgressRate& rate) {
+    const JobRecord& record = m_jobs.find(rate.m_task.m_job)->second.m_record;
+    const StepSpec& step = record.m_spec.m_steps[rate.m_task.m_step];
+    m_learned.runTimes().recordSample(
+            {record.m_policy.m_queue, step.m_image, rate.m_rate,
+             m_learned.speeds().getSlowness(incarnation), step.m_estimate},
+            m_loop.now());
+}
+
 /**
  * Returns whether a task has stalled or failed on several hosts; its record does not distinguish
  * stalls from failures. Such a task takes longer than declared or is itself faulty, so a stall of
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -144,18 +144,26 @@
 
 namespace {
 
-/** Forecasts the remaining time of runs from their reported progress. */
+/**
+ * Forecasts the remaining time of runs from their reported progress, and run times from those of
+ * earlier runs.
+ */
 class ProgressForecast final : public RunForecast {
 public:
-    ProgressForecast(const ProgressTracker& progress, Millis now)
-            : m_progress(progress), m_now(now) {}
+    ProgressForecast(const ProgressTracker& progress, const RunTimes& runTimes, Millis now)
+            : m_progress(progress), m_runTimes(runTimes), m_now(now) {}
 
     std::optional<Millis> getRemaining(std::string_view host, const TaskRef& task) const override {
         return m_progress.getRemaining(host, task, m_now);
     }
 
+    RunTimeEstimate getRunTime(const JobRecord& record, const StepSpec& step) const override {
+        return m_runTimes.getRunTime(record.m_policy.m_queue, step.m_image, step.m_estimate);
+    }
+
 private:
     const ProgressTracker& m_progress;
+    const RunTimes& m_runTimes;
     const Millis m_now;
 };
 
@@ -172,7 +180,7 @@
 }
 
 TaskPlan JobController::makePlan(const std::vector<PlannedJob>& jobs, bool withExplanations) const {
-    const ProgressForecast forecast(m_progress, m_loop.now());
+    const ProgressForecast forecast(m_progress, m_learned.runTimes(), m_loop.now());
     return makePlanner().plan({getWorkerSnapshots(), jobs, forecast, getGuarantees(m_configuration),
                                m_loop.wallNow(), withExplanations, mayPreempt()});
 }
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -190,9 +190,19 @@
         /** No worker that the unit may use can free enough capacity, or preemption is disabled. */
         WORKERS,
     };
+    /** Forecast of the unit's end, for the log. */
+    enum class Outlook {
+        /** The unit is not placed by its forecast completion, or waits without a place. */
+        UNKNOWN,
+        /** The place for which it waits keeps its objective. */
+        IN_TIME,
+        /** It misses its objective wherever it runs. */
+        LATE,
+    };
     /** Id of the job, owned by the job's record. */
     std::string_view m_job;
     Cause m_cause = Cause::WORKERS;
+    Outlook m_outlook = Outlook::UNKNOWN;
     /** Whether the guarantee of the job's organisation covers the job. */
     bool m_isGuaranteed = false;
     /** Core-seconds of work that is lost by preemption, or would be lost by it. */
@@ -201,6 +211,8 @@
 
 /** Returns the name of the cause for the log. */
 std::string_view toText(UrgentWait::Cause cause);
+/** Returns the name of the outlook for the log. */
+std::string_view toText(UrgentWait::Outlook outlook);
 
 /** Non-owning reference to a task; the job's id must outlive it. */
 struct TaskRef {
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -351,28 +351,24 @@
  * @return false if neither was possible.
  */
 bool PlanningPass::placeOrWait(const WorkUnit& unit) {
+    if (usesForecast(unit)) {
+        return placeByForecast(unit);
+    }
+    return placeInFreeOrReleasing(unit) ||
+           (unit.isUrgent() && (waitForEnds(unit, getWaitBudget(unit)) || preemptFor(unit)));
+}
+
+/** Places a unit in free capacity, or sets aside capacity that is being freed. */
+bool PlanningPass::placeInFreeOrReleasing(const WorkUnit& unit) {
     if (const auto assignment = findPlace(unit, false)) {
         commit(unit, *assignment);
         return true;
     }
     if (const auto assignment = findPlace(unit, true)) {
-        // Runs that are being stopped will free enough capacity; no other unit may use it.
-        allocateReleasing(unit, *assignment);
-        addExplanation(unit, "waits until work that is being stopped has ended");
-        recordUrgentWait(unit, UrgentWait::Cause::STOPS);
+        awaitReleasing(unit, *assignment);
         return true;
     }
-    return unit.isUrgent() && (waitForEnds(unit) || preemptFor(unit));
-}
-
-/** Records why a unit waits, if it is the first waiting unit of an urgent job. */
-void PlanningPass::recordUrgentWait(const WorkUnit& unit, UrgentWait::Cause cause,
-                                    double preemptionCost) {
-    const std::string_view job = unit.getRecord().m_id;
-    auto& waits = m_plan.m_urgentWaits;
-    if (unit.isUrgent() && (waits.empty() || waits.back().m_job != job)) {
-        waits.push_back({job, cause, unit.m_waitingStep->m_isGuaranteed, preemptionCost});
-    }
+    return false;
 }
 
 /** Adds the placements of a unit to the plan, and updates the state of the workers. */
@@ -401,11 +397,4 @@
     }
 }
 
-void PlanningPass::addExplanation(const WorkUnit& unit, PlanExplanation::Kind kind,
-                                  std::string text) {
-    if (m_input.m_withExplanations) {
-        m_plan.m_explanations.push_back({unit.getRecord().m_id, kind, std::move(text)});
-    }
-}
-
 }  // namespace pierbank
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pierbank/job/CompletionForecast.h"
 #include "pierbank/job/TaskPlanner.h"
 
 namespace pierbank {
@@ -80,6 +81,12 @@
     bool m_isSuspect = false;
     /** Whether the unit avoids workers that have a run of a suspect task at its placement. */
     bool m_avoidsSuspectRuns = false;
+    /** By slot: workers that may make the unit late, which it avoids at present; null for none. */
+    const std::vector<bool>* m_avoidedSlots = nullptr;
+    /** Whether the unit is placed by its forecast completion. */
+    bool m_usesForecast = false;
+    /** Forecast of the unit's end on the workers that are tried for it. */
+    UrgentWait::Outlook m_outlook = UrgentWait::Outlook::UNKNOWN;
 
     const JobRecord& getRecord() const { return *m_waitingStep->m_record; }
     const StepSpec& getSpec() const { return *m_waitingStep->m_spec; }
@@ -192,6 +199,14 @@
         /** Tasks of the step by slot, including the members that have been assigned so far. */
         TasksPerWorker m_taskCounts;
     };
+    /** An assignment of workers to a unit that waits for runs to end there. */
+    struct EndsWait {
+        Assignment m_assignment;
+        /** Indexes in m_occupants of the runs that end. */
+        std::vector<std::size_t> m_ends;
+        /** Time until the last of them ends. */
+        Millis m_startsIn{0};
+    };
     /** Properties on which the placement of a unit depends, apart from the number of members. */
     using UnitClass = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
                                  std::uint32_t, bool, bool, DomainId, int, bool, bool, Millis>;
@@ -233,6 +248,8 @@
     void recordFailedPlacement(const WorkUnit& unit);
     void recordUrgentWait(const WorkUnit& unit, UrgentWait::Cause cause, double preemptionCost = 0);
     bool placeOrWait(const WorkUnit& unit);
+    bool placeInFreeOrReleasing(const WorkUnit& unit);
+    void awaitReleasing(const WorkUnit& unit, const Assignment& assignment);
     void commit(const WorkUnit& unit, const Assignment& assignment);
     void addExplanation(const WorkUnit& unit, PlanExplanation::Kind kind, std::string text);
     void addExplanation(const WorkUnit& unit, std::string_view text) {
@@ -282,17 +299,25 @@
     bool needsSingleDomain(const WorkUnit& unit) const;
 
     // Preemption for urgent work (PlanningPassPreemption.cpp).
-    bool waitForEnds(const WorkUnit& unit);
+    Millis getWaitBudget(const WorkUnit& unit) const;
+    bool waitForEnds(const WorkUnit& unit, Millis budget);
+    std::optional<EndsWait> findEnds(const WorkUnit& unit, Millis budget);
+    void awaitEnds(const WorkUnit& unit, const EndsWait& wait);
     bool isPreemptionJustified(const WorkUnit& unit, double preemptionCost) const;
     bool preemptFor(const WorkUnit& unit);
-    std::optional<Preemption> findPreemption(const WorkUnit& unit, DomainId domain);
+    std::optional<Preemption> findPreemption(const WorkUnit& unit);
+    std::optional<Preemption> findPreemption(const WorkUnit& unit, DomainId domain,
+                                             std::optional<std::size_t> firstGang = std::nullopt);
+    void preempt(const WorkUnit& unit, const Preemption& preemption);
     bool addMember(const WorkUnit& unit, DomainId domain, Preemption& preemption) const;
+    void addVictims(const Victims& victims, Preemption& preemption) const;
     const std::optional<Victims>& findVictims(const WorkUnit& unit, WorkerSlot slot,
                                               Preemption& preemption) const;
     std::optional<Victims> chooseVictims(const WorkUnit& unit, WorkerSlot slot,
-                                         const Resources& need) const;
+                                         const Resources& need, const Preemption& preemption) const;
     double getSlownessCost(const WorkUnit& unit, WorkerSlot slot) const;
-    double getPreemptionCost(const Victims& victims, const Preemption& preemption) const;
+    double getPreemptionCost(const Victims& victims, const Preemption& preemption,
+                             bool isWeighted) const;
     bool mayPreempt(const WorkUnit& unit, const Occupant& occupant) const;
     /** Whether a stop keeps the number of unavailable tasks of a lasting step within its limit. */
     bool mayInterrupt(const Occupant& occupant) const;
@@ -309,6 +334,32 @@
     const JobRecord& getRecord(const Occupant& occupant) const;
     std::optional<Millis> getRemaining(const Occupant& occupant) const;
 
+    // Victims over the whole set (PlanningPassVictims.cpp).
+    double getVictimCost(const Occupant& victim, bool isWeighted) const;
+    std::span<const std::size_t> orderVictims(const WorkUnit& unit, WorkerSlot slot,
+                                              std::vector<std::size_t>& storage) const;
+    bool isFreedByGang(const Occupant& occupant, const Preemption& preemption) const;
+    std::vector<std::size_t> listFirstGangs(const WorkUnit& unit, double maxCost) const;
+    void addGang(std::size_t group, Preemption& preemption) const;
+    void dropUnneeded(Preemption& preemption) const;
+    bool isHeldBy(const Preemption& preemption) const;
+
+    // Placement by forecast completion (PlanningPassForecast.cpp).
+    const SpeedSpread& getSpeeds(const EligibleWorkers& eligible);
+    bool usesForecast(const WorkUnit& unit);
+    CompletionForecast makeForecast(const WorkUnit& unit);
+    double getSlowness(const Assignment& assignment) const;
+    std::vector<bool> listSlowWorkers(const WorkUnit& unit, double maxSlowness,
+                                      bool withUnrated) const;
+    bool placeByForecast(const WorkUnit& unit);
+    bool placeInTime(const WorkUnit& unit, const CompletionForecast& forecast,
+                     const std::vector<bool>& avoided);
+    bool waitInTime(const WorkUnit& unit, const CompletionForecast& forecast,
+                    const WorkUnit& faster);
+    bool preemptInTime(const WorkUnit& unit, const CompletionForecast& forecast,
+                       const std::vector<bool>& slow);
+    Millis getValueLeft(const WorkUnit& unit) const;
+
     // Reservations, speculative copies and migrations (PlanningPassReservations.cpp).
     bool isStarved(const WorkUnit& unit) const;
     bool isStarved(const WaitingStep& step) const;
@@ -358,6 +409,8 @@
     mutable std::vector<std::optional<bool>> m_wasIdle;
     /** Eligible workers by service and required label. */
     std::map<std::pair<std::string_view, std::string_view>, EligibleWorkers> m_eligible;
+    /** Speeds of eligible workers, computed on demand. */
+    std::map<const EligibleWorkers*, SpeedSpread> m_speeds;
     /** Eligible workers of steps with placement advice; a deque keeps their addresses valid. */
     std::deque<EligibleWorkers> m_advised;
     std::unordered_map<const StepRun*, TasksPerWorker> m_tasksPerWorker;
--- a/libs/job/src/PlanningPassExplanations.cpp
+++ b/libs/job/src/PlanningPassExplanations.cpp
@@ -24,6 +24,24 @@
 
 }  // namespace
 
+/** Records why a unit waits, if it is the first waiting unit of an urgent job. */
+void PlanningPass::recordUrgentWait(const WorkUnit& unit, UrgentWait::Cause cause,
+                                    double preemptionCost) {
+    const std::string_view job = unit.getRecord().m_id;
+    auto& waits = m_plan.m_urgentWaits;
+    if (unit.isUrgent() && (waits.empty() || waits.back().m_job != job)) {
+        waits.push_back(
+                {job, cause, unit.m_outlook, unit.m_waitingStep->m_isGuaranteed, preemptionCost});
+    }
+}
+
+void PlanningPass::addExplanation(const WorkUnit& unit, PlanExplanation::Kind kind,
+                                  std::string text) {
+    if (m_input.m_withExplanations) {
+        m_plan.m_explanations.push_back({unit.getRecord().m_id, kind, std::move(text)});
+    }
+}
+
 /** Whether the known workers could run the whole unit if they were idle and had full capacity. */
 bool PlanningPass::canEverHold(const WorkUnit& unit) const {
     return canEverHold(unit, true);
--- a/libs/job/src/PlanningPassPreemption.cpp
+++ b/libs/job/src/PlanningPassPreemption.cpp
@@ -50,17 +50,40 @@
     return unavailable;
 }
 
-/** Waits for runs that are about to end instead of preempting them, within the unit's limits. */
-bool PlanningPass::waitForEnds(const WorkUnit& unit) {
+/** Sets aside capacity that runs which are being stopped will free; no other unit may use it. */
+void PlanningPass::awaitReleasing(const WorkUnit& unit, const Assignment& assignment) {
+    allocateReleasing(unit, assignment);
+    addExplanation(unit, unit.m_outlook == UrgentWait::Outlook::IN_TIME
+                                 ? "waits until work that is being stopped has ended, on workers "
+                                   "that are fast enough for its objective"
+                                 : "waits until work that is being stopped has ended");
+    recordUrgentWait(unit, UrgentWait::Cause::STOPS);
+}
+
+/** Returns how long the unit may still wait for ends before it preempts other runs. */
+Millis PlanningPass::getWaitBudget(const WorkUnit& unit) const {
     const auto estimate = static_cast<double>(unit.getSpec().m_estimate.count());
     const Millis share(static_cast<std::int64_t>(m_settings.m_preemptionDelayShare * estimate));
     const Millis waited = m_wallNow - unit.m_waitingStep->m_dueAt;
-    const Millis budget = std::min(share, m_settings.m_maxPreemptionDelay) - waited;
+    return std::min(share, m_settings.m_maxPreemptionDelay) - waited;
+}
+
+/** Waits for runs that are about to end instead of preempting them. */
+bool PlanningPass::waitForEnds(const WorkUnit& unit, Millis budget) {
+    const auto wait = findEnds(unit, budget);
+    if (wait.has_value()) {
+        awaitEnds(unit, *wait);
+    }
+    return wait.has_value();
+}
+
+/** Finds a place for the unit in capacity that is free or will be freed within the budget. */
+std::optional<PlanningPass::EndsWait> PlanningPass::findEnds(const WorkUnit& unit, Millis budget) {
     if (budget <= Millis(0)) {
-        return false;
+        return std::nullopt;
     }
     std::vector<Resources> capacities = listUsableCapacity(unit, true);
-    std::vector<std::size_t> ending;
+    std::vector<std::pair<std::size_t, Millis>> ending;
     for (const WorkerSlot slot : unit.m_waitingStep->m_eligible->m_slots) {
         if (isExcluded(unit, slot) || !isUnreservedFor(unit, slot)) {
             continue;
@@ -73,26 +96,38 @@
             if (remaining.has_value() && *remaining <= budget) {
                 releaseCapacity(capacities[slot], overcommitted,
                                 occupant.m_spec->getCapacityDemand());
-                ending.push_back(i);
+                ending.emplace_back(i, *remaining);
             }
         }
     }
     const auto assignment = ending.empty() ? std::nullopt : assign(unit, capacities);
     if (!assignment.has_value()) {
-        return false;
+        return std::nullopt;
     }
-    for (const std::size_t i : ending) {
-        Occupant& occupant = m_occupants[i];
-        if (std::find(assignment->begin(), assignment->end(), occupant.m_slot) !=
+    EndsWait wait{*assignment, {}, Millis(0)};
+    for (const auto& [i, remaining] : ending) {
+        if (std::find(assignment->begin(), assignment->end(), m_occupants[i].m_slot) !=
             assignment->end()) {
-            occupant.m_isAwaited = true;
-            addReleasing(occupant.m_slot, occupant.m_spec->getCapacityDemand());
+            wait.m_ends.push_back(i);
+            wait.m_startsIn = std::max(wait.m_startsIn, remaining);
         }
     }
-    allocateReleasing(unit, *assignment);
-    addExplanation(unit, "waits for work that is about to end");
+    return wait;
+}
+
+/** Sets aside the capacity that the awaited runs will free. */
+void PlanningPass::awaitEnds(const WorkUnit& unit, const EndsWait& wait) {
+    for (const std::size_t i : wait.m_ends) {
+        Occupant& occupant = m_occupants[i];
+        occupant.m_isAwaited = true;
+        addReleasing(occupant.m_slot, occupant.m_spec->getCapacityDemand());
+    }
+    allocateReleasing(unit, wait.m_assignment);
+    addExplanation(unit, unit.m_outlook == UrgentWait::Outlook::IN_TIME
+                                 ? "waits for work that is about to end on workers that are fast "
+                                   "enough for its objective"
+                                 : "waits for work that is about to end");
     recordUrgentWait(unit, UrgentWait::Cause::ENDS);
-    return true;
 }
 
 /** Preempts the runs whose loss, together with the cost of slow workers, is the lowest. */
@@ -101,13 +136,7 @@
         recordUrgentWait(unit, UrgentWait::Cause::WORKERS, 0.0);
         return false;
     }
-    std::optional<Preemption> best;
-    for (const DomainId domain : listTopologyDomains(unit)) {
-        auto preemption = findPreemption(unit, domain);
-        if (preemption.has_value() && (!best.has_value() || preemption->m_cost < best->m_cost)) {
-            best = std::move(preemption);
-        }
-    }
+    const std::optional<Preemption> best = findPreemption(unit);
     if (!best.has_value() || !isPreemptionJustified(unit, best->m_preemptionCost)) {
         const auto cause =
                 best.has_value() ? UrgentWait::Cause::CAPACITY : UrgentWait::Cause::WORKERS;
@@ -115,13 +144,44 @@
                          best.has_value() ? best->m_preemptionCost / MILLIS_PER_SECOND : 0.0);
         return false;
     }
-    for (const std::size_t victim : best->m_victims) {
+    preempt(unit, *best);
+    return true;
+}
+
+/** Returns the cheapest preemption over the topology domains; empty if there is none. */
+std::optional<PlanningPass::Preemption> PlanningPass::findPreemption(const WorkUnit& unit) {
+    std::optional<Preemption> best;
+    const auto consider = [&](std::optional<Preemption> preemption) {
+        if (preemption.has_value() && (!best.has_value() || preemption->m_cost < best->m_cost)) {
+            best = std::move(preemption);
+        }
+    };
+    const std::vector<DomainId> domains = listTopologyDomains(unit);
+    for (const DomainId domain : domains) {
+        consider(findPreemption(unit, domain));
+    }
+    if (!unit.m_usesForecast || !best.has_value()) {
+        return best;
+    }
+    for (const std::size_t gang : listFirstGangs(unit, best->m_cost)) {
+        const DomainId domain =
+                domains.size() == 1
+                        ? domains.front()
+                        : getTopologyDomain(unit, m_occupants[m_groups[gang].m_first].m_slot);
+        consider(findPreemption(unit, domain, gang));
+    }
+    return best;
+}
+
+/** Stops the victims and allocates the capacity that they will free. */
+void PlanningPass::preempt(const WorkUnit& unit, const Preemption& preemption) {
+    for (const std::size_t victim : preemption.m_victims) {
         stop(m_occupants[victim], "gave way to job " + unit.getRecord().m_id);
     }
-    allocateReleasing(unit, best->m_assignment);
+    allocateReleasing(unit, preemption.m_assignment);
     addExplanation(unit, "waits until work that gives way to it has ended");
-    recordUrgentWait(unit, UrgentWait::Cause::STOPS, best->m_preemptionCost / MILLIS_PER_SECOND);
-    return true;
+    recordUrgentWait(unit, UrgentWait::Cause::STOPS,
+                     preemption.m_preemptionCost / MILLIS_PER_SECOND);
 }
 
 /** Guaranteed units may always preempt; for other urgent units the lost work is limited. */
@@ -135,17 +195,26 @@
                                      m_settings.m_maxWastePerOwnWork * own;
 }
 
-/** Finds the members' workers in a topology domain one by one, each at the lowest cost. */
-std::optional<PlanningPass::Preemption> PlanningPass::findPreemption(const WorkUnit& unit,
-                                                                     DomainId domain) {
+/**
+ * Finds the members' workers in a topology domain one by one, each at the lowest cost.
+ * @param firstGang group of a gang that is preempted before; empty for none.
+ */
+std::optional<PlanningPass::Preemption> PlanningPass::findPreemption(
+        const WorkUnit& unit, DomainId domain, std::optional<std::size_t> firstGang) {
     Preemption preemption;
     preemption.m_taskCounts = countTasksPerWorker(unit);
     preemption.m_victimsBySlot.resize(m_workerStates.size());
+    if (firstGang.has_value()) {
+        addGang(*firstGang, preemption);
+    }
     for (std::size_t i = 0; i < unit.m_taskIndexes.size(); ++i) {
         if (!addMember(unit, domain, preemption)) {
             return std::nullopt;
         }
     }
+    if (unit.m_usesForecast) {
+        dropUnneeded(preemption);
+    }
     return preemption;
 }
 
@@ -166,8 +235,11 @@
         if (!victims.has_value()) {
             continue;
         }
-        const double preemptionCost = getPreemptionCost(*victims, preemption);
-        const std::pair<double, std::uint32_t> cost(preemptionCost + getSlownessCost(unit, slot),
+        const double preemptionCost = getPreemptionCost(*victims, preemption, false);
+        const double weightedCost = unit.m_usesForecast
+                                            ? getPreemptionCost(*victims, preemption, true)
+                                            : preemptionCost;
+        const std::pair<double, std::uint32_t> cost(weightedCost + getSlownessCost(unit, slot),
                                                     m_workerStates[slot].m_free.m_accelerators);
         if (cost < bestCost) {
             bestCost = cost;
@@ -180,21 +252,32 @@
     }
     preemption.m_preemptionCost += bestPreemptionCost;
     preemption.m_cost += bestCost.first;
-    for (const std::size_t victim : **preemption.m_victimsBySlot[*best]) {
-        preemption.m_victims.insert(victim);
-        if (m_occupants[victim].m_spec->m_isGang) {
-            preemption.m_gangGroups.insert(m_occupants[victim].m_group);
-        }
-    }
+    const Victims victims = **preemption.m_victimsBySlot[*best];
     preemption.m_assignment.push_back(*best);
     preemption.m_allocated[*best] += spec.getCapacityDemand();
     preemption.m_victimsBySlot[*best].reset();
+    addVictims(victims, preemption);
     if (!preemption.m_taskCounts.empty()) {
         ++preemption.m_taskCounts[*best];
     }
     return true;
 }
 
+/** Adds victims; the capacity that a gang frees elsewhere changes the choice of victims there. */
+void PlanningPass::addVictims(const Victims& victims, Preemption& preemption) const {
+    for (const std::size_t victim : victims) {
+        const std::size_t group = m_occupants[victim].m_group;
+        preemption.m_victims.insert(victim);
+        if (!m_occupants[victim].m_spec->m_isGang ||
+            !preemption.m_gangGroups.insert(group).second) {
+            continue;
+        }
+        for (std::size_t i = m_groups[group].m_first; i < m_groups[group].m_end; ++i) {
+            preemption.m_victimsBySlot[m_occupants[i].m_slot].reset();
+        }
+    }
+}
+
 /** Returns the weighted core-milliseconds that a member takes longer than at normal speed. */
 double PlanningPass::getSlownessCost(const WorkUnit& unit, WorkerSlot slot) const {
     const StepSpec& spec = unit.getSpec();
@@ -212,66 +295,11 @@
         Resources need =
                 allocated == preemption.m_allocated.end() ? Resources() : allocated->second;
         need += unit.getSpec().getCapacityDemand();
-        cached = chooseVictims(unit, slot, need);
+        cached = chooseVictims(unit, slot, need, preemption);
     }
     return *cached;
 }
 
-/**
- * Chooses the cheapest runs to preempt on a worker so that the demand of a unit's members fits.
- * @return the victims, none if the demand fits already; nullopt if it cannot be made to fit.
- */
-std::optional<PlanningPass::Victims> PlanningPass::chooseVictims(const WorkUnit& unit,
-                                                                 WorkerSlot slot,
-                                                                 const Resources& need) const {
-    Resources capacity = m_workerStates[slot].m_free;
-    capacity += m_workerStates[slot].m_releasing;
-    Resources overcommitted = m_workerStates[slot].m_overcommitted;
-    Victims victims;
-    for (const std::size_t candidate : m_occupantsOn[slot]) {
-        if (need.fitsInto(capacity)) {
-            break;
-        }
-        if (mayPreempt(unit, m_occupants[candidate])) {
-            releaseCapacity(capacity, overcommitted,
-                            m_occupants[candidate].m_spec->getCapacityDemand());
-            victims.push_back(candidate);
-        }
-    }
-    if (!need.fitsInto(capacity)) {
-        return std::nullopt;
-    }
-    // Drops victims that turn out to be unnecessary, the most expensive first.
-    for (std::size_t i = victims.size(); i-- > 0;) {
-        Resources without = capacity;
-        without -= m_occupants[victims[i]].m_spec->getCapacityDemand();
-        if (need.fitsInto(without)) {
-            capacity = without;
-            victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(i));
-        }
-    }
-    return victims;
-}
-
-/** Returns the cost of the victims that are not preempted already; a gang counts once. */
-double PlanningPass::getPreemptionCost(const Victims& victims, const Preemption& preemption) const {
-    double preemptionCost = 0;
-    for (std::size_t i = 0; i < victims.size(); ++i) {
-        const Occupant& victim = m_occupants[victims[i]];
-        const bool isGang = victim.m_spec->m_isGang;
-        const auto end = victims.begin() + static_cast<std::ptrdiff_t>(i);
-        const bool isCounted = isGang ? preemption.m_gangGroups.count(victim.m_group) != 0 ||
-                                                std::any_of(victims.begin(), end,
-                                                            [&](std::size_t other) {
-                                                                return m_occupants[other].m_group ==
-                                                                       victim.m_group;
-                                                            })
-                                      : preemption.m_victims.count(victims[i]) != 0;
-        preemptionCost += isCounted ? 0.0 : victim.m_preemptionCost;
-    }
-    return preemptionCost;
-}
-
 /** Stops a run; for a gang, all its members. */
 void PlanningPass::stop(Occupant& victim, const std::string& explanation) {
     const OccupantGroup group =
--- a/libs/job/src/TaskPlanner.cpp
+++ b/libs/job/src/TaskPlanner.cpp
@@ -45,6 +45,18 @@
     return "workers";
 }
 
+std::string_view toText(UrgentWait::Outlook outlook) {
+    switch (outlook) {
+        case UrgentWait::Outlook::IN_TIME:
+            return "in-time";
+        case UrgentWait::Outlook::LATE:
+            return "late";
+        case UrgentWait::Outlook::UNKNOWN:
+            break;
+    }
+    return "unknown";
+}
+
 TaskPlan TaskPlanner::plan(const PlanInput& input) const {
     return PlanningPass(m_settings, input).run();
 }
