--- a/libs/job/test/ForecastPlacementTest.cpp
+++ b/libs/job/test/ForecastPlacementTest.cpp
@@ -194,6 +194,26 @@
     EXPECT_EQ(listPlaces(), SLOW);
 }
 
+// A guaranteed unit has to start within a bound, however promising the wait is.
+class WithStopsOnFastHostsTest : public WithOnlySlowHostsFreeTest {
+protected:
+    WithStopsOnFastHostsTest() {
+        for (std::size_t host = 0; host < 2; ++host) {
+            m_jobs[host].m_run.m_occurrences[0].m_steps[0].m_tasks[0].m_state = TaskState::STOPPING;
+        }
+        addJob(0, 2, Millis(701));
+    }
+};
+
+TEST_F(WithStopsOnFastHostsTest, AGangBeyondItsGuaranteeWaitsForThem) {
+    expectWait(Cause::STOPS, Outlook::IN_TIME);
+}
+
+TEST_F(WithStopsOnFastHostsTest, AGuaranteedGangThatHasWaitedLongEnoughDoesNot) {
+    m_guarantees["urgent"] = 16;
+    EXPECT_EQ(listPlaces(), SLOW);
+}
+
 TEST_F(WithOnlySlowHostsFreeTest, WithoutTheSwitchAGangStartsAtOnce) {
     m_settings.m_forecastsCompletion = false;
     endNormalIn(Millis(400));
@@ -310,6 +330,13 @@
     expectWait(Cause::ENDS, Outlook::LATE);
 }
 
+TEST_F(WithAllHostsBusyTest, AGangThatWouldBeLateAfterTheStopsWaitsForEnds) {
+    endIn(fill({2, 3}, Millis(300)), Millis(1500));
+    fill({4, 5}, Millis(300));
+    addJob(0, 2, Millis(1000));
+    expectWait(Cause::ENDS, Outlook::UNKNOWN);
+}
+
 TEST_F(WithAllHostsBusyTest, AGuaranteedGangPreemptsThoughItIsLateInAnyCase) {
     m_guarantees["urgent"] = 48;
     endIn(fill({2, 3}, Millis(300)), Millis(1500));
@@ -343,6 +370,16 @@
     EXPECT_EQ(listVictims(), std::set<std::string>{other});
 }
 
+// For one member the small run sufficed, for both the large one alone.
+TEST_F(WithAllHostsBusyTest, ARunThatFreesTooLittleIsSparedWhenALargerOneGivesWay) {
+    fill({3, 4, 5}, Millis(1000), 0);
+    fill({2}, Millis(100)).m_record.m_spec.m_steps[0].m_need.m_accelerators = 1;
+    TestJob& large = fill({2}, Millis(300));
+    large.m_record.m_spec.m_steps[0].m_need.m_accelerators = 7;
+    addJob(0, 2).m_record.m_spec.m_steps[0].m_need.m_accelerators = 1;
+    EXPECT_EQ(listVictims(), std::set<std::string>{large.m_record.m_id});
+}
+
 // A gang on two hosts was chosen for the second member, after a task on one of these hosts had been
 // chosen for the first.
 TEST_F(WithAllHostsBusyTest, NothingGivesWayThatTheWholeSetDoesNotNeed) {
