--- a/libs/job/src/PlanningPassPreemption.cpp
+++ b/libs/job/src/PlanningPassPreemption.cpp
@@ -170,6 +170,7 @@
                         : getTopologyDomain(unit, m_occupants[m_groups[gang].m_first].m_slot);
         consider(findPreemption(unit, domain, gang));
     }
+    dropUnneeded(*best);
     return best;
 }
 
@@ -212,9 +213,6 @@
             return std::nullopt;
         }
     }
-    if (unit.m_usesForecast) {
-        dropUnneeded(preemption);
-    }
     return preemption;
 }
 
@@ -222,7 +220,6 @@
 bool PlanningPass::addMember(const WorkUnit& unit, DomainId domain, Preemption& preemption) const {
     const StepSpec& spec = unit.getSpec();
     std::optional<WorkerSlot> best;
-    double bestPreemptionCost = 0;
     std::pair<double, std::uint32_t> bestCost(std::numeric_limits<double>::max(), 0);
     for (const WorkerSlot slot : unit.m_waitingStep->m_eligible->m_slots) {
         const bool isOutside = domain != ANY_DOMAIN && getTopologyDomain(unit, slot) != domain;
@@ -235,24 +232,20 @@
         if (!victims.has_value()) {
             continue;
         }
-        const double preemptionCost = getPreemptionCost(*victims, preemption, false);
-        const double weightedCost = unit.m_usesForecast
-                                            ? getPreemptionCost(*victims, preemption, true)
-                                            : preemptionCost;
-        const std::pair<double, std::uint32_t> cost(weightedCost + getSlownessCost(unit, slot),
+        const double preemptionCost = getPreemptionCost(*victims, preemption, unit.m_usesForecast);
+        const std::pair<double, std::uint32_t> cost(preemptionCost + getSlownessCost(unit, slot),
                                                     m_workerStates[slot].m_free.m_accelerators);
         if (cost < bestCost) {
             bestCost = cost;
-            bestPreemptionCost = preemptionCost;
             best = slot;
         }
     }
     if (!best.has_value()) {
         return false;
     }
-    preemption.m_preemptionCost += bestPreemptionCost;
-    preemption.m_cost += bestCost.first;
     const Victims victims = **preemption.m_victimsBySlot[*best];
+    preemption.m_preemptionCost += getPreemptionCost(victims, preemption, false);
+    preemption.m_cost += bestCost.first;
     preemption.m_assignment.push_back(*best);
     preemption.m_allocated[*best] += spec.getCapacityDemand();
     preemption.m_victimsBySlot[*best].reset();
--- a/libs/job/src/PlanningPassVictims.cpp
+++ b/libs/job/src/PlanningPassVictims.cpp
@@ -107,10 +107,16 @@
 /** Returns the occupants of a worker in the order in which they are considered as victims. */
 std::span<const std::size_t> PlanningPass::orderVictims(const WorkUnit& unit, WorkerSlot slot,
                                                         std::vector<std::size_t>& storage) const {
-    if (!unit.m_usesForecast) {
-        return m_occupantsOn[slot];
+    const std::vector<std::size_t>& occupants = m_occupantsOn[slot];
+    const bool hasRestarted =
+            unit.m_usesForecast &&
+            std::any_of(occupants.begin(), occupants.end(), [this](std::size_t i) {
+                return getVictimCost(m_occupants[i], true) > m_occupants[i].m_preemptionCost;
+            });
+    if (!hasRestarted) {
+        return occupants;
     }
-    storage = m_occupantsOn[slot];
+    storage = occupants;
     std::stable_sort(storage.begin(), storage.end(), [this](std::size_t a, std::size_t b) {
         const Occupant& left = m_occupants[a];
         const Occupant& right = m_occupants[b];
@@ -180,17 +186,21 @@
         if (isGang && !triedGangs.insert(occupant.m_group).second) {
             continue;
         }
-        Preemption smaller = preemption;
-        std::erase_if(smaller.m_victims, [&](std::size_t other) {
+        const std::set<std::size_t> allVictims = preemption.m_victims;
+        std::erase_if(preemption.m_victims, [&](std::size_t other) {
             return isGang ? m_occupants[other].m_group == occupant.m_group : other == victim;
         });
         if (isGang) {
-            smaller.m_gangGroups.erase(occupant.m_group);
+            preemption.m_gangGroups.erase(occupant.m_group);
         }
-        if (isHeldBy(smaller)) {
-            smaller.m_preemptionCost -= getVictimCost(occupant, false);
-            smaller.m_cost -= getVictimCost(occupant, true);
-            preemption = std::move(smaller);
+        if (isHeldBy(preemption)) {
+            preemption.m_preemptionCost -= getVictimCost(occupant, false);
+            preemption.m_cost -= getVictimCost(occupant, true);
+            continue;
+        }
+        preemption.m_victims = allVictims;
+        if (isGang) {
+            preemption.m_gangGroups.insert(occupant.m_group);
         }
     }
 }
