Log the stops that follow from a job's end, and account for work thrown away by cause

Runs stopped because their job failed or was cancelled, or because a member of their gang ended, left no 'jobs stopped' line, and no metric told how much work was thrown away. The leader judges each ended run once: metrics sum it, run-ended and run-lost carry it. A planned stop brings its cause along; no decision reads it.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -24,6 +24,7 @@
 #include "pierbank/control/ProgressTracker.h"
 #include "pierbank/control/TicketCache.h"
 #include "pierbank/control/WaveController.h"
+#include "pierbank/control/WorkAccount.h"
 #include "pierbank/control/WorkerPool.h"
 #include "pierbank/job/TaskPlanner.h"
 #include "pierbank/store/RecordStore.h"
@@ -146,6 +147,8 @@
     std::uint64_t m_commits = 0;
     /** Plans that were made and applied. */
     std::uint64_t m_plans = 0;
+    /** Work of the runs that ended: kept, and thrown away by cause. */
+    WorkAccount m_work;
     /** Duration of planning. */
     LatencySummary m_planTime;
     /** Time from acceptance to the first placement, of jobs that are not timed. */
@@ -321,6 +324,15 @@
     void stopStalledRuns();
     bool mustStopStalledRun(const JobEntry& entry, const ActiveRun& run) const;
 
+    // Accounts for the work of runs (JobControllerAccount.cpp).
+    RunWork accountForRun(JobEntry& entry, const ActiveRun& run, RunEnd end,
+                          std::string_view checkpoint);
+    static void logRunEnd(const WorkerId& worker, const EndedEntry& end, const JobRecord& record,
+                          const std::optional<RunWork>& work, bool isApplied);
+    static WorkOutcome getOutcome(const JobEntry& entry, const ActiveRun& run, RunEnd end);
+    void recordStop(JobEntry& entry, const ActiveRun& run, WorkOutcome cause, std::string_view why);
+    void recordConsequentStops(JobEntry& entry, const std::vector<ActiveRun>& runs);
+
     // Keeps evacuated failure domains free of new runs (JobControllerEvacuations.cpp).
     void handleEvacuations();
     bool isHostEvacuated(const std::string& host) const;
--- a/libs/control/include/pierbank/control/JobTable.h
+++ b/libs/control/include/pierbank/control/JobTable.h
@@ -11,6 +11,7 @@
 
 #include "pierbank/job/JobRun.h"
 #include "pierbank/job/TaskPlanner.h"
+#include "pierbank/job/WorkOutcome.h"
 #include "pierbank/store/RecordStore.h"
 #include "pierbank/wire/Frame.h"
 
@@ -39,6 +40,11 @@
     std::optional<UrgentWait::Cause> m_waitCause;
     /** Messages to send after the next commit of this job. */
     std::vector<PendingMessage> m_pendingMessages;
+    /**
+     * Why runs that are being stopped were stopped, by task and run. Only of active runs; lost with
+     * the leader.
+     */
+    std::map<std::pair<TaskKey, std::uint32_t>, WorkOutcome> m_stopCauses;
     /** Ends of runs, by worker and number, that the next commit of this job persists. */
     std::vector<std::pair<WorkerId, std::uint64_t>> m_endsToPersist;
     /** Messages and ends that belong to the pending transaction. */
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -180,6 +180,7 @@
         m_isPlanStale = true;
         logEvent(Severity::INFO, "jobs", "withdrawn",
                  {{"job", id}, {"running_tasks", std::to_string(runs.size())}});
+        recordConsequentStops(entry, runs);
         queueStops(entry, runs);
     }
 }
--- a/libs/control/src/JobControllerEvacuations.cpp
+++ b/libs/control/src/JobControllerEvacuations.cpp
@@ -87,7 +87,8 @@
     }
     ++m_statistics.m_revoked;
     stop({run.m_task, run.m_run,
-          "taken back: the failure domain of " + run.m_worker.m_host + " is under evacuation"});
+          "taken back: the failure domain of " + run.m_worker.m_host + " is under evacuation",
+          WorkOutcome::REVOKED});
 }
 
 /**
--- a/libs/control/src/JobControllerLosses.cpp
+++ b/libs/control/src/JobControllerLosses.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Handles runs that are lost with their workers.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "pierbank/base/Log.h"
@@ -70,6 +71,7 @@
             }
             ++m_statistics.m_lost;
             const Millis runTime = m_loop.wallNow() - run.m_placedAt;
+            const RunWork work = accountForRun(entry, run, RunEnd::LAPSED, "");
             logEvent(Severity::WARNING, "jobs", "run-lost",
                      {{"task", run.m_task.toText()},
                       {"run", std::to_string(run.m_run)},
@@ -77,6 +79,8 @@
                       {"life", run.m_worker.m_incarnation},
                       {"ran_ms", std::to_string(runTime.count())},
                       {"cores", std::to_string(getRoundedCores(entry.m_record, run.m_task))},
+                      {"outcome", std::string(toText(work.m_outcome))},
+                      {"core_s", std::to_string(std::lround(work.m_coreSeconds))},
                       {"reason", std::string(toText(cause))}});
             if (const auto category = classifyLoss(entry, run, cause)) {
                 recordLoss(entry, run.m_task, {run.m_worker, run.m_run, *category, runTime});
--- a/libs/control/src/JobControllerOrders.cpp
+++ b/libs/control/src/JobControllerOrders.cpp
@@ -83,13 +83,7 @@
     markStopping(entry.m_run, *activeRun);
     ++m_statistics.m_stopped;
     entry.m_run.explain(stop.m_explanation, m_loop.wallNow());
-    logEvent(Severity::INFO, "jobs", "stopped",
-             {{"task", stop.m_task.toText()},
-              {"run", std::to_string(stop.m_run)},
-              {"host", activeRun->m_worker.m_host},
-              {"ran_ms", std::to_string((m_loop.wallNow() - activeRun->m_placedAt).count())},
-              {"cores", std::to_string(getRoundedCores(entry.m_record, stop.m_task))},
-              {"why", stop.m_explanation}});
+    recordStop(entry, *activeRun, stop.m_cause, stop.m_explanation);
     sendOrQueueStop(entry, *activeRun);
 }
 
@@ -172,7 +166,8 @@
                       {"still_ms", std::to_string(stalledTime.count())},
                       {"ran_ms", std::to_string((m_loop.wallNow() - run.m_placedAt).count())}});
             m_learned.health().recordStalled(run.m_worker.m_host, m_loop.now());
-            stop({run.m_task, run.m_run, "nothing advances on " + run.m_worker.m_host});
+            stop({run.m_task, run.m_run, "nothing advances on " + run.m_worker.m_host,
+                  WorkOutcome::STALLED});
         }
     }
 }
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -215,24 +215,17 @@
             static_cast<RunEnd>(std::min(end.m_end, static_cast<std::uint32_t>(lastOf(RunEnd()))));
     const auto activeRun = findOrRebindRun(entry, *key, end.m_run, worker);
     const bool isActive = activeRun.has_value();
+    const auto work =
+            isActive ? std::optional(accountForRun(entry, *activeRun, endKind, end.m_checkpoint))
+                     : std::nullopt;
     const EndEffect effect =
             isActive ? applyEnd(entry.m_record, entry.m_run, *key, end.m_run, endKind,
                                 end.m_checkpoint, m_loop.wallNow())
                      : applyLateEnd(entry.m_record, entry.m_run, {*key, end.m_run, worker}, endKind,
                                     m_loop.wallNow());
-    logEvent(Severity::INFO, "jobs", "run-ended",
-             {{"task", end.m_task},
-              {"run", std::to_string(end.m_run)},
-              {"host", worker.m_host},
-              {"number", std::to_string(end.m_number)},
-              {"how", std::string(toText(endKind))},
-              {"ran_ms",
-               isActive ? std::to_string((m_loop.wallNow() - activeRun->m_placedAt).count()) : "-"},
-              {"cores", std::to_string(getRoundedCores(entry.m_record, *key))},
-              {"current", effect.m_isApplied ? "yes" : "no"}});
+    logRunEnd(worker, end, entry.m_record, work, effect.m_isApplied);
     if (isActive) {
-        const Millis runTime = m_loop.wallNow() - activeRun->m_placedAt;
-        m_learned.health().recordRunEnd({worker.m_host, key->m_job, endKind, runTime},
+        m_learned.health().recordRunEnd({worker.m_host, key->m_job, endKind, work->m_runTime},
                                         m_loop.now());
     }
     if (effect.m_isApplied) {
@@ -255,6 +248,7 @@
         return;
     }
     entry.m_isDirty = true;
+    recordConsequentStops(entry, effect.m_toStop);
     queueStops(entry, effect.m_toStop);
     if (effect.m_endsJob) {
         logEvent(Severity::INFO, "jobs", "over",
@@ -295,6 +289,7 @@
         m_ticketCache.dropTicket({key->m_job, key->m_occurrence, key->m_step},
                                  absent.m_incarnation);
     }
+    entry.m_stopCauses.erase({*key, absent.m_run});
     applyEffect(entry,
                 applyNotRunning(entry.m_record, entry.m_run, *key, absent.m_run, m_loop.wallNow()));
     applyEffect(entry, failIfProvenFaulty(entry.m_run, *key, m_loop.wallNow()));
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "pierbank/job/JobRun.h"
+#include "pierbank/job/WorkOutcome.h"
 
 namespace pierbank {
 
@@ -161,6 +162,8 @@
     std::uint32_t m_run = 0;
     /** Reason for the stop, as text. */
     std::string m_explanation;
+    /** What the run's work counts as if it is thrown away. */
+    WorkOutcome m_cause = WorkOutcome::PREEMPTED;
 };
 
 /** Explanation why a unit was placed or waits. */
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -297,7 +297,8 @@
     /** Whether a stop keeps the number of unavailable tasks of a lasting step within its limit. */
     bool mayInterrupt(const Occupant& occupant) const;
     std::uint32_t countUnavailable(const Occupant& occupant) const;
-    void stop(Occupant& victim, const std::string& explanation);
+    void stop(Occupant& victim, const std::string& explanation,
+              WorkOutcome cause = WorkOutcome::PREEMPTED);
     std::size_t getOccupantIndex(const Occupant& occupant) const {
         return static_cast<std::size_t>(&occupant - m_occupants.data());
     }
--- a/libs/job/src/PlanningPassPreemption.cpp
+++ b/libs/job/src/PlanningPassPreemption.cpp
@@ -273,7 +273,7 @@
 }
 
 /** Stops a run; for a gang, all its members. */
-void PlanningPass::stop(Occupant& victim, const std::string& explanation) {
+void PlanningPass::stop(Occupant& victim, const std::string& explanation, WorkOutcome cause) {
     const OccupantGroup group =
             victim.m_spec->m_isGang
                     ? m_groups[victim.m_group]
@@ -285,7 +285,7 @@
         }
         occupant.m_isPreempted = true;
         addReleasing(occupant.m_slot, occupant.m_spec->getCapacityDemand());
-        m_plan.m_stops.push_back({getKey(occupant), occupant.m_run, explanation});
+        m_plan.m_stops.push_back({getKey(occupant), occupant.m_run, explanation, cause});
     }
 }
 
--- a/libs/job/src/PlanningPassReservations.cpp
+++ b/libs/job/src/PlanningPassReservations.cpp
@@ -206,10 +206,11 @@
         if (assignment.has_value()) {
             allocateReleasing(unit, *assignment);
         }
-        stop(occupant, "moves off worker " + worker.m_id.m_host +
-                               (worker.m_leavesIn.has_value()
-                                        ? ", which leaves"
-                                        : ", whose failure domain is under evacuation"));
+        stop(occupant,
+             "moves off worker " + worker.m_id.m_host +
+                     (worker.m_leavesIn.has_value() ? ", which leaves"
+                                                    : ", whose failure domain is under evacuation"),
+             WorkOutcome::MIGRATED);
     }
 }
 
--- a/libs/operators/include/pierbank/operators/JobBackend.h
+++ b/libs/operators/include/pierbank/operators/JobBackend.h
@@ -73,6 +73,8 @@
                       StatementCallback done);
     void setWeights(const StatementRequest& request, const SetWeights& weights,
                     StatementCallback done);
+    /** Adds the work of ended runs, kept and thrown away. */
+    void addWork(MetricsPage& page) const;
     void addStoreCalls(MetricsPage& page) const;
     /** Commits a change with its audit entry, provided that this gateway still leads. */
     void commit(const StatementRequest& request, StoreTransaction change, std::string outcome,
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -297,12 +297,30 @@
                     m_callers.m_refused);
     page.addSummary("pierbank_request_ms", "from a caller's request to its answer",
                     m_callers.m_latency);
+    addWork(page);
     addStoreCalls(page);
     page.addGauge("pierbank_configuration_revision", "revision of the configuration in force",
                   static_cast<double>(m_core.getConfiguration().getRevision()));
     return page.getText();
 }
 
+void JobBackend::addWork(MetricsPage& page) const {
+    const WorkAccount& work = m_core.getJobs().getStatistics().m_work;
+    page.addCounter("pierbank_work_kept_core_seconds_total",
+                    "work of ended runs that was done, or saved for the next run",
+                    static_cast<std::uint64_t>(work.getKept()));
+    std::map<std::string, std::uint64_t> wasted;
+    for (std::size_t i = 0; i < WORK_OUTCOME_COUNT; ++i) {
+        const auto cause = static_cast<WorkOutcome>(i);
+        if (cause != WorkOutcome::DONE) {
+            wasted["cause=\"" + std::string(toText(cause)) + "\""] =
+                    static_cast<std::uint64_t>(work.getWasted(cause));
+        }
+    }
+    page.addCounters("pierbank_work_wasted_core_seconds_total",
+                     "work of ended runs that was thrown away and has to be done again", wasted);
+}
+
 void JobBackend::addStoreCalls(MetricsPage& page) const {
     if (m_countingStore == nullptr) {
         return;
