--- a/tools/trace/main.cpp
+++ b/tools/trace/main.cpp
@@ -9,6 +9,7 @@
 
 #include "pierbank/base/Version.h"
 #include "pierbank/trace/JobTrace.h"
+#include "pierbank/trace/WasteTrace.h"
 
 namespace {
 
@@ -22,6 +23,7 @@
     std::string m_job;
     bool m_onlyBad = false;
     bool m_onlyTotals = false;
+    bool m_showsWaste = false;
     std::int64_t m_callerTimeoutMs = 3000;
 };
 
@@ -129,7 +131,9 @@
             "patience-ms", po::value(&options.m_callerTimeoutMs),
             "how long callers go on asking (3000)")("sum", po::bool_switch(&options.m_onlyTotals),
                                                     "only the table of causes")(
-            "help", "this text")("version", "the version");
+            "waste", po::bool_switch(&options.m_showsWaste),
+            "work thrown away by cause, and why urgent jobs were late, instead of the jobs; with "
+            "--sum only of all logs together")("help", "this text")("version", "the version");
     po::options_description all;
     all.add(visible).add_options()("logs", po::value(&options.m_files));
     po::positional_options_description positional;
@@ -159,10 +163,11 @@
     return options;
 }
 
-std::size_t readLog(std::istream& in, JobTrace& trace) {
+std::size_t readLog(std::istream& in, JobTrace& trace, WasteTrace& waste) {
     std::size_t lines = 0;
     for (std::string text; std::getline(in, text);) {
         if (auto line = LogLine::parse(text)) {
+            waste.take(*line);
             trace.take(std::move(*line));
             ++lines;
         }
@@ -170,38 +175,79 @@
     return lines;
 }
 
-}  // namespace
+/** What was read from the logs: the jobs of all, and the account of each. */
+struct TracedLogs {
+    std::vector<JobTimeline> m_timelines;
+    std::vector<WasteReport> m_wasteReports;
+};
 
-int main(int argc, char** argv) {
-    int exit = EXIT_SUCCESS;
-    const auto options = readOptions(argc, argv, exit);
-    if (!options.has_value()) {
-        return exit;
-    }
-    // Each log is traced separately, because the same job id in two logs means different jobs.
-    std::vector<JobTimeline> timelines;
-    for (const std::string& name : options->m_files) {
+/**
+ * Reads the logs; fails with the name of the first that can't be read. Each log is traced
+ * separately, because the same job id in two logs means different jobs.
+ */
+std::optional<TracedLogs> readLogs(const TraceOptions& options) {
+    TracedLogs logs;
+    for (const std::string& name : options.m_files) {
         std::ifstream file;
         if (name != "-") {
             file.open(name);
         }
-        JobTrace trace{Millis(options->m_callerTimeoutMs)};
-        if ((name != "-" && !file) || readLog(name == "-" ? std::cin : file, trace) == 0) {
+        JobTrace trace{Millis(options.m_callerTimeoutMs)};
+        WasteTrace waste;
+        if ((name != "-" && !file) || readLog(name == "-" ? std::cin : file, trace, waste) == 0) {
             std::cerr << "pierbank-trace: " << name << ": no log of a gateway\n";
-            return EXIT_USAGE;
+            return std::nullopt;
         }
-        for (JobTimeline& timeline : trace.tell()) {
-            timelines.push_back(std::move(timeline));
+        std::vector<JobTimeline> timelines = trace.tell();
+        logs.m_wasteReports.push_back(waste.tell(timelines));
+        std::move(timelines.begin(), timelines.end(), std::back_inserter(logs.m_timelines));
+    }
+    return logs;
+}
+
+void printWaste(const TraceOptions& options, const std::vector<WasteReport>& reports) {
+    WasteReport sum;
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+        sum.add(reports[i]);
+        if (!options.m_onlyTotals) {
+            std::cout << "== " << options.m_files[i] << "\n";
+            reports[i].print(std::cout, true);
         }
     }
+    if (options.m_onlyTotals || reports.size() > 1) {
+        std::cout << "== " << reports.size() << " logs\n";
+        sum.print(std::cout, false);
+    }
+}
+
+void printJobs(const TraceOptions& options, const std::vector<JobTimeline>& timelines) {
     for (const JobTimeline& timeline : timelines) {
-        const bool isSelected = options->m_job.empty() || timeline.m_id == options->m_job;
-        if (!options->m_onlyTotals && isSelected && (!options->m_onlyBad || isBad(timeline))) {
+        const bool isSelected = options.m_job.empty() || timeline.m_id == options.m_job;
+        if (!options.m_onlyTotals && isSelected && (!options.m_onlyBad || isBad(timeline))) {
             printTimeline(timeline);
         }
     }
-    if (options->m_job.empty()) {
+    if (options.m_job.empty()) {
         printTotals(timelines);
     }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    int exit = EXIT_SUCCESS;
+    const auto options = readOptions(argc, argv, exit);
+    if (!options.has_value()) {
+        return exit;
+    }
+    const auto logs = readLogs(*options);
+    if (!logs.has_value()) {
+        return EXIT_USAGE;
+    }
+    if (options->m_showsWaste) {
+        printWaste(*options, logs->m_wasteReports);
+    } else {
+        printJobs(*options, logs->m_timelines);
+    }
     return EXIT_SUCCESS;
 }
