--- a/libs/control/include/pierbank/control/HostRecord.h
+++ b/libs/control/include/pierbank/control/HostRecord.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "pierbank/base/Clock.h"
 
@@ -41,6 +42,31 @@
     bool operator==(const RunTimeRecord&) const = default;
 };
 
+/** Observed arrivals of urgent work of one service, see UrgentDemand. */
+struct ArrivalsRecord {
+    std::string m_service;
+    /** Number of jobs, decayed to the time of the record, like the other sums. */
+    double m_jobs = 0;
+    /** Accelerators of the largest step of each job. */
+    double m_accelerators = 0;
+    /** Accelerators times declared run time in milliseconds. */
+    double m_work = 0;
+    bool operator==(const ArrivalsRecord&) const = default;
+};
+
+/** All that a leader hands over by way of one host. */
+struct HostRecord {
+    /** Incarnation of the host's worker, to which the speed belongs. */
+    std::string m_incarnation;
+    SpeedRecord m_speed;
+    HealthRecord m_health;
+    /** Of the host's service; empty without urgent jobs. */
+    std::vector<ArrivalsRecord> m_arrivals;
+    /** Of all queues; the ones with the most samples if there are many. */
+    std::vector<RunTimeRecord> m_runTimes;
+    bool operator==(const HostRecord&) const = default;
+};
+
 }  // namespace pierbank
 
 #endif  // PIERBANK_CONTROL_HOSTRECORD_H
--- a/libs/control/include/pierbank/control/HostSpeeds.h
+++ b/libs/control/include/pierbank/control/HostSpeeds.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "pierbank/base/Clock.h"
+#include "pierbank/control/HostRecord.h"
 
 namespace pierbank {
 
@@ -41,6 +42,14 @@
     double getSlowness(std::string_view host) const;
     /** Returns the number of samples of the host, weighted so that older samples count less. */
     double getEvidence(std::string_view host) const;
+    /** Returns the observed speed of the host; without samples, a record with zero samples. */
+    SpeedRecord getRecord(std::string_view host) const;
+    /**
+     * Adds a host with a speed that a previous leader observed, unless the host has own samples.
+     * @param at time of the record; records older than the retention of hosts are ignored.
+     * @return whether the record was added.
+     */
+    bool restore(std::string_view host, const SpeedRecord& record, Millis at, Millis now);
     void clear();
 
 private:
--- a/libs/control/include/pierbank/control/UrgentDemand.h
+++ b/libs/control/include/pierbank/control/UrgentDemand.h
@@ -4,10 +4,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "pierbank/base/Clock.h"
+#include "pierbank/control/HostRecord.h"
 #include "pierbank/job/JobSpec.h"
 
 namespace pierbank {
@@ -36,6 +38,15 @@
     std::uint32_t getHeadroom(const std::string& service, Millis wallNow) const;
     /** Returns the services for which urgent jobs have arrived. */
     std::vector<std::string> listServices() const;
+    /** Returns the arrivals of a service, decayed to `wallNow`; empty if none count any more. */
+    std::optional<ArrivalsRecord> getRecord(const std::string& service, Millis wallNow) const;
+    /**
+     * Uses the arrivals that a previous leader observed, if they are more than those observed here.
+     * They are not added, since jobs that are still unfinished are in both.
+     * @param wallAt wall time of the record.
+     * @return whether the record was used.
+     */
+    bool restore(const ArrivalsRecord& record, Millis wallAt);
     void clear() { m_services.clear(); }
 
 private:
@@ -50,6 +61,9 @@
         double m_work = 0;
     };
 
+    /** Decayed number of jobs below which arrivals are not handed over. */
+    static constexpr double MIN_COUNT = 0.1;
+
     /** Returns the factor by which sums decay in the given time; 1 for negative times. */
     double getDecay(Millis passed) const;
 
--- a/libs/control/include/pierbank/control/WorkerHealth.h
+++ b/libs/control/include/pierbank/control/WorkerHealth.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "pierbank/base/Clock.h"
+#include "pierbank/control/HostRecord.h"
 #include "pierbank/job/JobRun.h"
 
 namespace pierbank {
@@ -86,6 +87,13 @@
     /** Returns whether the host is suspect: it may be used, but not for work that a failure would
      * set back much. */
     bool isSuspect(const std::string& host, Millis now) const;
+    /** Returns the evidence against the host; a record of zeros if there is none. */
+    HealthRecord getRecord(const std::string& host, Millis now) const;
+    /**
+     * Replaces the evidence against the host by that of a previous leader.
+     * @param at time of the record, which may lie before the start of this process.
+     */
+    void restore(const std::string& host, const HealthRecord& record, Millis at);
     void clear();
 
 private:
--- a/libs/control/src/HostSpeeds.cpp
+++ b/libs/control/src/HostSpeeds.cpp
@@ -43,6 +43,21 @@
     return found == m_hosts.end() ? 0.0 : found->second.m_count;
 }
 
+SpeedRecord HostSpeeds::getRecord(std::string_view host) const {
+    return {getLogSpeed(host), getEvidence(host)};
+}
+
+bool HostSpeeds::restore(std::string_view host, const SpeedRecord& record, Millis at, Millis now) {
+    if (record.m_samples <= 0 || now - at > HOST_RETENTION || m_hosts.count(host) != 0) {
+        return false;
+    }
+    constexpr double MAX_COUNT = 1.0 / (1.0 - SAMPLE_DECAY);
+    const double count = std::min(record.m_samples, MAX_COUNT);
+    const double logSpeed = std::clamp(record.m_logSpeed, -MAX_LOG_DEVIATION, MAX_LOG_DEVIATION);
+    m_hosts[std::string(host)] = {logSpeed * (count + PRIOR_RUNS), count, at};
+    return true;
+}
+
 void HostSpeeds::clear() {
     m_hosts.clear();
     m_steps.clear();
--- a/libs/control/src/UrgentDemand.cpp
+++ b/libs/control/src/UrgentDemand.cpp
@@ -39,6 +39,37 @@
     return services;
 }
 
+std::optional<ArrivalsRecord> UrgentDemand::getRecord(const std::string& service,
+                                                      Millis wallNow) const {
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return std::nullopt;
+    }
+    const Arrivals& arrivals = found->second;
+    const double decay = getDecay(wallNow - arrivals.m_updatedAt);
+    if (arrivals.m_count * decay < MIN_COUNT) {
+        return std::nullopt;
+    }
+    return ArrivalsRecord{service, arrivals.m_count * decay, arrivals.m_accelerators * decay,
+                          arrivals.m_work * decay};
+}
+
+bool UrgentDemand::restore(const ArrivalsRecord& record, Millis wallAt) {
+    if (record.m_jobs < MIN_COUNT) {
+        return false;
+    }
+    const auto found = m_services.find(record.m_service);
+    if (found != m_services.end()) {
+        const Arrivals& own = found->second;
+        const double ownCount = own.m_count * getDecay(wallAt - own.m_updatedAt);
+        if (ownCount >= record.m_jobs * getDecay(own.m_updatedAt - wallAt)) {
+            return false;
+        }
+    }
+    m_services[record.m_service] = {wallAt, record.m_jobs, record.m_accelerators, record.m_work};
+    return true;
+}
+
 /** Returns the mean number of accelerators in use, plus those of one more job. */
 std::uint32_t UrgentDemand::getHeadroom(const std::string& service, Millis wallNow) const {
     const auto found = m_services.find(service);
--- a/libs/control/src/WorkerHealth.cpp
+++ b/libs/control/src/WorkerHealth.cpp
@@ -171,4 +171,23 @@
            getFailureScore(found->second, now) >= m_settings.m_suspectThreshold;
 }
 
+HealthRecord WorkerHealth::getRecord(const std::string& name, Millis now) const {
+    const auto found = m_hosts.find(name);
+    if (found == m_hosts.end()) {
+        return {};
+    }
+    const Host& host = found->second;
+    return {getFailureScore(host, now), std::max(host.m_avoidedUntil - now, Millis(0)),
+            host.m_avoidCount};
+}
+
+void WorkerHealth::restore(const std::string& name, const HealthRecord& record, Millis at) {
+    Host& host = m_hosts[name];
+    host.m_failureScore = record.m_failureScore;
+    host.m_scoreUpdatedAt = at;
+    host.m_failedAt = at;
+    host.m_avoidedUntil = at + record.m_avoidFor;
+    host.m_avoidCount = record.m_avoidCount;
+}
+
 }  // namespace pierbank
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -244,13 +244,62 @@
     bool operator==(const InputNotice&) const = default;
 };
 
+/** Observed run times of one image of a queue. */
+struct RunTimeEntry {
+    std::string m_queue;
+    /** Empty for steps without an image. */
+    std::string m_image;
+    double m_logRatio = 0;
+    double m_samples = 0;
+    bool operator==(const RunTimeEntry&) const = default;
+};
+
+/** Observed arrivals of urgent work of one service, decayed to the time of the record. */
+struct ArrivalsEntry {
+    std::string m_service;
+    double m_jobs = 0;
+    double m_accelerators = 0;
+    /** Accelerators times declared run time in milliseconds. */
+    double m_work = 0;
+    bool operator==(const ArrivalsEntry&) const = default;
+};
+
+/**
+ * Leader to sidecar: what the leader has learned, for its successor. The sidecar keeps the record
+ * with the highest epoch and, within it, the highest sequence. See docs/design/learned-state.md.
+ */
+struct LearnedRecord {
+    std::uint64_t m_epoch = 0;
+    /** Rises over all records that a leader sends, to whichever host. */
+    std::uint64_t m_sequence = 0;
+    /** Incarnation of the worker to which the speed belongs. */
+    std::string m_incarnation;
+    double m_logSpeed = 0;
+    double m_speedSamples = 0;
+    double m_failureScore = 0;
+    std::uint64_t m_avoidForMs = 0;
+    std::uint32_t m_avoidCount = 0;
+    std::vector<ArrivalsEntry> m_arrivals;
+    std::vector<RunTimeEntry> m_runTimes;
+    bool operator==(const LearnedRecord&) const = default;
+};
+
+/** Sidecar to leader, when a link is opened: the record that it keeps. */
+struct KeptRecord {
+    LearnedRecord m_record;
+    /** Time since the sidecar received the record, on its steady clock. */
+    std::uint64_t m_ageMs = 0;
+    bool operator==(const KeptRecord&) const = default;
+};
+
 /**
  * Any message between processes of the system. A message's position in this list is its type number
- * on the wire.
+ * on the wire. A process that receives a type that it does not know closes the link, so that new
+ * types go to the end of the list, and SocketLink sends them only to peers that know them.
  */
 using Frame = std::variant<LeaderHello, LeaseRequest, LeaseRenewal, WorkerNotice, RunReport,
                            RunOrder, RunStop, RunAbsent, EndsPersisted, InputNotice, RelayedRequest,
-                           RelayedAnswer, GatewayQuery, GatewayReply>;
+                           RelayedAnswer, GatewayQuery, GatewayReply, LearnedRecord, KeptRecord>;
 
 }  // namespace pierbank
 
--- a/libs/wire/include/pierbank/wire/Transport.h
+++ b/libs/wire/include/pierbank/wire/Transport.h
@@ -29,7 +29,8 @@
 
     /**
      * Queues a frame.
-     * @return false when the link is closed or too much data is unsent; the frame is dropped.
+     * @return false when the link is closed, too much data is unsent, or the peer is of an older
+     *     build that does not know this type of frame; the frame is dropped.
      */
     virtual bool send(const Frame& frame) = 0;
 
--- a/libs/wire/include/pierbank/wire/WebSocketCodec.h
+++ b/libs/wire/include/pierbank/wire/WebSocketCodec.h
@@ -32,8 +32,15 @@
     /** Maximum size of a message in bytes; receiving a larger message closes the connection. */
     static constexpr std::size_t MAX_MESSAGE_BYTES = 8U << 20U;
 
-    /** @param peer `IP:PORT` of the server; used only for a client's opening request. */
-    WebSocketCodec(Role role, const std::string& peer, Callbacks callbacks);
+    /** Header of the opening handshake in which each side announces what it supports. */
+    static constexpr const char* ANNOUNCEMENT_HEADER = "Pierbank-Frame-Types";
+
+    /**
+     * @param peer `IP:PORT` of the server; used only for a client's opening request.
+     * @param announcement sent to the peer in the opening handshake.
+     */
+    WebSocketCodec(Role role, const std::string& peer, const std::string& announcement,
+                   Callbacks callbacks);
     ~WebSocketCodec();
     WebSocketCodec(const WebSocketCodec&) = delete;
     WebSocketCodec& operator=(const WebSocketCodec&) = delete;
@@ -44,6 +51,11 @@
     /** Processes bytes received from the peer. */
     void feed(std::string_view bytes);
 
+    /**
+     * Returns what the peer announced; empty before the handshake, and if it announced nothing.
+     */
+    std::string getPeerAnnouncement() const;
+
     /** Sends one binary message. @return false when the connection is not open. */
     bool send(std::string_view message);
 
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -120,6 +120,28 @@
     archive(frame.m_key, frame.m_value);
 }
 
+template <typename Archive>
+void describe(Archive& archive, RunTimeEntry& entry) {
+    archive(entry.m_queue, entry.m_image, entry.m_logRatio, entry.m_samples);
+}
+
+template <typename Archive>
+void describe(Archive& archive, ArrivalsEntry& entry) {
+    archive(entry.m_service, entry.m_jobs, entry.m_accelerators, entry.m_work);
+}
+
+template <typename Archive>
+void describe(Archive& archive, LearnedRecord& frame) {
+    archive(frame.m_epoch, frame.m_sequence, frame.m_incarnation, frame.m_logSpeed,
+            frame.m_speedSamples, frame.m_failureScore, frame.m_avoidForMs, frame.m_avoidCount,
+            frame.m_arrivals, frame.m_runTimes);
+}
+
+template <typename Archive>
+void describe(Archive& archive, KeptRecord& frame) {
+    archive(frame.m_record, frame.m_ageMs);
+}
+
 namespace {
 
 template <std::size_t... Types>
--- a/libs/wire/src/SocketLink.cpp
+++ b/libs/wire/src/SocketLink.cpp
@@ -1,13 +1,32 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "SocketLink.h"
 
+#include <charconv>
 #include <utility>
+#include <variant>
 
 #include "pierbank/base/Log.h"
 #include "pierbank/wire/FrameCodec.h"
 
 namespace pierbank {
 
+namespace {
+
+/**
+ * Returns the number of frame types that a peer knows. Builds that announce nothing know the types
+ * that existed before announcements, up to GatewayReply.
+ */
+std::size_t parseFrameTypes(std::string_view announcement) {
+    constexpr std::size_t FRAME_TYPES_WITHOUT_ANNOUNCEMENT = 14;
+    std::size_t types = 0;
+    const char* const end = announcement.data() + announcement.size();
+    const auto result = std::from_chars(announcement.data(), end, types);
+    const bool isNumber = result.ec == std::errc() && result.ptr == end;
+    return isNumber ? types : FRAME_TYPES_WITHOUT_ANNOUNCEMENT;
+}
+
+}  // namespace
+
 SocketLink::SocketLink(std::shared_ptr<SocketPoller> poller, GSocketConnection* connection,
                        WebSocketCodec::Role role, const std::string& peer)
         : m_connection(connection),
@@ -31,7 +50,8 @@
     callbacks.m_closed = [this] {
         fail();
     };
-    m_codec = std::make_unique<WebSocketCodec>(role, peer, std::move(callbacks));
+    m_codec = std::make_unique<WebSocketCodec>(
+            role, peer, std::to_string(std::variant_size_v<Frame>), std::move(callbacks));
 }
 
 SocketLink::~SocketLink() {
@@ -63,6 +83,9 @@
     if (m_isClosed || m_sendBuffer.size() - m_sentBytes > MAX_UNSENT_BYTES) {
         return false;
     }
+    if (frame.index() >= m_peerFrameTypes) {
+        return false;
+    }
     const std::string bytes = encodeFrame(frame);
     if (bytes.size() > WebSocketCodec::MAX_MESSAGE_BYTES) {
         return false;
@@ -146,6 +169,7 @@
 }
 
 void SocketLink::handleOpen() {
+    m_peerFrameTypes = parseFrameTypes(m_codec->getPeerAnnouncement());
     finishHandshake(true);
 }
 
--- a/libs/wire/src/SocketLink.h
+++ b/libs/wire/src/SocketLink.h
@@ -70,6 +70,8 @@
     SocketPoller::Id m_pollerId = SocketPoller::Id::NONE;
     bool m_hasWriteInterest = false;
     guint m_handshakeTimer = 0;
+    /** Number of the first frame types that the peer knows; zero until the handshake is done. */
+    std::size_t m_peerFrameTypes = 0;
     bool m_isClosed = false;
 };
 
--- a/libs/wire/src/WebSocketCodec.cpp
+++ b/libs/wire/src/WebSocketCodec.cpp
@@ -27,6 +27,7 @@
     virtual void feed(std::string_view bytes) = 0;
     virtual bool send(std::string_view message) = 0;
     virtual void close() = 0;
+    virtual std::string getPeerAnnouncement() const = 0;
 
     /** Ensures that no callback is called any more, whatever websocketpp still reports. */
     void detach() { m_callbacks = Callbacks(); }
@@ -41,12 +42,14 @@
 template <typename Endpoint>
 class WebSocketCodec::Detail::EndpointDetail final : public WebSocketCodec::Detail {
 public:
-    EndpointDetail(const std::string& peer, Callbacks callbacks) : Detail(std::move(callbacks)) {
+    EndpointDetail(const std::string& peer, const std::string& announcement, Callbacks callbacks)
+            : Detail(std::move(callbacks)) {
         m_endpoint.clear_access_channels(websocketpp::log::alevel::all);
         m_endpoint.clear_error_channels(websocketpp::log::elevel::all);
         m_endpoint.set_max_message_size(MAX_MESSAGE_BYTES);
         makeConnection(m_endpoint, peer);
         setHandlers();
+        announce(m_endpoint, announcement);
     }
 
     void start() override { startConnection(m_endpoint); }
@@ -68,6 +71,8 @@
         m_connection->eof();
     }
 
+    std::string getPeerAnnouncement() const override { return readAnnouncement(m_endpoint); }
+
 private:
     using ConnectionPtr = typename Endpoint::connection_ptr;
 
@@ -80,6 +85,24 @@
         m_connection = client.get_connection("ws://" + peer + "/", error);
     }
 
+    /** A server can add headers only while it processes the request of the client. */
+    void announce(Server&, const std::string& announcement) {
+        m_connection->set_validate_handler([this, announcement](websocketpp::connection_hdl) {
+            m_connection->append_header(ANNOUNCEMENT_HEADER, announcement);
+            return true;
+        });
+    }
+    void announce(Client&, const std::string& announcement) {
+        m_connection->append_header(ANNOUNCEMENT_HEADER, announcement);
+    }
+
+    std::string readAnnouncement(const Server&) const {
+        return m_connection->get_request_header(ANNOUNCEMENT_HEADER);
+    }
+    std::string readAnnouncement(const Client&) const {
+        return m_connection->get_response_header(ANNOUNCEMENT_HEADER);
+    }
+
     void startConnection(Server&) { m_connection->start(); }
     void startConnection(Client& client) { client.connect(m_connection); }
 
@@ -114,11 +137,14 @@
     ConnectionPtr m_connection;
 };
 
-WebSocketCodec::WebSocketCodec(Role role, const std::string& peer, Callbacks callbacks) {
+WebSocketCodec::WebSocketCodec(Role role, const std::string& peer, const std::string& announcement,
+                               Callbacks callbacks) {
     if (role == Role::SERVER) {
-        m_detail = std::make_shared<Detail::EndpointDetail<Server>>(peer, std::move(callbacks));
+        m_detail = std::make_shared<Detail::EndpointDetail<Server>>(peer, announcement,
+                                                                    std::move(callbacks));
     } else {
-        m_detail = std::make_shared<Detail::EndpointDetail<Client>>(peer, std::move(callbacks));
+        m_detail = std::make_shared<Detail::EndpointDetail<Client>>(peer, announcement,
+                                                                    std::move(callbacks));
     }
 }
 
@@ -138,6 +164,10 @@
     detail->feed(bytes);
 }
 
+std::string WebSocketCodec::getPeerAnnouncement() const {
+    return m_detail->getPeerAnnouncement();
+}
+
 bool WebSocketCodec::send(std::string_view message) {
     const auto detail = m_detail;
     return detail->send(message);
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -20,6 +20,10 @@
     return notice;
 }
 
+LearnedRecord makeLearnedRecord() {
+    return {5, 9, "l", -0.25, 12, 1.5, 3000, 2, {{"s", 4, 32, 64'000}}, {{"q", "i", 0.5, 8}}};
+}
+
 const std::vector<Frame>& getFrames() {
     static const std::vector<Frame> frames = {
             LeaderHello{5, "n"},
@@ -35,7 +39,9 @@
             RelayedRequest{1, "POST", "h", "/x", "k", "body", 99},
             RelayedAnswer{1, 200, "body"},
             GatewayQuery{3, 120, true},
-            GatewayReply{3, 8, 40, 500, 183, 1000, true, {{"q", 4}}}};
+            GatewayReply{3, 8, 40, 500, 183, 1000, true, {{"q", 4}}},
+            makeLearnedRecord(),
+            KeptRecord{makeLearnedRecord(), 700}};
     return frames;
 }
 
