--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -22,6 +22,7 @@
 #include "pierbank/control/PersistedEnds.h"
 #include "pierbank/control/PlanThrottle.h"
 #include "pierbank/control/ProgressTracker.h"
+#include "pierbank/control/RecordScheduler.h"
 #include "pierbank/control/TicketCache.h"
 #include "pierbank/control/WaveController.h"
 #include "pierbank/control/WorkerPool.h"
@@ -144,6 +145,10 @@
     std::uint64_t m_revoked = 0;
     /** Transactions with decisions that were sent to the store. */
     std::uint64_t m_commits = 0;
+    /** Records of learned state that were sent to sidecars, and what became of those returned. */
+    std::uint64_t m_recordsSent = 0;
+    std::uint64_t m_recordsRestored = 0;
+    std::uint64_t m_recordsRefused = 0;
     /** Plans that were made and applied. */
     std::uint64_t m_plans = 0;
     /** Duration of planning. */
@@ -256,6 +261,7 @@
     void handleRunAbsent(const std::string& host, const RunAbsent& absent) override;
     void handleHostLost(const std::string& host) override;
     void handleHostExpired(const std::string& host) override;
+    void handleKeptRecord(const std::string& host, const KeptRecord& kept) override;
     void handleInputNotice(const InputNotice& notice) override;
     void handleRelayedRequest(const std::string& host, const RelayedRequest& request) override;
     void handleGatewayQuery(const std::string& host, const GatewayQuery& query) override;
@@ -362,6 +368,12 @@
     template <typename Function>
     void forEachUnresolvedLoss(Function function);
 
+    // Hands over what was learned to the next leader (JobControllerLearned.cpp).
+    /** Records that something about a host was learned, which its sidecar should keep. */
+    void recordLearned(const std::string& host);
+    void sendLearnedRecords();
+    void logRestoredRecords();
+
     // Commits decisions to the store (JobControllerCommits.cpp).
     void commitDirty();
     bool addToTransaction(const std::string& id, JobEntry& entry, StoreTransaction& transaction);
@@ -379,6 +391,14 @@
     const JobControllerSettings m_settings;
     WorkerPool m_workers;
     LearnedState m_learned;
+    RecordScheduler m_recordScheduler;
+    /** Records that were restored since the last line about them in the log. */
+    struct RestoredRecords {
+        std::size_t m_hosts = 0;
+        Millis m_oldestAge{0};
+        Millis m_lastAt{0};
+    };
+    RestoredRecords m_restoredRecords;
     CapacityRefusals m_capacityRefusals;
     ProgressTracker m_progress;
     TicketCache m_ticketCache;
--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -17,6 +17,7 @@
 #include "pierbank/control/IncarnationRuns.h"
 #include "pierbank/control/LeaderPort.h"
 #include "pierbank/control/PendingOrders.h"
+#include "pierbank/control/RecordKeeper.h"
 #include "pierbank/control/TaskThrottle.h"
 #include "pierbank/control/TaskWorker.h"
 #include "pierbank/control/WorkerFence.h"
@@ -70,7 +71,8 @@
  * Controls the worker of a sidecar. Only the agent calls the worker: it renews the worker's lease
  * up to the time that the leader grants (counted from the moment of the lease request), starts and
  * stops runs as ordered by the leader, and reports running and finished runs. It makes no decisions
- * of its own, and keeps no state that the worker could not report again.
+ * of its own, and keeps no state that the worker could not report again, except the latest record
+ * of what the leader has learned.
  *
  * If several leaders are linked, the agent obeys the one with the highest epoch. A start whose
  * answer is lost may take effect seconds later. The agent repeats such a start, and finally
@@ -115,6 +117,7 @@
     void handleStop(const RunStop& stop);
     void scheduleLeaseRequest();
     void requestLease();
+    void sendKeptRecord();
     void sendNotice();
     void sendReport();
 
@@ -177,6 +180,7 @@
     LeaderPort m_leader;
     PendingOrders m_orders;
     TaskThrottle m_throttle;
+    RecordKeeper m_recordKeeper;
 
     WorkerFence m_fence;
     WorkerIncarnation m_incarnation;
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -96,6 +96,8 @@
     virtual void handleRelayedRequest(const std::string& host, const RelayedRequest& request) = 0;
     /** A gateway queries the age of the configuration. */
     virtual void handleGatewayQuery(const std::string& host, const GatewayQuery& query) = 0;
+    /** The sidecar gave back what a leader told it to keep; precedes its first report. */
+    virtual void handleKeptRecord(const std::string& host, const KeptRecord& kept) = 0;
     /**
      * The lease of the host lapsed: all runs that were started there under earlier leases have
      * certainly ended.
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -49,6 +49,7 @@
     stepDown();
     m_isLeading = true;
     m_epoch = epoch;
+    m_recordScheduler.start(epoch);
     m_term = std::make_shared<bool>(true);
     m_getConfirmedAt = getConfirmedAt;
     m_workers.start(epoch, std::move(getConfirmedAt));
@@ -76,6 +77,8 @@
     m_waitingUrgentJobs.clear();
     m_earlyCancels.clear();
     m_learned.clear();
+    m_recordScheduler.start(0);
+    m_restoredRecords = RestoredRecords();
     m_capacityRefusals.clear();
     m_progress.clear();
     m_ticketCache.clear();
@@ -321,6 +324,8 @@
 void JobController::tick() {
     removeFinishedJobs();
     resendLostOrders();
+    sendLearnedRecords();
+    logRestoredRecords();
     scheduleStep();
     m_loop.callLater(TICK_INTERVAL, guarded([this] { tick(); }));
 }
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -14,6 +14,7 @@
     const WorkerPool::Host* const poolHost = m_workers.findHost(host);
     if (poolHost == nullptr || !poolHost->isLinked()) {
         m_progress.forgetHost(host);
+        m_recordScheduler.handleUnlinked(host);
     }
     if (poolHost != nullptr && poolHost->isLinked() && poolHost->m_notice.has_value() &&
         !poolHost->m_notice->m_incarnation.empty()) {
@@ -32,6 +33,7 @@
         resolveLosses(host, notice);
         if (poolHost->m_hasReport) {
             resendOrders(host);
+            recordLearned(host);
         }
     }
     invalidatePlan();
@@ -157,10 +159,12 @@
         step.m_index = 0;
         m_learned.speeds().recordSample({report.m_incarnation, step.toText(), rate.m_rate},
                                         m_loop.now());
+        recordLearned(host);
     }
     const auto stalledAt = m_learned.health().getStalledAt(host);
     if (stalledAt.has_value() && m_progress.hasAdvancedSince(host, *stalledAt)) {
         m_learned.health().recordAdvanced(host, m_loop.now());
+        recordLearned(host);
         invalidatePlan();
     }
     if (!wasStalled && isStalled(host)) {
@@ -234,6 +238,7 @@
         const Millis runTime = m_loop.wallNow() - activeRun->m_placedAt;
         m_learned.health().recordRunEnd({worker.m_host, key->m_job, endKind, runTime},
                                         m_loop.now());
+        recordLearned(worker.m_host);
     }
     if (effect.m_isApplied) {
         entry.m_endsToPersist.emplace_back(worker, end.m_number);
--- /dev/null
+++ b/libs/control/src/LearnedState.cpp
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/control/LearnedState.h"
+
+#include <algorithm>
+#include <cmath>
+#include <initializer_list>
+
+namespace pierbank {
+
+namespace {
+
+/** Returns whether all values are finite and not negative. */
+bool areAmounts(std::initializer_list<double> values) {
+    return std::all_of(values.begin(), values.end(),
+                       [](double value) { return std::isfinite(value) && value >= 0; });
+}
+
+bool isValid(const ReturnedRecord& returned) {
+    const HostRecord& record = returned.m_record;
+    const bool isHostValid = std::isfinite(record.m_speed.m_logSpeed) &&
+                             areAmounts({record.m_speed.m_samples, record.m_health.m_failureScore});
+    const bool areArrivalsValid = std::all_of(
+            record.m_arrivals.begin(), record.m_arrivals.end(), [](const ArrivalsRecord& arrivals) {
+                return areAmounts({arrivals.m_jobs, arrivals.m_accelerators, arrivals.m_work});
+            });
+    const bool areRunTimesValid = std::all_of(
+            record.m_runTimes.begin(), record.m_runTimes.end(), [](const RunTimeRecord& runTime) {
+                return std::isfinite(runTime.m_logRatio) && areAmounts({runTime.m_samples});
+            });
+    // An unbounded pause would keep a host from work for good.
+    const bool isPauseValid = record.m_health.m_avoidFor >= Millis(0) &&
+                              record.m_health.m_avoidFor <= LearnedState::MAX_RECORD_AGE;
+    return isHostValid && areArrivalsValid && areRunTimesValid && isPauseValid &&
+           record.m_runTimes.size() <= LearnedState::MAX_RUN_TIMES &&
+           record.m_arrivals.size() <= 1 && returned.m_age >= Millis(0);
+}
+
+}  // namespace
+
+bool isRefusal(RestoreResult result) {
+    return result == RestoreResult::LATER_LEADER || result == RestoreResult::INVALID ||
+           result == RestoreResult::TOO_OLD;
+}
+
+std::string_view toText(RestoreResult result) {
+    switch (result) {
+        case RestoreResult::RESTORED:
+            return "restored";
+        case RestoreResult::NOTHING_NEW:
+            return "nothing new";
+        case RestoreResult::KNOWN:
+            return "known";
+        case RestoreResult::LATER_LEADER:
+            return "sent by a later leader";
+        case RestoreResult::INVALID:
+            return "a value is out of range";
+        case RestoreResult::TOO_OLD:
+            return "too old";
+    }
+    return "unknown";
+}
+
+HostRecord LearnedState::getRecord(const std::string& host, const std::string& incarnation,
+                                   const std::string& service, const Moment& moment) const {
+    HostRecord record;
+    record.m_incarnation = incarnation;
+    record.m_speed = m_speeds.getRecord(incarnation);
+    record.m_health = m_health.getRecord(host, moment.m_now);
+    const auto arrivals = m_demand.getRecord(service, moment.m_wallNow);
+    if (arrivals.has_value()) {
+        record.m_arrivals.push_back(*arrivals);
+    }
+    record.m_runTimes = listRunTimes();
+    if (record.m_runTimes.size() > MAX_RUN_TIMES) {
+        std::stable_sort(record.m_runTimes.begin(), record.m_runTimes.end(),
+                         [](const RunTimeRecord& a, const RunTimeRecord& b) {
+                             return a.m_samples > b.m_samples;
+                         });
+        record.m_runTimes.resize(MAX_RUN_TIMES);
+    }
+    return record;
+}
+
+RestoreResult LearnedState::restore(const std::string& host, const ReturnedRecord& returned,
+                                    std::uint64_t epoch, const Moment& moment) {
+    if (returned.m_version.first > epoch) {
+        return RestoreResult::LATER_LEADER;
+    }
+    // After the first record, everything newer about the host was seen by this leader itself.
+    if (returned.m_version.first == epoch || !m_returnedHosts.insert(host).second) {
+        return RestoreResult::KNOWN;
+    }
+    if (!isValid(returned)) {
+        return RestoreResult::INVALID;
+    }
+    if (returned.m_age > MAX_RECORD_AGE) {
+        return RestoreResult::TOO_OLD;
+    }
+    const HostRecord& record = returned.m_record;
+    const Millis at = moment.m_now - returned.m_age;
+    const bool hasSpeed = !record.m_incarnation.empty() &&
+                          m_speeds.restore(record.m_incarnation, record.m_speed, at, moment.m_now);
+    const bool hasHealth = restoreHealth(host, record.m_health, at, moment.m_now);
+    const bool hasCommon = restoreCommon(returned, moment);
+    return hasSpeed || hasHealth || hasCommon ? RestoreResult::RESTORED
+                                              : RestoreResult::NOTHING_NEW;
+}
+
+/**
+ * Restores the evidence against a host unless the present evidence is stronger. A new leader has
+ * some already, of hosts on which runs of unfinished jobs stalled.
+ */
+bool LearnedState::restoreHealth(const std::string& host, const HealthRecord& record, Millis at,
+                                 Millis now) {
+    const HealthRecord own = m_health.getRecord(host, now);
+    const bool isWorse = record.m_failureScore > own.m_failureScore ||
+                         at + record.m_avoidFor > now + own.m_avoidFor;
+    if (!isWorse) {
+        return false;
+    }
+    m_health.restore(host, record, at);
+    return true;
+}
+
+/**
+ * Restores what does not concern the host alone, from the newest record that any host gave back.
+ * All hosts have nearly the same of it, so it must count once only.
+ */
+bool LearnedState::restoreCommon(const ReturnedRecord& returned, const Moment& moment) {
+    const HostRecord& record = returned.m_record;
+    bool isRestored = false;
+    for (const ArrivalsRecord& arrivals : record.m_arrivals) {
+        isRestored = m_demand.restore(arrivals, moment.m_wallNow - returned.m_age) || isRestored;
+    }
+    if (returned.m_version > m_commonVersion && !record.m_runTimes.empty()) {
+        m_commonVersion = returned.m_version;
+        restoreRunTimes(record.m_runTimes);
+        isRestored = true;
+    }
+    return isRestored;
+}
+
+std::vector<RunTimeRecord> LearnedState::listRunTimes() const {
+    return m_restoredRunTimes;
+}
+
+void LearnedState::restoreRunTimes(std::span<const RunTimeRecord> records) {
+    m_restoredRunTimes.assign(records.begin(), records.end());
+}
+
+void LearnedState::clear() {
+    m_health.clear();
+    m_speeds.clear();
+    m_demand.clear();
+    m_restoredRunTimes.clear();
+    m_commonVersion = {0, 0};
+    m_returnedHosts.clear();
+}
+
+}  // namespace pierbank
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -59,6 +59,7 @@
         m_isVerifying = false;
     }
     m_sentReport = RunReport();
+    sendKeptRecord();
     sendNotice();
     requestLease();
     // A new leader needs the runs that are present now, not those of the last poll.
@@ -76,6 +77,8 @@
         handleStart(*order);
     } else if (const auto* const stop = std::get_if<RunStop>(&frame)) {
         handleStop(*stop);
+    } else if (const auto* const record = std::get_if<LearnedRecord>(&frame)) {
+        m_recordKeeper.keep(*record, m_leader.getEpoch(), m_loop.now());
     }
 }
 
@@ -182,6 +185,14 @@
     m_orders.preventStart(*task, stop.m_run, "stopped on the leader's word");
 }
 
+/** Gives the kept record back. It precedes the reports, so that the leader restores it first. */
+void WorkerAgent::sendKeptRecord() {
+    const auto kept = m_recordKeeper.getKept(m_incarnationName, m_loop.now());
+    if (kept.has_value()) {
+        m_leader.send(*kept);
+    }
+}
+
 /**
  * Sends the state of the worker to the leader. Nothing is sent for an unconfirmed incarnation,
  * because its heartbeat may be a delayed heartbeat of a previous incarnation.
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -174,6 +174,8 @@
         m_listener.handleInputNotice(*input);
     } else if (const auto* const request = std::get_if<RelayedRequest>(&frame)) {
         m_listener.handleRelayedRequest(address, *request);
+    } else if (const auto* const kept = std::get_if<KeptRecord>(&frame)) {
+        m_listener.handleKeptRecord(address, *kept);
     } else if (const auto* const query = std::get_if<GatewayQuery>(&frame)) {
         host.m_fitness = query->m_fitness;
         host.m_isLost = false;
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -287,6 +287,14 @@
     page.addCounter("pierbank_unreadable_total", "entries of others that could not be read",
                     countUnreadable());
     page.addCounter("pierbank_commits_total", "transactions of decisions", statistics.m_commits);
+    page.addCounter("pierbank_records_sent_total", "records of learned state sent to sidecars",
+                    statistics.m_recordsSent);
+    page.addCounter("pierbank_records_restored_total",
+                    "records of earlier leaders taken over from sidecars",
+                    statistics.m_recordsRestored);
+    page.addCounter("pierbank_records_refused_total",
+                    "records of earlier leaders that were not believed",
+                    statistics.m_recordsRefused);
     page.addCounter("pierbank_plans_total", "plans made", statistics.m_plans);
     page.addSummary("pierbank_plan_ms", "time that a plan took", statistics.m_planTime);
     page.addSummary("pierbank_first_placement_ms", "from acceptance to the first placement",
