--- a/libs/control/test/HostSpeedsTest.cpp
+++ b/libs/control/test/HostSpeedsTest.cpp
@@ -75,6 +75,33 @@
     EXPECT_GT(m_speeds.getSlowness("h2"), 1.4);
 }
 
+TEST_F(HostSpeedsTest, RestoredHostsAreAsFastAsRecorded) {
+    recordSteps(30);
+    HostSpeeds next;
+    const Millis start(5);
+    for (int host = 0; host < HOSTS; ++host) {
+        EXPECT_TRUE(next.restore(getHost(host), m_speeds.getRecord(getHost(host)), start, start));
+        EXPECT_NEAR(next.getSlowness(getHost(host)), m_speeds.getSlowness(getHost(host)), 1e-9);
+        EXPECT_EQ(next.getEvidence(getHost(host)), m_speeds.getEvidence(getHost(host)));
+    }
+}
+
+TEST_F(HostSpeedsTest, OwnSamplesAndNothingAreNotReplacedByARecord) {
+    recordSteps(30);
+    const double own = m_speeds.getSlowness("h2");
+    EXPECT_FALSE(m_speeds.restore("h2", {-1.0, 10}, m_now, m_now));
+    EXPECT_EQ(m_speeds.getSlowness("h2"), own);
+    EXPECT_FALSE(m_speeds.restore("new", m_speeds.getRecord("unknown"), m_now, m_now));
+    EXPECT_FALSE(m_speeds.restore("new", {-1.0, 10}, m_now - Millis(3'700'000), m_now));
+    EXPECT_EQ(m_speeds.getSlowness("new"), 1.0);
+}
+
+TEST_F(HostSpeedsTest, RecordBeyondTheBoundsOfOwnSamplesIsLimitedToThem) {
+    EXPECT_TRUE(m_speeds.restore("h0", {-50.0, 1e9}, m_now, m_now));
+    EXPECT_LT(m_speeds.getSlowness("h0"), 4.1);
+    EXPECT_LE(m_speeds.getEvidence("h0"), 20.1);
+}
+
 TEST_F(HostSpeedsTest, RemovesHostAfterAnHourWithoutSamples) {
     recordSteps(30);
     ASSERT_NE(m_speeds.getSlowness("h2"), 1.0);
--- /dev/null
+++ b/libs/control/test/LearnedStateTest.cpp
@@ -0,0 +1,212 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "pierbank/control/LearnedState.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+#include "pierbank/control/HostRecordCodec.h"
+
+namespace pierbank {
+namespace {
+
+constexpr const char* HOST = "127.0.0.1:7000";
+constexpr const char* INCARNATION = "w@1";
+constexpr std::uint64_t FORMER_EPOCH = 5;
+constexpr std::uint64_t EPOCH = 8;
+
+/** A new leader, whose clock has just started, and what a sidecar gives back to it. */
+class LearnedStateTest : public ::testing::Test {
+protected:
+    LearnedStateTest() {
+        m_returned.m_version = {FORMER_EPOCH, 7};
+        m_returned.m_age = Millis(2000);
+        m_returned.m_record.m_incarnation = INCARNATION;
+        m_returned.m_record.m_speed = {-0.5, 10};
+        m_returned.m_record.m_health = {1.8, Millis(5000), 2};
+        m_returned.m_record.m_runTimes = {{"q", "i", 0.5, 8}};
+    }
+
+    RestoreResult restore(const std::string& host = HOST) {
+        return m_learned.restore(host, m_returned, EPOCH, m_moment);
+    }
+
+    LearnedState m_learned{LearnedStateSettings()};
+    ReturnedRecord m_returned;
+    Moment m_moment{Millis(300), Millis(1'000'000)};
+};
+
+TEST_F(LearnedStateTest, RestoresSpeedAndEvidence) {
+    EXPECT_EQ(restore(), RestoreResult::RESTORED);
+    EXPECT_NEAR(m_learned.speeds().getSlowness(INCARNATION), std::exp(0.5), 1e-9);
+    EXPECT_NEAR(m_learned.speeds().getEvidence(INCARNATION), 10, 1e-9);
+    EXPECT_TRUE(m_learned.health().isSuspect(HOST, m_moment.m_now));
+    EXPECT_TRUE(m_learned.health().isAvoided(HOST, m_moment.m_now));
+}
+
+TEST_F(LearnedStateTest, LetsPausesAndScoresRunOnDuringTheAge) {
+    restore();
+    EXPECT_TRUE(m_learned.health().isAvoided(HOST, m_moment.m_now + Millis(2900)));
+    EXPECT_FALSE(m_learned.health().isAvoided(HOST, m_moment.m_now + Millis(3000)));
+    // The half-life is 15 s, of which 2 s have passed.
+    const HealthRecord later = m_learned.health().getRecord(HOST, m_moment.m_now + Millis(13'000));
+    EXPECT_NEAR(later.m_failureScore, 0.9, 1e-6);
+}
+
+TEST_F(LearnedStateTest, DoesNotRestoreAPauseThatIsOver) {
+    m_returned.m_age = Millis(6000);
+    restore();
+    EXPECT_FALSE(m_learned.health().isAvoided(HOST, m_moment.m_now));
+    EXPECT_TRUE(m_learned.health().isSuspect(HOST, m_moment.m_now));
+}
+
+TEST_F(LearnedStateTest, HandsOverWhatItRestored) {
+    restore();
+    const HostRecord record = m_learned.getRecord(HOST, INCARNATION, "s", m_moment);
+    EXPECT_NEAR(record.m_speed.m_logSpeed, -0.5, 1e-9);
+    EXPECT_EQ(record.m_health.m_avoidFor, Millis(3000));
+    EXPECT_EQ(record.m_health.m_avoidCount, 2U);
+    EXPECT_EQ(record.m_runTimes, m_returned.m_record.m_runTimes);
+    KeptRecord kept{encodeHostRecord(record, {EPOCH, 1}), 40};
+    const ReturnedRecord decoded = decodeKeptRecord(kept);
+    EXPECT_EQ(decoded.m_version, RecordVersion(EPOCH, 1));
+    EXPECT_EQ(decoded.m_age, Millis(40));
+    EXPECT_EQ(decoded.m_record.m_health.m_avoidFor, Millis(3000));
+    EXPECT_NEAR(decoded.m_record.m_speed.m_samples, 10, 1e-5);
+    EXPECT_EQ(decoded.m_record.m_runTimes, record.m_runTimes);
+}
+
+/** Another machine at the same address is another incarnation, which nobody has rated. */
+TEST_F(LearnedStateTest, HasNoSpeedOfAnotherIncarnation) {
+    restore();
+    EXPECT_EQ(m_learned.speeds().getEvidence("w@2"), 0);
+    EXPECT_EQ(m_learned.speeds().getSlowness("w@2"), 1.0);
+}
+
+TEST_F(LearnedStateTest, KeepsItsOwnSpeedOfTheHost) {
+    for (int i = 0; i < 3; ++i) {
+        m_learned.speeds().recordSample({"other", "j.0.0", 10.0}, m_moment.m_now);
+    }
+    m_learned.speeds().recordSample({INCARNATION, "j.0.0", 20.0}, m_moment.m_now);
+    restore();
+    EXPECT_LT(m_learned.speeds().getSlowness(INCARNATION), 1.0);
+}
+
+TEST_F(LearnedStateTest, KeepsItsOwnEvidenceIfThatIsStronger) {
+    m_learned.health().recordStalled(HOST, m_moment.m_now);
+    m_returned.m_record.m_health = {0.2, Millis(0), 0};
+    restore();
+    EXPECT_TRUE(m_learned.health().isSuspect(HOST, m_moment.m_now));
+}
+
+/** What a link that broke gives back once more is older than what was seen over it. */
+TEST_F(LearnedStateTest, BelievesAHostOnlyOnceInATerm) {
+    m_returned.m_record.m_health = {};
+    restore();
+    m_returned.m_record.m_health = {1.8, Millis(5000), 2};
+    EXPECT_EQ(restore(), RestoreResult::KNOWN);
+    EXPECT_FALSE(m_learned.health().isAvoided(HOST, m_moment.m_now));
+    m_learned.clear();
+    EXPECT_EQ(restore(), RestoreResult::RESTORED) << "the next term begins without memory";
+}
+
+TEST_F(LearnedStateTest, IgnoresItsOwnRecord) {
+    m_returned.m_version = {EPOCH, 3};
+    EXPECT_EQ(restore(), RestoreResult::KNOWN);
+    EXPECT_EQ(m_learned.speeds().getEvidence(INCARNATION), 0);
+}
+
+TEST_F(LearnedStateTest, RefusesTheRecordOfALaterLeader) {
+    m_returned.m_version = {EPOCH + 1, 1};
+    EXPECT_EQ(restore(), RestoreResult::LATER_LEADER);
+    EXPECT_TRUE(isRefusal(RestoreResult::LATER_LEADER));
+    EXPECT_FALSE(m_learned.health().isAvoided(HOST, m_moment.m_now));
+}
+
+TEST_F(LearnedStateTest, RefusesAnOldRecord) {
+    m_returned.m_age = LearnedState::MAX_RECORD_AGE + Millis(1);
+    EXPECT_EQ(restore(), RestoreResult::TOO_OLD);
+}
+
+/** Two former leaders told different hosts; only the newest word counts for all. */
+class RunTimesOfTwoFormerLeaders : public LearnedStateTest {
+protected:
+    double getLogRatio() const {
+        return m_learned.getRecord(HOST, "", "", m_moment).m_runTimes.at(0).m_logRatio;
+    }
+
+    void restoreFrom(const std::string& host, RecordVersion version, double logRatio) {
+        m_returned.m_version = version;
+        m_returned.m_record.m_runTimes[0].m_logRatio = logRatio;
+        m_learned.restore(host, m_returned, EPOCH, m_moment);
+    }
+};
+
+TEST_F(RunTimesOfTwoFormerLeaders, AreThoseOfTheLatestEpoch) {
+    restoreFrom("a", {FORMER_EPOCH, 90}, 0.1);
+    restoreFrom("b", {FORMER_EPOCH + 1, 2}, 0.2);
+    restoreFrom("c", {FORMER_EPOCH, 99}, 0.3);
+    EXPECT_EQ(getLogRatio(), 0.2);
+}
+
+TEST_F(RunTimesOfTwoFormerLeaders, AreTheLatestOfOneEpoch) {
+    restoreFrom("a", {FORMER_EPOCH, 90}, 0.1);
+    restoreFrom("b", {FORMER_EPOCH, 91}, 0.2);
+    restoreFrom("c", {FORMER_EPOCH, 89}, 0.3);
+    EXPECT_EQ(getLogRatio(), 0.2);
+}
+
+/** Corrupt values must not keep a host from work for good, or make it seem infinitely fast. */
+struct InvalidRecord {
+    const char* m_name;
+    void (*m_change)(ReturnedRecord&);
+};
+
+class InvalidRecordTest : public LearnedStateTest,
+                          public ::testing::WithParamInterface<InvalidRecord> {};
+
+TEST_P(InvalidRecordTest, IsRefused) {
+    GetParam().m_change(m_returned);
+    EXPECT_EQ(restore(), RestoreResult::INVALID);
+    EXPECT_FALSE(m_learned.health().isAvoided(HOST, m_moment.m_now));
+    EXPECT_EQ(m_learned.speeds().getEvidence(INCARNATION), 0);
+}
+
+constexpr double NOT_A_NUMBER = std::numeric_limits<double>::quiet_NaN();
+
+INSTANTIATE_TEST_SUITE_P(
+        Values, InvalidRecordTest,
+        ::testing::Values(InvalidRecord{"Speed",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_speed.m_logSpeed = NOT_A_NUMBER;
+                                        }},
+                          InvalidRecord{"Samples",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_speed.m_samples = -1;
+                                        }},
+                          InvalidRecord{"Score",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_health.m_failureScore =
+                                                    std::numeric_limits<double>::infinity();
+                                        }},
+                          InvalidRecord{"Pause",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_health.m_avoidFor =
+                                                    Millis(1) + LearnedState::MAX_RECORD_AGE;
+                                        }},
+                          InvalidRecord{"Arrivals",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_arrivals = {{"s", 1, NOT_A_NUMBER, 1}};
+                                        }},
+                          InvalidRecord{"RunTime",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_runTimes[0].m_logRatio = NOT_A_NUMBER;
+                                        }},
+                          InvalidRecord{"TooManyRunTimes",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_runTimes.resize(17);
+                                        }}),
+        [](const auto& info) { return info.param.m_name; });
+
+}  // namespace
+}  // namespace pierbank
--- a/libs/control/test/UrgentDemandTest.cpp
+++ b/libs/control/test/UrgentDemandTest.cpp
@@ -53,5 +53,49 @@
     EXPECT_LT(m_demand.getHeadroom("s", Millis(100'000)), 30U);
 }
 
+/**
+ * Guards against too little headroom after a change of the leader: the jobs that a new leader loads
+ * are the unfinished ones, and urgent jobs end within seconds, but their arrivals count for longer.
+ */
+class UrgentDemandOfANewLeader : public UrgentDemandTest {
+protected:
+    UrgentDemandOfANewLeader() {
+        for (int i = 0; i < 200; ++i) {
+            m_now += Millis(500);
+            arrive(m_now);
+        }
+        m_record = m_demand.getRecord("s", m_now);
+        m_before = m_demand.getHeadroom("s", m_now);
+        // The last four jobs of 2 s each are still unfinished.
+        m_demand.clear();
+        for (int i = 3; i >= 0; --i) {
+            arrive(m_now - Millis(500) * i);
+        }
+    }
+
+    Millis m_now{0};
+    std::optional<ArrivalsRecord> m_record;
+    std::uint32_t m_before = 0;
+};
+
+TEST_F(UrgentDemandOfANewLeader, FromUnfinishedJobsAloneIsLow) {
+    EXPECT_LT(m_demand.getHeadroom("s", m_now), m_before / 2);
+}
+
+TEST_F(UrgentDemandOfANewLeader, IsTheFormerLeadersWhichCountsOnce) {
+    ASSERT_TRUE(m_record.has_value());
+    EXPECT_TRUE(m_demand.restore(*m_record, m_now));
+    EXPECT_EQ(m_demand.getHeadroom("s", m_now), m_before);
+    EXPECT_FALSE(m_demand.restore(*m_record, m_now)) << "the next host gives back the same";
+    EXPECT_EQ(m_demand.getHeadroom("s", m_now), m_before);
+}
+
+TEST_F(UrgentDemandOfANewLeader, IsItsOwnIfTheRecordIsOld) {
+    ASSERT_TRUE(m_record.has_value());
+    const std::uint32_t own = m_demand.getHeadroom("s", m_now);
+    EXPECT_FALSE(m_demand.restore(*m_record, m_now - Millis(60'000)));
+    EXPECT_EQ(m_demand.getHeadroom("s", m_now), own);
+}
+
 }  // namespace
 }  // namespace pierbank
--- a/libs/wire/include/pierbank/wire/WebSocketCodec.h
+++ b/libs/wire/include/pierbank/wire/WebSocketCodec.h
@@ -37,7 +37,7 @@
 
     /**
      * @param peer `IP:PORT` of the server; used only for a client's opening request.
-     * @param announcement sent to the peer in the opening handshake.
+     * @param announcement sent to the peer in the opening handshake, unless empty.
      */
     WebSocketCodec(Role role, const std::string& peer, const std::string& announcement,
                    Callbacks callbacks);
--- a/libs/wire/src/WebSocketCodec.cpp
+++ b/libs/wire/src/WebSocketCodec.cpp
@@ -87,13 +87,18 @@
 
     /** A server can add headers only while it processes the request of the client. */
     void announce(Server&, const std::string& announcement) {
+        if (announcement.empty()) {
+            return;
+        }
         m_connection->set_validate_handler([this, announcement](websocketpp::connection_hdl) {
             m_connection->append_header(ANNOUNCEMENT_HEADER, announcement);
             return true;
         });
     }
     void announce(Client&, const std::string& announcement) {
-        m_connection->append_header(ANNOUNCEMENT_HEADER, announcement);
+        if (!announcement.empty()) {
+            m_connection->append_header(ANNOUNCEMENT_HEADER, announcement);
+        }
     }
 
     std::string readAnnouncement(const Server&) const {
--- a/libs/wire/test/SocketTransportTest.cpp
+++ b/libs/wire/test/SocketTransportTest.cpp
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pierbank/wire/SocketTransport.h"
 
+#include <gio/gio.h>
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -116,4 +118,55 @@
     runUntil([&] { return value == "answered"; });
 }
 
+/**
+ * Guards against links between different builds that close again and again: a process that receives
+ * a frame type that it does not know closes the link, the leader opens it again and sends the same.
+ * Builds that do not announce their frame types in the handshake know the first fourteen.
+ */
+class LinkWithAnOlderBuild : public SocketTransportTest {
+protected:
+    void SetUp() override {
+        GSocketClient* const client = g_socket_client_new();
+        m_connection = g_socket_client_connect_to_host(client, m_address.m_host.c_str(),
+                                                       m_address.m_port, nullptr, nullptr);
+        g_object_unref(client);
+        ASSERT_NE(m_connection, nullptr);
+        const std::string request =
+                "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nUpgrade: websocket\r\n"
+                "Connection: Upgrade\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n"
+                "Sec-WebSocket-Version: 13\r\n\r\n";
+        GOutputStream* const output = g_io_stream_get_output_stream(G_IO_STREAM(m_connection));
+        ASSERT_TRUE(g_output_stream_write_all(output, request.data(), request.size(), nullptr,
+                                              nullptr, nullptr));
+        runUntil([this] { return m_accepted.size() == 1; });
+    }
+
+    void TearDown() override { g_object_unref(m_connection); }
+
+    GSocketConnection* m_connection = nullptr;
+};
+
+TEST_F(LinkWithAnOlderBuild, CarriesOnlyTheFramesThatTheBuildKnows) {
+    EXPECT_FALSE(m_accepted[0]->send(LearnedRecord()));
+    EXPECT_FALSE(m_accepted[0]->send(KeptRecord()));
+    EXPECT_TRUE(m_accepted[0]->send(GatewayReply()));
+    EXPECT_TRUE(m_accepted[0]->send(LeaseRenewal()));
+}
+
+TEST_F(SocketTransportTest, LinksOfPresentBuildsCarryTheNewestFramesInBothDirections) {
+    open(1);
+    std::size_t received = 0;
+    m_accepted[0]->setCallbacks(
+            [&](const Frame& frame) {
+                received += frame.index() == Frame(LearnedRecord()).index();
+            },
+            [] { ADD_FAILURE() << "closed"; });
+    m_opened[0]->setCallbacks(
+            [&](const Frame& frame) { received += frame.index() == Frame(KeptRecord()).index(); },
+            [] { ADD_FAILURE() << "closed"; });
+    ASSERT_TRUE(m_opened[0]->send(LearnedRecord()));
+    ASSERT_TRUE(m_accepted[0]->send(KeptRecord()));
+    runUntil([&] { return received == 2; });
+}
+
 }  // namespace pierbank::testing
