--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -18,11 +18,11 @@
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EvacuationFeed.h"
 #include "pierbank/control/JobTable.h"
+#include "pierbank/control/LearnedHandover.h"
 #include "pierbank/control/LearnedState.h"
 #include "pierbank/control/PersistedEnds.h"
 #include "pierbank/control/PlanThrottle.h"
 #include "pierbank/control/ProgressTracker.h"
-#include "pierbank/control/RecordScheduler.h"
 #include "pierbank/control/TicketCache.h"
 #include "pierbank/control/WaveController.h"
 #include "pierbank/control/WorkerPool.h"
@@ -145,10 +145,6 @@
     std::uint64_t m_revoked = 0;
     /** Transactions with decisions that were sent to the store. */
     std::uint64_t m_commits = 0;
-    /** Records of learned state that were sent to sidecars, and what became of those returned. */
-    std::uint64_t m_recordsSent = 0;
-    std::uint64_t m_recordsRestored = 0;
-    std::uint64_t m_recordsRefused = 0;
     /** Plans that were made and applied. */
     std::uint64_t m_plans = 0;
     /** Duration of planning. */
@@ -233,6 +229,10 @@
     TaskPlan makeTrialPlan(const JobRecord& record) const;
     /** Returns the counters and latencies, which a change of leadership does not reset. */
     const JobStatistics& getStatistics() const noexcept { return m_statistics; }
+    /** Returns the counters of records of learned state; the same holds for them. */
+    const HandoverStatistics& getHandoverStatistics() const noexcept {
+        return m_handover.getStatistics();
+    }
     /** Returns the fragmentation weight, 0 to 100, that plans use at present. */
     std::uint32_t getFragmentationWeight() const noexcept { return m_currentFragmentationWeight; }
     /** Returns an operator's decision about a worker; RELEASE if there is none. */
@@ -368,12 +368,6 @@
     template <typename Function>
     void forEachUnresolvedLoss(Function function);
 
-    // Hands over what was learned to the next leader (JobControllerLearned.cpp).
-    /** Records that something about a host was learned, which its sidecar should keep. */
-    void recordLearned(const std::string& host);
-    void sendLearnedRecords();
-    void logRestoredRecords();
-
     // Commits decisions to the store (JobControllerCommits.cpp).
     void commitDirty();
     bool addToTransaction(const std::string& id, JobEntry& entry, StoreTransaction& transaction);
@@ -391,14 +385,7 @@
     const JobControllerSettings m_settings;
     WorkerPool m_workers;
     LearnedState m_learned;
-    RecordScheduler m_recordScheduler;
-    /** Records that were restored since the last line about them in the log. */
-    struct RestoredRecords {
-        std::size_t m_hosts = 0;
-        Millis m_oldestAge{0};
-        Millis m_lastAt{0};
-    };
-    RestoredRecords m_restoredRecords;
+    LearnedHandover m_handover;
     CapacityRefusals m_capacityRefusals;
     ProgressTracker m_progress;
     TicketCache m_ticketCache;
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -28,6 +28,7 @@
           m_settings(settings),
           m_workers(transport, loop, *this, std::move(workers)),
           m_learned(m_settings.m_learned),
+          m_handover(loop, m_workers, m_learned, m_settings.m_keepsLearned),
           m_ticketCache(loop, advisor),
           m_evacuations(store, loop, m_settings.m_evacuations),
           m_currentFragmentationWeight(m_settings.m_planner.m_fragmentationWeight) {
@@ -49,7 +50,7 @@
     stepDown();
     m_isLeading = true;
     m_epoch = epoch;
-    m_recordScheduler.start(epoch);
+    m_handover.start(epoch);
     m_term = std::make_shared<bool>(true);
     m_getConfirmedAt = getConfirmedAt;
     m_workers.start(epoch, std::move(getConfirmedAt));
@@ -77,8 +78,7 @@
     m_waitingUrgentJobs.clear();
     m_earlyCancels.clear();
     m_learned.clear();
-    m_recordScheduler.start(0);
-    m_restoredRecords = RestoredRecords();
+    m_handover.stop();
     m_capacityRefusals.clear();
     m_progress.clear();
     m_ticketCache.clear();
@@ -324,8 +324,7 @@
 void JobController::tick() {
     removeFinishedJobs();
     resendLostOrders();
-    sendLearnedRecords();
-    logRestoredRecords();
+    m_handover.tick();
     scheduleStep();
     m_loop.callLater(TICK_INTERVAL, guarded([this] { tick(); }));
 }
--- a/libs/control/src/JobControllerCommits.cpp
+++ b/libs/control/src/JobControllerCommits.cpp
@@ -153,7 +153,7 @@
 /** Discards the state of a host that has been unreachable for too long, and its registration. */
 void JobController::handleHostExpired(const std::string& host) {
     m_reports.erase(host);
-    m_recordScheduler.forget(host);
+    m_handover.forget(host);
     discardUnresolvedLossesOn(host, "");
     m_areSnapshotsStale = true;
     StoreTransaction transaction;
--- a/libs/control/src/JobControllerOrders.cpp
+++ b/libs/control/src/JobControllerOrders.cpp
@@ -172,7 +172,7 @@
                       {"still_ms", std::to_string(stalledTime.count())},
                       {"ran_ms", std::to_string((m_loop.wallNow() - run.m_placedAt).count())}});
             m_learned.health().recordStalled(run.m_worker.m_host, m_loop.now());
-            recordLearned(run.m_worker.m_host);
+            m_handover.recordLearned(run.m_worker.m_host);
             stop({run.m_task, run.m_run, "nothing advances on " + run.m_worker.m_host});
         }
     }
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -14,7 +14,7 @@
     const WorkerPool::Host* const poolHost = m_workers.findHost(host);
     if (poolHost == nullptr || !poolHost->isLinked()) {
         m_progress.forgetHost(host);
-        m_recordScheduler.handleUnlinked(host);
+        m_handover.handleUnlinked(host);
     }
     if (poolHost != nullptr && poolHost->isLinked() && poolHost->m_notice.has_value() &&
         !poolHost->m_notice->m_incarnation.empty()) {
@@ -33,7 +33,7 @@
         resolveLosses(host, notice);
         if (poolHost->m_hasReport) {
             resendOrders(host);
-            recordLearned(host);
+            m_handover.recordLearned(host);
         }
     }
     invalidatePlan();
@@ -45,6 +45,12 @@
     return report == m_reports.end() ? std::string_view() : report->second.m_report.m_incarnation;
 }
 
+void JobController::handleKeptRecord(const std::string& host, const KeptRecord& kept) {
+    if (m_handover.handleKeptRecord(host, kept)) {
+        invalidatePlan();
+    }
+}
+
 void JobController::handleRunReport(const std::string& host, const RunReport& report) {
     const WorkerId worker{host, report.m_incarnation};
     const bool isOtherIncarnation = getReportedIncarnation(host) != report.m_incarnation;
@@ -159,12 +165,12 @@
         step.m_index = 0;
         m_learned.speeds().recordSample({report.m_incarnation, step.toText(), rate.m_rate},
                                         m_loop.now());
-        recordLearned(host);
+        m_handover.recordLearned(host);
     }
     const auto stalledAt = m_learned.health().getStalledAt(host);
     if (stalledAt.has_value() && m_progress.hasAdvancedSince(host, *stalledAt)) {
         m_learned.health().recordAdvanced(host, m_loop.now());
-        recordLearned(host);
+        m_handover.recordLearned(host);
         invalidatePlan();
     }
     if (!wasStalled && isStalled(host)) {
@@ -238,7 +244,7 @@
         const Millis runTime = m_loop.wallNow() - activeRun->m_placedAt;
         m_learned.health().recordRunEnd({worker.m_host, key->m_job, endKind, runTime},
                                         m_loop.now());
-        recordLearned(worker.m_host);
+        m_handover.recordLearned(worker.m_host);
     }
     if (effect.m_isApplied) {
         entry.m_endsToPersist.emplace_back(worker, end.m_number);
--- a/libs/control/src/LearnedState.cpp
+++ b/libs/control/src/LearnedState.cpp
@@ -27,10 +27,8 @@
             record.m_runTimes.begin(), record.m_runTimes.end(), [](const RunTimeRecord& runTime) {
                 return std::isfinite(runTime.m_logRatio) && areAmounts({runTime.m_samples});
             });
-    // An unbounded pause would keep a host from work for good.
-    const bool isPauseValid = record.m_health.m_avoidFor >= Millis(0) &&
-                              record.m_health.m_avoidFor <= LearnedState::MAX_RECORD_AGE;
-    return isHostValid && areArrivalsValid && areRunTimesValid && isPauseValid &&
+    return isHostValid && areArrivalsValid && areRunTimesValid &&
+           record.m_health.m_avoidFor >= Millis(0) &&
            record.m_runTimes.size() <= LearnedState::MAX_RUN_TIMES &&
            record.m_arrivals.size() <= 1 && returned.m_age >= Millis(0);
 }
@@ -113,12 +111,15 @@
 bool LearnedState::restoreHealth(const std::string& host, const HealthRecord& record, Millis at,
                                  Millis now) {
     const HealthRecord own = m_health.getRecord(host, now);
-    const bool isWorse = record.m_failureScore > own.m_failureScore ||
-                         at + record.m_avoidFor > now + own.m_avoidFor;
+    // An unbounded pause would keep the host from work for good.
+    HealthRecord limited = record;
+    limited.m_avoidFor = std::min(record.m_avoidFor, MAX_RECORD_AGE);
+    const bool isWorse = limited.m_failureScore > own.m_failureScore ||
+                         at + limited.m_avoidFor > now + own.m_avoidFor;
     if (!isWorse) {
         return false;
     }
-    m_health.restore(host, record, at);
+    m_health.restore(host, limited, at);
     return true;
 }
 
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -264,6 +264,7 @@
         return domain.second.isEvacuated();
     });
     const JobStatistics& statistics = jobs.getStatistics();
+    const HandoverStatistics& handover = jobs.getHandoverStatistics();
     MetricsPage page;
     page.addGauge("pierbank_leading", "1 at the gateway that leads", isLeading() ? 1 : 0);
     page.addGauge("pierbank_epoch", "epoch of this leader, or zero",
@@ -288,13 +289,12 @@
                     countUnreadable());
     page.addCounter("pierbank_commits_total", "transactions of decisions", statistics.m_commits);
     page.addCounter("pierbank_records_sent_total", "records of learned state sent to sidecars",
-                    statistics.m_recordsSent);
+                    handover.m_recordsSent);
     page.addCounter("pierbank_records_restored_total",
                     "records of earlier leaders taken over from sidecars",
-                    statistics.m_recordsRestored);
+                    handover.m_recordsRestored);
     page.addCounter("pierbank_records_refused_total",
-                    "records of earlier leaders that were not believed",
-                    statistics.m_recordsRefused);
+                    "records of earlier leaders that were not believed", handover.m_recordsRefused);
     page.addCounter("pierbank_plans_total", "plans made", statistics.m_plans);
     page.addSummary("pierbank_plan_ms", "time that a plan took", statistics.m_planTime);
     page.addSummary("pierbank_first_placement_ms", "from acceptance to the first placement",
