--- a/libs/control/src/HostRecordCodec.cpp
+++ b/libs/control/src/HostRecordCodec.cpp
@@ -19,6 +19,22 @@
     return Millis(static_cast<std::int64_t>(std::min(millis, MAX)));
 }
 
+HealthEntry encodeHealth(const HealthRecord& record) {
+    return {round(record.m_failureScore),
+            static_cast<std::uint64_t>(record.m_avoidFor.count()),
+            record.m_avoidCount,
+            round(record.m_evidence),
+            static_cast<std::uint64_t>(record.m_pauseFor.count()),
+            record.m_pauseCount,
+            record.m_needsProbe};
+}
+
+HealthRecord decodeHealth(const HealthEntry& entry) {
+    return {entry.m_failureScore, toMillis(entry.m_avoidForMs), entry.m_avoidCount,
+            entry.m_evidence,     toMillis(entry.m_pauseForMs), entry.m_pauseCount,
+            entry.m_needsProbe};
+}
+
 }  // namespace
 
 LearnedRecord encodeHostRecord(const HostRecord& record, RecordVersion version) {
@@ -28,9 +44,7 @@
     frame.m_incarnation = record.m_incarnation;
     frame.m_logSpeed = round(record.m_speed.m_logSpeed);
     frame.m_speedSamples = round(record.m_speed.m_samples);
-    frame.m_failureScore = round(record.m_health.m_failureScore);
-    frame.m_avoidForMs = static_cast<std::uint64_t>(record.m_health.m_avoidFor.count());
-    frame.m_avoidCount = record.m_health.m_avoidCount;
+    frame.m_health = encodeHealth(record.m_health);
     for (const ArrivalsRecord& arrivals : record.m_arrivals) {
         frame.m_arrivals.push_back({arrivals.m_service, round(arrivals.m_jobs),
                                     round(arrivals.m_accelerators), round(arrivals.m_work)});
@@ -50,7 +64,7 @@
     HostRecord& record = returned.m_record;
     record.m_incarnation = from.m_incarnation;
     record.m_speed = {from.m_logSpeed, from.m_speedSamples};
-    record.m_health = {from.m_failureScore, toMillis(from.m_avoidForMs), from.m_avoidCount};
+    record.m_health = decodeHealth(from.m_health);
     for (const ArrivalsEntry& arrivals : from.m_arrivals) {
         record.m_arrivals.push_back(
                 {arrivals.m_service, arrivals.m_jobs, arrivals.m_accelerators, arrivals.m_work});
--- a/libs/control/src/LearnedState.cpp
+++ b/libs/control/src/LearnedState.cpp
@@ -18,7 +18,8 @@
 bool isValid(const ReturnedRecord& returned) {
     const HostRecord& record = returned.m_record;
     const bool isHostValid = std::isfinite(record.m_speed.m_logSpeed) &&
-                             areAmounts({record.m_speed.m_samples, record.m_health.m_failureScore});
+                             areAmounts({record.m_speed.m_samples, record.m_health.m_failureScore,
+                                         record.m_health.m_evidence});
     const bool areArrivalsValid = std::all_of(
             record.m_arrivals.begin(), record.m_arrivals.end(), [](const ArrivalsRecord& arrivals) {
                 return areAmounts({arrivals.m_jobs, arrivals.m_accelerators, arrivals.m_work});
@@ -28,11 +29,18 @@
                 return std::isfinite(runTime.m_logRatio) && areAmounts({runTime.m_samples});
             });
     return isHostValid && areArrivalsValid && areRunTimesValid &&
-           record.m_health.m_avoidFor >= Millis(0) &&
+           record.m_health.m_avoidFor >= Millis(0) && record.m_health.m_pauseFor >= Millis(0) &&
            record.m_runTimes.size() <= LearnedState::MAX_RUN_TIMES &&
            record.m_arrivals.size() <= 1 && returned.m_age >= Millis(0);
 }
 
+/** Returns whether a record of this age tells anything against a host beyond the own evidence. */
+bool isWorse(const HealthRecord& record, const HealthRecord& own, Millis age) {
+    return record.m_failureScore > own.m_failureScore || record.m_evidence > own.m_evidence ||
+           record.m_avoidFor - age > own.m_avoidFor || record.m_pauseFor - age > own.m_pauseFor ||
+           (record.m_needsProbe && !own.m_needsProbe);
+}
+
 }  // namespace
 
 bool isRefusal(RestoreResult result) {
@@ -105,21 +113,21 @@
 }
 
 /**
- * Restores the evidence against a host unless the present evidence is stronger. A new leader has
- * some already, of hosts on which runs of unfinished jobs stalled.
+ * Restores the evidence against a host. A new leader has some already, of hosts on which runs of
+ * unfinished jobs stalled; the stronger of the two counts.
  */
 bool LearnedState::restoreHealth(const std::string& host, const HealthRecord& record, Millis at,
                                  Millis now) {
-    const HealthRecord own = m_health.getRecord(host, now);
     // An unbounded pause would keep the host from work for good.
-    HealthRecord limited = record;
-    limited.m_avoidFor = std::min(record.m_avoidFor, MAX_RECORD_AGE);
-    const bool isWorse = limited.m_failureScore > own.m_failureScore ||
-                         at + limited.m_avoidFor > now + own.m_avoidFor;
-    if (!isWorse) {
+    HealthRecord restored = record;
+    restored.m_avoidFor = std::min(record.m_avoidFor, MAX_RECORD_AGE);
+    restored.m_pauseFor = std::min(record.m_pauseFor, MAX_RECORD_AGE);
+    const HealthRecord own = m_health.getRecord(host, now);
+    if (!isWorse(restored, own, now - at)) {
         return false;
     }
-    m_health.restore(host, limited, at);
+    restored.m_failureScore = std::max(restored.m_failureScore, own.m_failureScore);
+    m_health.restore(host, restored, at);
     return true;
 }
 
--- a/libs/control/src/RecordScheduler.cpp
+++ b/libs/control/src/RecordScheduler.cpp
@@ -17,6 +17,8 @@
 constexpr double MIN_SAMPLES_FACTOR = 1.5;
 /** Change of a failure score that is worth a record; the quickest failure adds 1. */
 constexpr double MIN_SCORE_CHANGE = 0.3;
+/** Change of the evidence of wide steps, in nats, that is worth a record: odds of two to one. */
+constexpr double MIN_EVIDENCE_CHANGE = 0.7;
 /** Bytes of a record without its texts and lists, and of an entry without its texts. */
 constexpr std::size_t RECORD_BYTES = 60;
 constexpr std::size_t ENTRY_BYTES = 20;
@@ -33,7 +35,10 @@
 /** A score that only decays is no change: the next leader lets it decay as well. */
 bool hasHealthChanged(const HealthRecord& before, const HealthRecord& now) {
     return before.m_avoidCount != now.m_avoidCount || before.m_avoidFor < now.m_avoidFor ||
-           std::abs(before.m_failureScore - now.m_failureScore) >= MIN_SCORE_CHANGE;
+           before.m_pauseCount != now.m_pauseCount || before.m_pauseFor < now.m_pauseFor ||
+           before.m_needsProbe != now.m_needsProbe ||
+           std::abs(before.m_failureScore - now.m_failureScore) >= MIN_SCORE_CHANGE ||
+           std::abs(before.m_evidence - now.m_evidence) >= MIN_EVIDENCE_CHANGE;
 }
 
 bool hasRunTimeChanged(const RunTimeRecord& before, const RunTimeRecord& now) {
--- a/libs/control/test/LearnedStateTest.cpp
+++ b/libs/control/test/LearnedStateTest.cpp
@@ -124,6 +124,19 @@
     EXPECT_FALSE(m_learned.health().isAvoided(HOST, m_moment.m_now));
 }
 
+/** Evidence that a probe is needed counts even if the host has no failure score. */
+TEST_F(LearnedStateTest, CarriesTheEvidenceOfWideSteps) {
+    HostRecord record;
+    record.m_health.m_evidence = 2.5;
+    record.m_health.m_pauseFor = Millis(700);
+    record.m_health.m_pauseCount = 3;
+    record.m_health.m_needsProbe = true;
+    const KeptRecord kept{encodeHostRecord(record, {FORMER_EPOCH, 1}), 40};
+    EXPECT_EQ(decodeKeptRecord(kept).m_record.m_health, record.m_health);
+    m_returned.m_record = record;
+    EXPECT_EQ(restore(), RestoreResult::RESTORED);
+}
+
 TEST_F(LearnedStateTest, LimitsAPauseThatWouldNotEnd) {
     m_returned.m_record.m_health.m_avoidFor = Millis(std::numeric_limits<std::int64_t>::max());
     restore();
--- a/libs/control/test/RecordKeeperTest.cpp
+++ b/libs/control/test/RecordKeeperTest.cpp
@@ -20,7 +20,7 @@
         record.m_incarnation = "w@1";
         record.m_logSpeed = -0.5;
         record.m_speedSamples = 4;
-        record.m_failureScore = 1.5;
+        record.m_health.m_failureScore = 1.5;
         return record;
     }
 
@@ -64,7 +64,7 @@
     const auto kept = m_keeper.getKept("w@2", Millis(2000));
     EXPECT_EQ(kept->m_record.m_speedSamples, 0);
     EXPECT_EQ(kept->m_record.m_logSpeed, 0);
-    EXPECT_EQ(kept->m_record.m_failureScore, 1.5);
+    EXPECT_EQ(kept->m_record.m_health.m_failureScore, 1.5);
 }
 
 }  // namespace
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -254,6 +254,18 @@
     bool operator==(const RunTimeEntry&) const = default;
 };
 
+/** Evidence against a host at the time of the record. */
+struct HealthEntry {
+    double m_failureScore = 0;
+    std::uint64_t m_avoidForMs = 0;
+    std::uint32_t m_avoidCount = 0;
+    double m_evidence = 0;
+    std::uint64_t m_pauseForMs = 0;
+    std::uint32_t m_pauseCount = 0;
+    bool m_needsProbe = false;
+    bool operator==(const HealthEntry&) const = default;
+};
+
 /** Observed arrivals of urgent work of one service, decayed to the time of the record. */
 struct ArrivalsEntry {
     std::string m_service;
@@ -276,9 +288,7 @@
     std::string m_incarnation;
     double m_logSpeed = 0;
     double m_speedSamples = 0;
-    double m_failureScore = 0;
-    std::uint64_t m_avoidForMs = 0;
-    std::uint32_t m_avoidCount = 0;
+    HealthEntry m_health;
     std::vector<ArrivalsEntry> m_arrivals;
     std::vector<RunTimeEntry> m_runTimes;
     bool operator==(const LearnedRecord&) const = default;
--- a/libs/wire/src/FrameCodec.cpp
+++ b/libs/wire/src/FrameCodec.cpp
@@ -130,11 +130,16 @@
     archive(entry.m_service, entry.m_jobs, entry.m_accelerators, entry.m_work);
 }
 
+template <typename Archive>
+void describe(Archive& archive, HealthEntry& entry) {
+    archive(entry.m_failureScore, entry.m_avoidForMs, entry.m_avoidCount, entry.m_evidence,
+            entry.m_pauseForMs, entry.m_pauseCount, entry.m_needsProbe);
+}
+
 template <typename Archive>
 void describe(Archive& archive, LearnedRecord& frame) {
     archive(frame.m_epoch, frame.m_sequence, frame.m_incarnation, frame.m_logSpeed,
-            frame.m_speedSamples, frame.m_failureScore, frame.m_avoidForMs, frame.m_avoidCount,
-            frame.m_arrivals, frame.m_runTimes);
+            frame.m_speedSamples, frame.m_health, frame.m_arrivals, frame.m_runTimes);
 }
 
 template <typename Archive>
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -21,7 +21,10 @@
 }
 
 LearnedRecord makeLearnedRecord() {
-    return {5, 9, "l", -0.25, 12, 1.5, 3000, 2, {{"s", 4, 32, 64'000}}, {{"q", "i", 0.5, 8}}};
+    LearnedRecord record{5, 9, "l", -0.25, 12, {1.5, 3000, 2, 0.75, 800, 1, true}, {}, {}};
+    record.m_arrivals.push_back({"s", 4, 32, 64'000});
+    record.m_runTimes.push_back({"q", "i", 0.5, 8});
+    return record;
 }
 
 const std::vector<Frame>& getFrames() {
