--- a/libs/control/include/pierbank/control/HostRecord.h
+++ b/libs/control/include/pierbank/control/HostRecord.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "pierbank/base/Clock.h"
 
@@ -26,6 +27,14 @@
     Millis m_avoidFor{0};
     /** Number of times that the host had to be avoided since it was last found healthy. */
     std::uint32_t m_avoidCount = 0;
+    /** Evidence by wide steps, see HostTrials, in nats at the time of the record. */
+    double m_evidence = 0;
+    /** Time for which the host is still paused by that evidence. */
+    Millis m_pauseFor{0};
+    /** Number of such pauses since the host was last without evidence. */
+    std::uint32_t m_pauseCount = 0;
+    /** Whether a run has to end well there before the host gets other work than single tasks. */
+    bool m_needsProbe = false;
     bool operator==(const HealthRecord&) const = default;
 };
 
@@ -41,6 +50,31 @@
     bool operator==(const RunTimeRecord&) const = default;
 };
 
+/** Observed arrivals of urgent work of one service, see UrgentDemand. */
+struct ArrivalsRecord {
+    std::string m_service;
+    /** Number of jobs, decayed to the time of the record, like the other sums. */
+    double m_jobs = 0;
+    /** Accelerators of the largest step of each job. */
+    double m_accelerators = 0;
+    /** Accelerators times declared run time in milliseconds. */
+    double m_work = 0;
+    bool operator==(const ArrivalsRecord&) const = default;
+};
+
+/** All that a leader hands over by way of one host. */
+struct HostRecord {
+    /** Incarnation of the host's worker, to which the speed belongs. */
+    std::string m_incarnation;
+    SpeedRecord m_speed;
+    HealthRecord m_health;
+    /** Of the host's service; empty without urgent jobs. */
+    std::vector<ArrivalsRecord> m_arrivals;
+    /** Of all queues; the ones with the most samples if there are many. */
+    std::vector<RunTimeRecord> m_runTimes;
+    bool operator==(const HostRecord&) const = default;
+};
+
 }  // namespace pierbank
 
 #endif  // PIERBANK_CONTROL_HOSTRECORD_H
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -18,6 +18,7 @@
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EvacuationFeed.h"
 #include "pierbank/control/JobTable.h"
+#include "pierbank/control/LearnedHandover.h"
 #include "pierbank/control/LearnedState.h"
 #include "pierbank/control/PersistedEnds.h"
 #include "pierbank/control/PlanThrottle.h"
@@ -233,6 +234,10 @@
     TaskPlan makeTrialPlan(const JobRecord& record) const;
     /** Returns the counters and latencies, which a change of leadership does not reset. */
     const JobStatistics& getStatistics() const noexcept { return m_statistics; }
+    /** Returns the counters of records of learned state; the same holds for them. */
+    const HandoverStatistics& getHandoverStatistics() const noexcept {
+        return m_handover.getStatistics();
+    }
     /** Returns the fragmentation weight, 0 to 100, that plans use at present. */
     std::uint32_t getFragmentationWeight() const noexcept { return m_currentFragmentationWeight; }
     /** Returns an operator's decision about a worker; RELEASE if there is none. */
@@ -261,6 +266,7 @@
     void handleRunAbsent(const std::string& host, const RunAbsent& absent) override;
     void handleHostLost(const std::string& host) override;
     void handleHostExpired(const std::string& host) override;
+    void handleKeptRecord(const std::string& host, const KeptRecord& kept) override;
     void handleInputNotice(const InputNotice& notice) override;
     void handleRelayedRequest(const std::string& host, const RelayedRequest& request) override;
     void handleGatewayQuery(const std::string& host, const GatewayQuery& query) override;
@@ -394,6 +400,7 @@
     const JobControllerSettings m_settings;
     WorkerPool m_workers;
     LearnedState m_learned;
+    LearnedHandover m_handover;
     CapacityRefusals m_capacityRefusals;
     ProgressTracker m_progress;
     TicketCache m_ticketCache;
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -14,6 +14,7 @@
     const WorkerPool::Host* const poolHost = m_workers.findHost(host);
     if (poolHost == nullptr || !poolHost->isLinked()) {
         m_progress.forgetHost(host);
+        m_handover.handleUnlinked(host);
     }
     if (poolHost != nullptr && poolHost->isLinked() && poolHost->m_notice.has_value() &&
         !poolHost->m_notice->m_incarnation.empty()) {
@@ -32,6 +33,7 @@
         resolveLosses(host, notice);
         if (poolHost->m_hasReport) {
             resendOrders(host);
+            m_handover.recordLearned(host);
         }
     }
     invalidatePlan();
@@ -43,6 +45,12 @@
     return report == m_reports.end() ? std::string_view() : report->second.m_report.m_incarnation;
 }
 
+void JobController::handleKeptRecord(const std::string& host, const KeptRecord& kept) {
+    if (m_handover.handleKeptRecord(host, kept)) {
+        invalidatePlan();
+    }
+}
+
 void JobController::handleRunReport(const std::string& host, const RunReport& report) {
     const WorkerId worker{host, report.m_incarnation};
     const bool isOtherIncarnation = getReportedIncarnation(host) != report.m_incarnation;
@@ -158,10 +166,12 @@
         step.m_index = 0;
         m_learned.speeds().recordSample({report.m_incarnation, step.toText(), rate.m_rate},
                                         m_loop.now());
+        m_handover.recordLearned(host);
     }
     const auto stalledAt = m_learned.health().getStalledAt(host);
     if (stalledAt.has_value() && m_progress.hasAdvancedSince(host, *stalledAt)) {
         m_learned.health().recordAdvanced(host, m_loop.now());
+        m_handover.recordLearned(host);
         invalidatePlan();
     }
     if (!wasStalled && isStalled(host)) {
@@ -239,6 +249,7 @@
     if (isActive) {
         m_learned.health().recordRunEnd({worker.m_host, key->m_job, endKind, work->m_runTime},
                                         m_loop.now());
+        m_handover.recordLearned(worker.m_host);
     }
     if (effect.m_isApplied) {
         entry.m_endsToPersist.emplace_back(worker, end.m_number);
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -264,6 +264,7 @@
         return domain.second.isEvacuated();
     });
     const JobStatistics& statistics = jobs.getStatistics();
+    const HandoverStatistics& handover = jobs.getHandoverStatistics();
     MetricsPage page;
     page.addGauge("pierbank_leading", "1 at the gateway that leads", isLeading() ? 1 : 0);
     page.addGauge("pierbank_epoch", "epoch of this leader, or zero",
@@ -287,6 +288,13 @@
     page.addCounter("pierbank_unreadable_total", "entries of others that could not be read",
                     countUnreadable());
     page.addCounter("pierbank_commits_total", "transactions of decisions", statistics.m_commits);
+    page.addCounter("pierbank_records_sent_total", "records of learned state sent to sidecars",
+                    handover.m_recordsSent);
+    page.addCounter("pierbank_records_restored_total",
+                    "records of earlier leaders taken over from sidecars",
+                    handover.m_recordsRestored);
+    page.addCounter("pierbank_records_refused_total",
+                    "records of earlier leaders that were not believed", handover.m_recordsRefused);
     page.addCounter("pierbank_plans_total", "plans made", statistics.m_plans);
     page.addSummary("pierbank_plan_ms", "time that a plan took", statistics.m_planTime);
     page.addSummary("pierbank_first_placement_ms", "from acceptance to the first placement",
--- a/libs/wire/test/FrameCodecTest.cpp
+++ b/libs/wire/test/FrameCodecTest.cpp
@@ -20,6 +20,13 @@
     return notice;
 }
 
+LearnedRecord makeLearnedRecord() {
+    LearnedRecord record{5, 9, "l", -0.25, 12, {1.5, 3000, 2, 0.75, 800, 1, true}, {}, {}};
+    record.m_arrivals.push_back({"s", 4, 32, 64'000});
+    record.m_runTimes.push_back({"q", "i", 0.5, 8});
+    return record;
+}
+
 const std::vector<Frame>& getFrames() {
     static const std::vector<Frame> frames = {
             LeaderHello{5, "n"},
@@ -35,7 +42,9 @@
             RelayedRequest{1, "POST", "h", "/x", "k", "body", 99},
             RelayedAnswer{1, 200, "body"},
             GatewayQuery{3, 120, true},
-            GatewayReply{3, 8, 40, 500, 183, 1000, true, {{"q", 4}}}};
+            GatewayReply{3, 8, 40, 500, 183, 1000, true, {{"q", 4}}},
+            makeLearnedRecord(),
+            KeptRecord{makeLearnedRecord(), 700}};
     return frames;
 }
 
