--- a/libs/control/include/pierbank/control/HostRecord.h
+++ b/libs/control/include/pierbank/control/HostRecord.h
@@ -26,6 +26,14 @@
     Millis m_avoidFor{0};
     /** Number of times that the host had to be avoided since it was last found healthy. */
     std::uint32_t m_avoidCount = 0;
+    /** Evidence by wide steps, see HostTrials, in nats at the time of the record. */
+    double m_evidence = 0;
+    /** Time for which the host is still paused by that evidence. */
+    Millis m_pauseFor{0};
+    /** Number of such pauses since the host was last without evidence. */
+    std::uint32_t m_pauseCount = 0;
+    /** Whether a run has to end well there before the host gets other work than single tasks. */
+    bool m_needsProbe = false;
     bool operator==(const HealthRecord&) const = default;
 };
 
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -228,6 +228,12 @@
     TaskPlan makeTrialPlan(const JobRecord& record) const;
     /** Returns the counters and latencies, which a change of leadership does not reset. */
     const JobStatistics& getStatistics() const noexcept { return m_statistics; }
+    /** Returns the number of hosts that are paused now after failures of wide steps. */
+    std::size_t countPausedHosts() const {
+        return m_learned.health().countPaused(m_loop.now());
+    }
+    /** Returns the number of runs that probed a host after a pause. */
+    std::uint64_t countProbes() const noexcept { return m_learned.health().countProbes(); }
     /** Returns the fragmentation weight, 0 to 100, that plans use at present. */
     std::uint32_t getFragmentationWeight() const noexcept { return m_currentFragmentationWeight; }
     /** Returns an operator's decision about a worker; RELEASE if there is none. */
@@ -341,6 +347,8 @@
     std::string_view getReportedIncarnation(const std::string& host) const;
     void stopOrphanedRuns(const WorkerId& worker, const RunReport& report);
     void applyRunEnd(const WorkerId& worker, const EndedEntry& end);
+    // Rates hosts (JobControllerHealth.cpp).
+    void recordActiveRuns(const WorkerId& worker, const RunReport& report);
     void applyEffect(JobEntry& entry, const EndEffect& effect);
 
     // Handles runs that are lost with their workers (JobControllerLosses.cpp).
--- a/libs/control/include/pierbank/control/WorkerHealth.h
+++ b/libs/control/include/pierbank/control/WorkerHealth.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "pierbank/base/Clock.h"
-#include "pierbank/job/JobRun.h"
+#include "pierbank/control/HostTrials.h"
 
 namespace pierbank {
 
@@ -48,25 +48,21 @@
     /** Whether a host that failed many tasks of large steps is paused and then tested with single
      * tasks, see switch `probes-hosts`. */
     bool m_probesHosts = true;
-};
-
-/** End of a run, as evidence for or against its host. */
-struct RunEvidence {
-    std::string m_host;
-    std::string m_job;
-    RunEnd m_end = RunEnd::DONE;
-    /** Time from the placement to the end. */
-    Millis m_ran{0};
+    HostTrialSettings m_trials;
 };
 
 /**
  * Rates hosts by the results of their runs. Each job adds to the failure score of a host once,
  * quick failures more than others. The score decays with time and with successful runs. A job that
  * fails on several hosts is considered faulty itself and does not count against them.
+ *
+ * That fits jobs of a few tasks. Failures of wide steps that can be compared with other hosts are
+ * left to HostTrials instead.
  */
 class WorkerHealth {
 public:
-    explicit WorkerHealth(const WorkerHealthSettings& settings) : m_settings(settings) {}
+    explicit WorkerHealth(const WorkerHealthSettings& settings)
+            : m_settings(settings), m_trials(settings.m_trials) {}
 
     /** Updates the score of the host after a run succeeded or failed; other ends have no effect. */
     void recordRunEnd(const RunEvidence& evidence, Millis now);
@@ -86,6 +82,26 @@
     /** Returns whether the host is suspect: it may be used, but not for work that a failure would
      * set back much. */
     bool isSuspect(const std::string& host, Millis now) const;
+
+    /** Counts a run that is placed on a paused host after its pause as its probe. */
+    void recordPlacement(const std::string& host, const std::string& task, Millis now);
+    /** Returns whether recordActive() is needed for the runs of a worker. */
+    bool awaitsProof(const WorkerId& worker, Millis now) const;
+    /** Records an active run: lasting longer than the failed runs clears the host. */
+    void recordActive(const WorkerId& worker, Millis startedAt, Millis now);
+    /** Returns whether a run ended well on the worker recently and none has failed since. */
+    bool isProven(const WorkerId& worker, Millis now) const;
+    /** Returns the maximum number of tasks of one wide job on the worker; zero for no limit. */
+    std::uint32_t getMaxTasksPerJob(const WorkerId& worker, Millis now) const;
+    /** Returns the number of hosts that are paused after failures of wide steps. */
+    std::size_t countPaused(Millis now) const { return m_trials.countPaused(now); }
+    /** Returns the number of probes; a change of leadership does not reset it. */
+    std::uint64_t countProbes() const noexcept { return m_trials.countProbes(); }
+
+    /** Returns the evidence against a host, for the next leader. */
+    HealthRecord getRecord(const std::string& host, Millis now) const;
+    /** Takes over the evidence that another leader had; replaces what is known of the host. */
+    void restore(const std::string& host, const HealthRecord& record, Millis now);
     void clear();
 
 private:
@@ -112,6 +128,7 @@
 
     /** Returns `factor` times the mean run time, but at least `minTime`. */
     Millis scale(Millis minTime, double factor) const;
+    TrialScale getTrialScale() const;
     /** Returns the failure score, decayed to `now`. */
     double getFailureScore(const Host& host, Millis now) const;
     void recordSuccess(Host& host, Millis startedAt, Millis now);
@@ -128,6 +145,7 @@
     std::map<std::string, Job> m_jobs;
     /** Moving average of the run time of successful runs on all hosts. */
     Millis m_meanRunTime{0};
+    HostTrials m_trials;
 };
 
 }  // namespace pierbank
--- a/libs/control/src/JobControllerOrders.cpp
+++ b/libs/control/src/JobControllerOrders.cpp
@@ -40,6 +40,7 @@
 void JobController::sendOrder(JobEntry& entry, const ActiveRun& run) {
     entry.m_isDirty = true;
     ++(run.m_isCopy ? m_statistics.m_copied : m_statistics.m_placed);
+    m_learned.health().recordPlacement(run.m_worker.m_host, run.m_task.toText(), m_loop.now());
     entry.m_pendingMessages.push_back({run.m_worker.m_host, makeOrder(entry, run)});
     logEvent(Severity::INFO, "jobs", run.m_isCopy ? "copied" : "placed",
              {{"task", run.m_task.toText()},
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -56,6 +56,7 @@
     m_reports[host] = {report, m_loop.now()};
     discardUnresolvedLossesOn(host, report.m_incarnation);
     recordProgress(host, report);
+    recordActiveRuns(worker, report);
     stopOrphanedRuns(worker, report);
     sendEndsPersisted(worker);
     if (isOtherIncarnation) {
@@ -215,6 +216,11 @@
             static_cast<RunEnd>(std::min(end.m_end, static_cast<std::uint32_t>(lastOf(RunEnd()))));
     const auto activeRun = findOrRebindRun(entry, *key, end.m_run, worker);
     const bool isActive = activeRun.has_value();
+    if (isActive) {
+        m_learned.health().recordRunEnd(makeRunEvidence(entry.m_record, entry.m_run, *activeRun,
+                                                        endKind, m_loop.wallNow()),
+                                        m_loop.now());
+    }
     const EndEffect effect =
             isActive ? applyEnd(entry.m_record, entry.m_run, *key, end.m_run, endKind,
                                 end.m_checkpoint, m_loop.wallNow())
@@ -230,11 +236,6 @@
                isActive ? std::to_string((m_loop.wallNow() - activeRun->m_placedAt).count()) : "-"},
               {"cores", std::to_string(getRoundedCores(entry.m_record, *key))},
               {"current", effect.m_isApplied ? "yes" : "no"}});
-    if (isActive) {
-        const Millis runTime = m_loop.wallNow() - activeRun->m_placedAt;
-        m_learned.health().recordRunEnd({worker.m_host, key->m_job, endKind, runTime},
-                                        m_loop.now());
-    }
     if (effect.m_isApplied) {
         entry.m_endsToPersist.emplace_back(worker, end.m_number);
         applyEffect(entry, effect);
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -40,7 +40,7 @@
 
 /**
  * Refreshes the fields of a snapshot that change without a notice: whether the worker leaves or
- * accepts work, its slowness and whether its host is suspect.
+ * accepts work, its slowness and how its host is rated.
  */
 void JobController::updateSnapshot(WorkerSnapshot& snapshot, const WorkerPool::Host& host) const {
     const WorkerNotice& notice = *host.m_notice;
@@ -71,6 +71,12 @@
                                       : 0.0;
     snapshot.m_isSuspect =
             m_settings.m_scoresHosts && m_learned.health().isSuspect(address, m_loop.now());
+    snapshot.m_isProven =
+            m_settings.m_scoresHosts && m_learned.health().isProven(snapshot.m_id, m_loop.now());
+    snapshot.m_maxTasksPerJob =
+            m_settings.m_scoresHosts
+                    ? m_learned.health().getMaxTasksPerJob(snapshot.m_id, m_loop.now())
+                    : 0;
 }
 
 /**
--- a/libs/control/src/WorkerHealth.cpp
+++ b/libs/control/src/WorkerHealth.cpp
@@ -12,6 +12,7 @@
     m_hosts.clear();
     m_jobs.clear();
     m_meanRunTime = Millis(0);
+    m_trials.clear();
 }
 
 Millis WorkerHealth::scale(Millis minTime, double factor) const {
@@ -19,6 +20,11 @@
     return std::max(minTime, Millis(static_cast<std::int64_t>(scaled)));
 }
 
+TrialScale WorkerHealth::getTrialScale() const {
+    return {scale(m_settings.m_quickFailureTime, m_settings.m_quickFailureTimeFactor),
+            scale(m_settings.m_halfLife, m_settings.m_halfLifeFactor)};
+}
+
 double WorkerHealth::getFailureScore(const Host& host, Millis now) const {
     const auto age = static_cast<double>((now - host.m_scoreUpdatedAt).count());
     const Millis halfLife = scale(m_settings.m_halfLife, m_settings.m_halfLifeFactor);
@@ -27,6 +33,8 @@
 
 void WorkerHealth::recordRunEnd(const RunEvidence& evidence, Millis now) {
     removeOldJobs(now);
+    const bool isCompared =
+            m_settings.m_probesHosts && m_trials.recordRunEnd(evidence, getTrialScale(), now);
     if (evidence.m_end == RunEnd::DONE) {
         constexpr int MEAN_WEIGHT = 10;
         m_meanRunTime =
@@ -37,7 +45,7 @@
         if (found != m_hosts.end()) {
             recordSuccess(found->second, now - evidence.m_ran, now);
         }
-    } else if (evidence.m_end == RunEnd::FAILED) {
+    } else if (evidence.m_end == RunEnd::FAILED && !isCompared) {
         recordFailure(evidence, now);
     }
 }
@@ -162,13 +170,63 @@
 
 bool WorkerHealth::isAvoided(const std::string& host, Millis now) const {
     const auto found = m_hosts.find(host);
-    return found != m_hosts.end() && now < found->second.m_avoidedUntil;
+    return (found != m_hosts.end() && now < found->second.m_avoidedUntil) ||
+           m_trials.isPaused(host, now);
 }
 
 bool WorkerHealth::isSuspect(const std::string& host, Millis now) const {
     const auto found = m_hosts.find(host);
-    return found != m_hosts.end() &&
-           getFailureScore(found->second, now) >= m_settings.m_suspectThreshold;
+    return (found != m_hosts.end() &&
+            getFailureScore(found->second, now) >= m_settings.m_suspectThreshold) ||
+           m_trials.isSuspect(host, getTrialScale(), now);
+}
+
+void WorkerHealth::recordPlacement(const std::string& host, const std::string& task, Millis now) {
+    m_trials.recordPlacement(host, task, now);
+}
+
+bool WorkerHealth::awaitsProof(const WorkerId& worker, Millis now) const {
+    return m_trials.awaitsProof(worker, now);
+}
+
+void WorkerHealth::recordActive(const WorkerId& worker, Millis startedAt, Millis now) {
+    m_trials.recordActive(worker, startedAt, getTrialScale(), now);
+}
+
+bool WorkerHealth::isProven(const WorkerId& worker, Millis now) const {
+    return m_trials.isProven(worker, getTrialScale(), now) && !isSuspect(worker.m_host, now);
+}
+
+std::uint32_t WorkerHealth::getMaxTasksPerJob(const WorkerId& worker, Millis now) const {
+    return m_trials.getMaxTasksPerJob(worker, getTrialScale(), now);
+}
+
+HealthRecord WorkerHealth::getRecord(const std::string& name, Millis now) const {
+    HealthRecord record;
+    const auto found = m_hosts.find(name);
+    if (found != m_hosts.end()) {
+        record.m_failureScore = getFailureScore(found->second, now);
+        record.m_avoidFor = std::max(found->second.m_avoidedUntil - now, Millis(0));
+        record.m_avoidCount = found->second.m_avoidCount;
+    }
+    m_trials.fillRecord(name, getTrialScale(), record, now);
+    return record;
+}
+
+void WorkerHealth::restore(const std::string& name, const HealthRecord& record, Millis now) {
+    if (record.m_failureScore > 0.0 || record.m_avoidFor > Millis(0) || record.m_avoidCount > 0) {
+        const Millis maxTime = scale(m_settings.m_maxAvoidTime, m_settings.m_halfLifeFactor);
+        Host& host = m_hosts[name];
+        host = Host();
+        host.m_failureScore = record.m_failureScore;
+        host.m_scoreUpdatedAt = now;
+        host.m_failedAt = now;
+        host.m_avoidedUntil = now + std::min(record.m_avoidFor, maxTime);
+        host.m_avoidCount = record.m_avoidCount;
+    }
+    if (m_settings.m_probesHosts) {
+        m_trials.restore(name, record, now);
+    }
 }
 
 }  // namespace pierbank
--- a/libs/job/include/pierbank/job/JobSpec.h
+++ b/libs/job/include/pierbank/job/JobSpec.h
@@ -85,6 +85,12 @@
      * the same time; zero for no limit. */
     std::uint32_t m_maxUnavailable = 0;
 
+    /** Minimum number of tasks of a wide step. It runs on so many hosts that the few bad ones among
+     * them are a minority, so that the ends on one host can be compared with those on others. */
+    static constexpr std::uint32_t MIN_WIDE_TASKS = 16;
+    /** Returns whether the step is wide enough to compare hosts by how its tasks end. */
+    bool isWide() const noexcept { return m_tasks >= MIN_WIDE_TASKS; }
+
     /** Returns the capacity of a worker that one task occupies; tasks that fill idle capacity
      * occupy no processor time. */
     Resources getCapacityDemand() const noexcept {
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -45,6 +45,9 @@
         if (worker.m_isSuspect) {
             m_suspectSlots.push_back(m_workerStates.size());
         }
+        if (worker.m_maxTasksPerJob > 0) {
+            m_limitedSlots.push_back(m_workerStates.size());
+        }
         WorkerState& state = m_workerStates.emplace_back();
         state.m_snapshot = &worker;
         state.m_free = worker.m_capacity;
@@ -192,6 +195,7 @@
     WorkerState& state = m_workerStates[*slot];
     state.m_overcommitted += spec.getCapacityDemand();
     ++state.m_runCount;
+    countLimitedTask(*slot, run.m_jobIndex);
     if (isStopping) {
         state.m_releasing += spec.getCapacityDemand();
         return;
@@ -386,6 +390,7 @@
         WorkerState& state = m_workerStates[assignment[i]];
         state.m_free -= unit.getSpec().getCapacityDemand();
         ++state.m_runCount;
+        countLimitedTask(assignment[i], unit.m_waitingStep->m_jobIndex);
         state.m_hasSuspectRun = state.m_hasSuspectRun || unit.m_isSuspect;
         m_hasSuspectRuns = m_hasSuspectRuns || unit.m_isSuspect;
         m_plan.m_placements.push_back({unit.getKey(unit.m_taskIndexes[i]), state.m_snapshot->m_id});
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -194,7 +194,8 @@
     };
     /** Properties on which the placement of a unit depends, apart from the number of members. */
     using UnitClass = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
-                                 std::uint32_t, bool, bool, DomainId, int, bool, bool, Millis>;
+                                 std::uint32_t, bool, bool, DomainId, int, bool, bool, Millis,
+                                 std::size_t>;
     /** Smallest unit of its class that could not be placed; larger units are not tried. */
     struct FailedPlacement {
         std::size_t m_memberCount = 0;
@@ -250,6 +251,11 @@
     bool isLastAttempt(const WorkUnit& unit) const;
     bool mustAvoidSuspectHost(const WorkUnit& unit, WorkerSlot slot) const;
     bool fitsIdleWorkers(const WorkUnit& unit);
+    void excludeIfOthersFit(WorkUnit& unit, const std::vector<WorkerSlot>& slots);
+    void excludeUnprovenHosts(WorkUnit& unit);
+    bool hasTaskLimit(const WorkUnit& unit) const;
+    bool isAtTaskLimit(const WorkUnit& unit, WorkerSlot slot) const;
+    void countLimitedTask(WorkerSlot slot, std::size_t job);
 
     // Placement within the free capacity (PlanningPassCapacity.cpp).
     /** Returns getUsableCapacity() by slot; zero for workers that are not eligible. */
@@ -338,6 +344,10 @@
     std::unordered_map<std::string_view, DomainId> m_racks;
     /** Workers on suspect hosts. */
     std::vector<WorkerSlot> m_suspectSlots;
+    /** Workers with a limit of tasks per job. */
+    std::vector<WorkerSlot> m_limitedSlots;
+    /** Number of active runs by slot and job index, on the workers in m_limitedSlots. */
+    std::map<std::pair<WorkerSlot, std::size_t>, std::uint32_t> m_limitedTasks;
     std::vector<Occupant> m_occupants;
     std::vector<OccupantGroup> m_groups;
     /** Indexes in m_occupants by slot, in the order in which they are considered as victims. */
--- a/libs/job/src/PlanningPassCapacity.cpp
+++ b/libs/job/src/PlanningPassCapacity.cpp
@@ -34,6 +34,7 @@
 
 bool PlanningPass::isExcluded(const WorkUnit& unit, WorkerSlot slot) const {
     return (unit.m_avoidsSuspectRuns && m_workerStates[slot].m_hasSuspectRun) ||
+           isAtTaskLimit(unit, slot) ||
            std::find(unit.m_excludedSlots.begin(), unit.m_excludedSlots.end(), slot) !=
                    unit.m_excludedSlots.end();
 }
--- a/libs/job/src/PlanningPassHosts.cpp
+++ b/libs/job/src/PlanningPassHosts.cpp
@@ -171,10 +171,72 @@
     if (!unit.m_excludedSlots.empty() && !fitsIdleWorkers(unit)) {
         unit.m_excludedSlots.clear();
     }
-    const std::vector<WorkerSlot> failed = unit.m_excludedSlots;
-    unit.m_excludedSlots.insert(unit.m_excludedSlots.end(), avoided.begin(), avoided.end());
-    if (!avoided.empty() && !fitsIdleWorkers(unit)) {
-        unit.m_excludedSlots = failed;
+    excludeIfOthersFit(unit, avoided);
+    excludeUnprovenHosts(unit);
+}
+
+/** Excludes the slots too if the unit would still fit on the remaining workers. */
+void PlanningPass::excludeIfOthersFit(WorkUnit& unit, const std::vector<WorkerSlot>& slots) {
+    const std::vector<WorkerSlot> before = unit.m_excludedSlots;
+    unit.m_excludedSlots.insert(unit.m_excludedSlots.end(), slots.begin(), slots.end());
+    if (!slots.empty() && !fitsIdleWorkers(unit)) {
+        unit.m_excludedSlots = before;
+    }
+}
+
+/**
+ * Keeps a last attempt of a wide step, which decides over the work of all its tasks, off hosts that
+ * have just failed others or just come back. For a short time after the last run it also waits for
+ * a host on which a run ended well recently.
+ */
+void PlanningPass::excludeUnprovenHosts(WorkUnit& unit) {
+    // Counted from the placement of the failed run, so that the wait follows quick failures only.
+    // A host that fails at once is known by then.
+    constexpr Millis MAX_WAIT{2000};
+    const TaskRun& task = unit.getStep().m_tasks[unit.m_taskIndexes.front()];
+    if (!unit.getSpec().isWide() || !isLastAttempt(unit) || task.m_failures == 0) {
+        return;
+    }
+    const auto listSlots = [&](auto isUnwanted) {
+        std::vector<WorkerSlot> slots;
+        for (const WorkerSlot slot : unit.m_waitingStep->m_eligible->m_slots) {
+            if (isUnwanted(*m_workerStates[slot].m_snapshot) && !isExcluded(unit, slot)) {
+                slots.push_back(slot);
+            }
+        }
+        return slots;
+    };
+    excludeIfOthersFit(unit, listSlots([](const WorkerSnapshot& worker) {
+                           return worker.m_maxTasksPerJob > 0;
+                       }));
+    if (m_wallNow - task.m_placedAt < MAX_WAIT) {
+        excludeIfOthersFit(
+                unit, listSlots([](const WorkerSnapshot& worker) { return !worker.m_isProven; }));
+    }
+}
+
+/** Whether the limits of tasks per job apply to the unit; a gang fails at most once, anyhow. */
+bool PlanningPass::hasTaskLimit(const WorkUnit& unit) const {
+    return !m_limitedSlots.empty() && unit.getSpec().isWide() && !unit.getSpec().m_isGang;
+}
+
+/** A limited host that is also suspect is on probe: it gets one run at a time, of any job. */
+bool PlanningPass::isAtTaskLimit(const WorkUnit& unit, WorkerSlot slot) const {
+    const WorkerState& state = m_workerStates[slot];
+    const std::uint32_t limit = state.m_snapshot->m_maxTasksPerJob;
+    if (limit == 0) {
+        return false;
+    }
+    if (state.m_snapshot->m_isSuspect && state.m_runCount > 0) {
+        return true;
+    }
+    const auto found = m_limitedTasks.find({slot, unit.m_waitingStep->m_jobIndex});
+    return hasTaskLimit(unit) && found != m_limitedTasks.end() && found->second >= limit;
+}
+
+void PlanningPass::countLimitedTask(WorkerSlot slot, std::size_t job) {
+    if (m_workerStates[slot].m_snapshot->m_maxTasksPerJob > 0) {
+        ++m_limitedTasks[{slot, job}];
     }
 }
 
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -156,7 +156,8 @@
 
 /**
  * Includes the estimate only if there are reservations, since only work that ends before a
- * reservation starts may be placed on the reserved workers.
+ * reservation starts may be placed on the reserved workers; and the job only if workers limit the
+ * tasks of one job.
  */
 PlanningPass::UnitClass PlanningPass::getUnitClass(const WorkUnit& unit) {
     const StepSpec& spec = unit.getSpec();
@@ -172,7 +173,8 @@
             static_cast<int>(spec.m_adjacency),
             allowsRemote(unit),
             mayUseHeadroom(unit),
-            m_reservationCount > 0 ? spec.m_estimate : Millis(0)};
+            m_reservationCount > 0 ? spec.m_estimate : Millis(0),
+            hasTaskLimit(unit) ? unit.m_waitingStep->m_jobIndex + 1 : 0};
 }
 
 const EligibleWorkers* PlanningPass::findEligible(const std::string& service,
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -282,6 +282,10 @@
     page.addCounter("pierbank_runs_withdrawn_total",
                     "runs taken back unbegun from failure domains under evacuation",
                     statistics.m_revoked);
+    page.addGauge("pierbank_hosts_paused", "hosts that get no work now since they fail runs",
+                  static_cast<double>(jobs.countPausedHosts()));
+    page.addCounter("pierbank_host_probes_total", "runs that tested a host after such a pause",
+                    jobs.countProbes());
     page.addGauge("pierbank_domains_evacuated", "failure domains under evacuation",
                   static_cast<double>(evacuated));
     page.addCounter("pierbank_unreadable_total", "entries of others that could not be read",
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -69,6 +69,7 @@
     settings.m_leader.m_node = gateway.m_name;
     settings.m_workers.m_node = gateway.m_name;
     settings.m_configuration.m_linkMbps = m_linkMbps;
+    settings.m_jobs.m_learned.m_health.m_probesHosts = m_probesHosts;
     settings.m_links = {"127.0.2." + std::to_string(index + 1), 7001};
     const PlatformPorts platform{*gateway.m_store, m_advisor, m_machineFleet, m_documents};
     gateway.m_core =
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -69,6 +69,8 @@
 
     /** Bandwidth setting of gateways that are started from now on, in Mbit/s. */
     double m_linkMbps = 1000.0;
+    /** Whether gateways that are started from now on pause and probe hosts. */
+    bool m_probesHosts = true;
     /** Starts a gateway as a new process. */
     void startGateway(std::size_t index);
     /** Terminates a gateway without a shutdown; its links close. */
