--- a/libs/control/include/pierbank/control/RunEvidence.h
+++ b/libs/control/include/pierbank/control/RunEvidence.h
@@ -29,9 +29,11 @@
     std::vector<std::string_view> m_outlastingHosts{};
 };
 
-/** Factor by which a run must have lasted longer than a failed one to be evidence that the step
- * does not fail at that age. Covers the time that reports of failures take. */
-constexpr int OUTLASTING_FACTOR = 2;
+/**
+ * Time by which a run must be older than a failed one to be evidence that the step does not fail at
+ * that age: as long as the failed run, but at most this. Covers the delay of reports.
+ */
+constexpr Millis MAX_OUTLASTING_MARGIN{500};
 
 /**
  * Makes the evidence from the end of an active run. To be called before the end is applied.
--- a/libs/control/src/HostTrials.cpp
+++ b/libs/control/src/HostTrials.cpp
@@ -49,8 +49,17 @@
 }
 
 bool HostTrials::recordFailure(const RunEvidence& evidence, const TrialScale& scale, Millis now) {
-    const auto share = evidence.m_wideStep.empty() ? std::nullopt
-                                                   : m_steps.getShareElsewhere(evidence);
+    if (evidence.m_wideStep.empty()) {
+        return false;
+    }
+    Host& host = m_hosts[evidence.m_host];
+    const bool isProbe = host.m_needsProbe && now - evidence.m_ran >= host.m_pausedUntil;
+    // Holds before anything can be compared, too: the host's next failures may come at once.
+    host.m_failedAt = now;
+    host.m_isLimited = true;
+    host.m_provenAt.reset();
+    host.m_incarnation = evidence.m_incarnation;
+    const auto share = m_steps.getShareElsewhere(evidence);
     if (!share.has_value()) {
         return false;
     }
@@ -58,17 +67,11 @@
         acquitHosts(evidence.m_wideStep, scale, now);
         return true;
     }
-    Host& host = m_hosts[evidence.m_host];
     const double added =
             getFailureEvidence(*share, evidence.m_ran <= scale.m_quickFailureTime);
     m_steps.addContribution(evidence.m_wideStep, evidence.m_host, added);
     setEvidence(host, getEvidence(host, scale, now) + added, now);
-    const bool isProbe = host.m_needsProbe && now - evidence.m_ran >= host.m_pausedUntil;
-    host.m_failedAt = now;
     host.m_longestFailed = std::max(host.m_longestFailed, evidence.m_ran);
-    host.m_isLimited = true;
-    host.m_provenAt.reset();
-    host.m_incarnation = evidence.m_incarnation;
     const bool isConvicted =
             !host.m_needsProbe && host.m_evidence >= m_settings.m_pauseEvidence;
     if (isProbe || isConvicted) {
--- a/libs/control/src/RunEvidence.cpp
+++ b/libs/control/src/RunEvidence.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pierbank/control/RunEvidence.h"
 
+#include <algorithm>
+
 namespace pierbank {
 
 RunEvidence makeRunEvidence(const JobRecord& record, const JobRun& run, const ActiveRun& ended,
@@ -20,10 +22,11 @@
     if (end != RunEnd::FAILED) {
         return evidence;
     }
+    const Millis minAge = evidence.m_ran + std::min(evidence.m_ran, MAX_OUTLASTING_MARGIN);
     for (const TaskRun& task : occurrence->m_steps[key.m_step].m_tasks) {
         const bool hasOutlasted = task.m_state == TaskState::PLACED &&
                                   task.m_worker.m_host != evidence.m_host &&
-                                  wallNow - task.m_placedAt >= OUTLASTING_FACTOR * evidence.m_ran;
+                                  wallNow - task.m_placedAt >= minAge;
         if (hasOutlasted) {
             evidence.m_outlastingHosts.push_back(task.m_worker.m_host);
         }
