--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -229,9 +229,7 @@
     /** Returns the counters and latencies, which a change of leadership does not reset. */
     const JobStatistics& getStatistics() const noexcept { return m_statistics; }
     /** Returns the number of hosts that are paused now after failures of wide steps. */
-    std::size_t countPausedHosts() const {
-        return m_learned.health().countPaused(m_loop.now());
-    }
+    std::size_t countPausedHosts() const { return m_learned.health().countPaused(m_loop.now()); }
     /** Returns the number of runs that probed a host after a pause. */
     std::uint64_t countProbes() const noexcept { return m_learned.health().countProbes(); }
     /** Returns the fragmentation weight, 0 to 100, that plans use at present. */
--- a/libs/control/src/HostTrials.cpp
+++ b/libs/control/src/HostTrials.cpp
@@ -44,7 +44,8 @@
     const double own = isQuick ? m_settings.m_quickTaskFaultShare : m_settings.m_taskFaultShare;
     const double seen = isQuick ? share.m_failedQuickly : share.m_failed;
     const double expected = std::max(own, seen);
-    const double onBadHost = m_settings.m_badHostShare + (1.0 - m_settings.m_badHostShare) * expected;
+    const double onBadHost =
+            m_settings.m_badHostShare + (1.0 - m_settings.m_badHostShare) * expected;
     return std::log(onBadHost / expected);
 }
 
@@ -67,13 +68,11 @@
         acquitHosts(evidence.m_wideStep, scale, now);
         return true;
     }
-    const double added =
-            getFailureEvidence(*share, evidence.m_ran <= scale.m_quickFailureTime);
+    const double added = getFailureEvidence(*share, evidence.m_ran <= scale.m_quickFailureTime);
     m_steps.addContribution(evidence.m_wideStep, evidence.m_host, added);
     setEvidence(host, getEvidence(host, scale, now) + added, now);
     host.m_longestFailed = std::max(host.m_longestFailed, evidence.m_ran);
-    const bool isConvicted =
-            !host.m_needsProbe && host.m_evidence >= m_settings.m_pauseEvidence;
+    const bool isConvicted = !host.m_needsProbe && host.m_evidence >= m_settings.m_pauseEvidence;
     if (isProbe || isConvicted) {
         pause(host, evidence, now);
     }
@@ -132,8 +131,8 @@
         return;
     }
     host.m_isLimited = false;
-    setEvidence(host,
-                getEvidence(host, scale, now) + std::log(1.0 - m_settings.m_badHostShare), now);
+    setEvidence(host, getEvidence(host, scale, now) + std::log(1.0 - m_settings.m_badHostShare),
+                now);
     if (host.m_evidence <= 0.0) {
         host.m_pauseCount = 0;
         host.m_longestFailed = Millis(0);
@@ -226,9 +225,8 @@
 
 std::size_t HostTrials::countPaused(Millis now) const {
     return static_cast<std::size_t>(
-            std::count_if(m_hosts.begin(), m_hosts.end(), [now](const auto& entry) {
-                return now < entry.second.m_pausedUntil;
-            }));
+            std::count_if(m_hosts.begin(), m_hosts.end(),
+                          [now](const auto& entry) { return now < entry.second.m_pausedUntil; }));
 }
 
 void HostTrials::fillRecord(const std::string& name, const TrialScale& scale, HealthRecord& record,
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -217,9 +217,9 @@
     const auto activeRun = findOrRebindRun(entry, *key, end.m_run, worker);
     const bool isActive = activeRun.has_value();
     if (isActive) {
-        m_learned.health().recordRunEnd(makeRunEvidence(entry.m_record, entry.m_run, *activeRun,
-                                                        endKind, m_loop.wallNow()),
-                                        m_loop.now());
+        m_learned.health().recordRunEnd(
+                makeRunEvidence(entry.m_record, entry.m_run, *activeRun, endKind, m_loop.wallNow()),
+                m_loop.now());
     }
     const EndEffect effect =
             isActive ? applyEnd(entry.m_record, entry.m_run, *key, end.m_run, endKind,
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -73,10 +73,9 @@
             m_settings.m_scoresHosts && m_learned.health().isSuspect(address, m_loop.now());
     snapshot.m_isProven =
             m_settings.m_scoresHosts && m_learned.health().isProven(snapshot.m_id, m_loop.now());
-    snapshot.m_maxTasksPerJob =
-            m_settings.m_scoresHosts
-                    ? m_learned.health().getMaxTasksPerJob(snapshot.m_id, m_loop.now())
-                    : 0;
+    snapshot.m_maxTasksPerJob = m_settings.m_scoresHosts ? m_learned.health().getMaxTasksPerJob(
+                                                                   snapshot.m_id, m_loop.now())
+                                                         : 0;
 }
 
 /**
--- a/libs/control/src/StepComparison.cpp
+++ b/libs/control/src/StepComparison.cpp
@@ -12,10 +12,10 @@
         return;
     }
     if (m_steps.count(evidence.m_wideStep) == 0 && m_steps.size() >= MAX_STEPS) {
-        m_steps.erase(std::min_element(m_steps.begin(), m_steps.end(),
-                                       [](const auto& a, const auto& b) {
-                                           return a.second.m_endedAt < b.second.m_endedAt;
-                                       }));
+        m_steps.erase(
+                std::min_element(m_steps.begin(), m_steps.end(), [](const auto& a, const auto& b) {
+                    return a.second.m_endedAt < b.second.m_endedAt;
+                }));
     }
     Step& step = m_steps[evidence.m_wideStep];
     step.m_endedAt = now;
@@ -76,8 +76,7 @@
 }
 
 void StepComparison::removeOlderThan(Millis earliestEnd) {
-    std::erase_if(m_steps,
-                  [&](const auto& entry) { return entry.second.m_endedAt < earliestEnd; });
+    std::erase_if(m_steps, [&](const auto& entry) { return entry.second.m_endedAt < earliestEnd; });
 }
 
 }  // namespace pierbank
--- a/libs/control/test/HostTrialsTest.cpp
+++ b/libs/control/test/HostTrialsTest.cpp
@@ -307,8 +307,12 @@
         }
         const bool isBad = m_badHosts.count(host) != 0;
         const Millis anyTime(static_cast<std::int64_t>(choose(50, 2500)));
-        RunEvidence evidence{name, step, isBad || isFaulty ? RunEnd::FAILED : RunEnd::DONE,
-                             isBad ? QUICK : (isFaulty ? anyTime : SLOW), "life", step};
+        RunEvidence evidence{name,
+                             step,
+                             isBad || isFaulty ? RunEnd::FAILED : RunEnd::DONE,
+                             isBad ? QUICK : (isFaulty ? anyTime : SLOW),
+                             "life",
+                             step};
         m_trials.recordRunEnd(evidence, m_scale, m_now);
         if (m_trials.isPaused(name, m_now)) {
             m_paused.insert(host);
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -193,9 +193,9 @@
         TasksPerWorker m_taskCounts;
     };
     /** Properties on which the placement of a unit depends, apart from the number of members. */
-    using UnitClass = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
-                                 std::uint32_t, bool, bool, DomainId, int, bool, bool, Millis,
-                                 std::size_t>;
+    using UnitClass =
+            std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t, std::uint32_t, bool,
+                       bool, DomainId, int, bool, bool, Millis, std::size_t>;
     /** Smallest unit of its class that could not be placed; larger units are not tried. */
     struct FailedPlacement {
         std::size_t m_memberCount = 0;
--- a/test/failures/FailingHostsTest.cpp
+++ b/test/failures/FailingHostsTest.cpp
@@ -99,8 +99,8 @@
     ASSERT_TRUE(m_fleet.waitForLeader());
     const std::size_t gateway = getLeader();
     for (std::size_t i = 0; i < JOBS; ++i) {
-        EXPECT_TRUE(m_fleet.waitForState(makeId(i), "succeeded", Millis(30'000), "/batch/",
-                                         gateway))
+        EXPECT_TRUE(
+                m_fleet.waitForState(makeId(i), "succeeded", Millis(30'000), "/batch/", gateway))
                 << i;
     }
 }
