--- a/libs/control/test/HostTrialsTest.cpp
+++ b/libs/control/test/HostTrialsTest.cpp
@@ -10,8 +10,6 @@
 #include <random>
 #include <set>
 
-#include "pierbank/control/WorkerHealth.h"
-
 namespace pierbank {
 namespace {
 
@@ -232,6 +230,13 @@
     EXPECT_FALSE(isProven()) << "nothing has ended well yet";
 }
 
+TEST_F(HostOnProbeTest, StaysOnProbeIfTheProbeIsLost) {
+    m_now += QUICK;
+    EXPECT_FALSE(end("h0", RunEnd::LAPSED, QUICK));
+    EXPECT_FALSE(isPaused());
+    EXPECT_EQ(getLimit(), 1U);
+}
+
 TEST_F(HostOnProbeTest, IsPausedAgainByOneQuickFailureAfterItWasCleared) {
     m_now += SLOW;
     finish("h0", SLOW);
@@ -353,54 +358,5 @@
     RC_ASSERT(steps.countSteps() <= StepComparison::MAX_STEPS);
 }
 
-/** Jobs of a few tasks are judged as before, whatever the switch says. */
-RC_GTEST_PROP(WorkerHealthProperty, NarrowJobsAreRatedAlikeWithAndWithoutProbes, ()) {
-    WorkerHealthSettings without;
-    without.m_probesHosts = false;
-    WorkerHealth before(without);
-    WorkerHealth after{WorkerHealthSettings()};
-    Millis now{100'000};
-    const auto count = *rc::gen::inRange(1, 80);
-    for (int i = 0; i < count; ++i) {
-        now += Millis(*rc::gen::inRange(0, 2000));
-        const std::string host = makeHost(*rc::gen::inRange<std::size_t>(0, 4));
-        RunEvidence evidence{host, std::to_string(*rc::gen::inRange(0, 6)),
-                             *rc::gen::element(RunEnd::DONE, RunEnd::FAILED),
-                             Millis(*rc::gen::inRange(0, 3000)), "life"};
-        before.recordRunEnd(evidence, now);
-        after.recordRunEnd(evidence, now);
-        RC_ASSERT(before.isAvoided(host, now) == after.isAvoided(host, now));
-        RC_ASSERT(before.isSuspect(host, now) == after.isSuspect(host, now));
-        RC_ASSERT(after.getMaxTasksPerJob({host, "life"}, now) == 0U);
-    }
-}
-
-class HealthRecordTest : public ::testing::Test {
-protected:
-    HealthRecordTest() {
-        for (const char* const job : {"job-1", "job-2"}) {
-            m_health.recordRunEnd({"h", job, RunEnd::FAILED, QUICK}, m_now);
-        }
-    }
-    WorkerHealth m_health{WorkerHealthSettings()};
-    WorkerHealth m_next{WorkerHealthSettings()};
-    Millis m_now{100'000};
-};
-
-TEST_F(HealthRecordTest, CarriesTheFailureScoreToTheNextLeader) {
-    const HealthRecord record = m_health.getRecord("h", m_now);
-    const Millis later{7'000};
-    m_next.restore("h", record, later);
-    EXPECT_TRUE(m_next.isAvoided("h", later));
-    EXPECT_TRUE(m_next.isSuspect("h", later));
-    EXPECT_EQ(m_next.getRecord("h", later), record);
-}
-
-TEST_F(HealthRecordTest, IsEmptyForAHostWithoutFailures) {
-    EXPECT_EQ(m_health.getRecord("another", m_now), HealthRecord());
-    m_next.restore("another", HealthRecord(), m_now);
-    EXPECT_FALSE(m_next.isSuspect("another", m_now));
-}
-
 }  // namespace
 }  // namespace pierbank
