--- a/libs/control/src/HostTrials.cpp
+++ b/libs/control/src/HostTrials.cpp
@@ -49,34 +49,39 @@
     return std::log(onBadHost / expected);
 }
 
+/**
+ * A failed probe pauses the host again, whatever step it belongs to, unless the step is known to be
+ * faulty itself.
+ */
 bool HostTrials::recordFailure(const RunEvidence& evidence, const TrialScale& scale, Millis now) {
-    if (evidence.m_wideStep.empty()) {
+    const bool isWide = !evidence.m_wideStep.empty();
+    const auto share = isWide ? m_steps.getShareElsewhere(evidence) : std::nullopt;
+    if (!isWide && m_hosts.count(evidence.m_host) == 0) {
         return false;
     }
     Host& host = m_hosts[evidence.m_host];
     const bool isProbe = host.m_needsProbe && now - evidence.m_ran >= host.m_pausedUntil;
-    // Holds before anything can be compared, too: the host's next failures may come at once.
-    host.m_failedAt = now;
-    host.m_isLimited = true;
-    host.m_provenAt.reset();
-    host.m_incarnation = evidence.m_incarnation;
-    const auto share = m_steps.getShareElsewhere(evidence);
-    if (!share.has_value()) {
-        return false;
+    if (isWide || isProbe) {
+        // Holds before anything can be compared, too: the host's next failures may come at once.
+        host.m_failedAt = now;
+        host.m_isLimited = true;
+        host.m_provenAt.reset();
+        host.m_incarnation = evidence.m_incarnation;
     }
-    if (share->m_failed >= m_settings.m_faultyStepShare) {
+    if (share.has_value() && share->m_failed >= m_settings.m_faultyStepShare) {
         acquitHosts(evidence.m_wideStep, scale, now);
         return true;
     }
-    const double added = getFailureEvidence(*share, evidence.m_ran <= scale.m_quickFailureTime);
-    m_steps.addContribution(evidence.m_wideStep, evidence.m_host, added);
-    setEvidence(host, getEvidence(host, scale, now) + added, now);
-    host.m_longestFailed = std::max(host.m_longestFailed, evidence.m_ran);
-    const bool isConvicted = !host.m_needsProbe && host.m_evidence >= m_settings.m_pauseEvidence;
-    if (isProbe || isConvicted) {
+    if (share.has_value()) {
+        const double added = getFailureEvidence(*share, evidence.m_ran <= scale.m_quickFailureTime);
+        m_steps.addContribution(evidence.m_wideStep, evidence.m_host, added);
+        setEvidence(host, getEvidence(host, scale, now) + added, now);
+        host.m_longestFailed = std::max(host.m_longestFailed, evidence.m_ran);
+    }
+    if (isProbe || (!host.m_needsProbe && host.m_evidence >= m_settings.m_pauseEvidence)) {
         pause(host, evidence, now);
     }
-    return true;
+    return share.has_value();
 }
 
 void HostTrials::pause(Host& host, const RunEvidence& failure, Millis now) {
--- a/libs/control/test/HostTrialsTest.cpp
+++ b/libs/control/test/HostTrialsTest.cpp
@@ -230,6 +230,13 @@
     EXPECT_FALSE(isProven()) << "nothing has ended well yet";
 }
 
+/** Otherwise a bad host draws the single tasks of other jobs as probes, one after the other. */
+TEST_F(HostOnProbeTest, IsPausedIfAProbeOfANarrowStepFails) {
+    m_now += QUICK;
+    EXPECT_FALSE(fail("h0", QUICK, "")) << "the other rules count the failure, too";
+    EXPECT_TRUE(isPaused());
+}
+
 TEST_F(HostOnProbeTest, StaysOnProbeIfTheProbeIsLost) {
     m_now += QUICK;
     EXPECT_FALSE(end("h0", RunEnd::LAPSED, QUICK));
