--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -64,6 +64,7 @@
     m_reports[host] = {report, m_loop.now()};
     discardUnresolvedLossesOn(host, report.m_incarnation);
     recordProgress(host, report);
+    recordActiveRuns(worker, report);
     stopOrphanedRuns(worker, report);
     sendEndsPersisted(worker);
     if (isOtherIncarnation) {
@@ -240,17 +241,18 @@
     const auto work =
             isActive ? std::optional(accountForRun(entry, *activeRun, endKind, end.m_checkpoint))
                      : std::nullopt;
+    if (isActive) {
+        m_learned.health().recordRunEnd(
+                makeRunEvidence(entry.m_record, entry.m_run, *activeRun, endKind, m_loop.wallNow()),
+                m_loop.now());
+        m_handover.recordLearned(worker.m_host);
+    }
     const EndEffect effect =
             isActive ? applyEnd(entry.m_record, entry.m_run, *key, end.m_run, endKind,
                                 end.m_checkpoint, m_loop.wallNow())
                      : applyLateEnd(entry.m_record, entry.m_run, {*key, end.m_run, worker}, endKind,
                                     m_loop.wallNow());
     logRunEnd(worker, end, entry.m_record, work, effect.m_isApplied);
-    if (isActive) {
-        m_learned.health().recordRunEnd({worker.m_host, key->m_job, endKind, work->m_runTime},
-                                        m_loop.now());
-        m_handover.recordLearned(worker.m_host);
-    }
     if (effect.m_isApplied) {
         entry.m_endsToPersist.emplace_back(worker, end.m_number);
         applyEffect(entry, effect);
