Large units get reservations as soon as smaller work keeps them out

A waiting gang of whole hosts was never placed while tasks of one accelerator and a lower priority arrived: each accelerator that became free went to the next of them, and a reservation came after a minute at the earliest. ReservationPolicy decides which units are kept out, which hosts empty first and what fits beside the unit until then; the planner reserves before it places the units of a priority. LargeGangBesideSmallWork failed on the planner before (not placed within 31 s) and passes now.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -21,6 +21,7 @@
 #include "pierbank/control/LearnedState.h"
 #include "pierbank/control/PersistedEnds.h"
 #include "pierbank/control/PlanThrottle.h"
+#include "pierbank/control/ReservationLog.h"
 #include "pierbank/control/ProgressTracker.h"
 #include "pierbank/control/TicketCache.h"
 #include "pierbank/control/WaveController.h"
@@ -148,6 +149,8 @@
     std::uint64_t m_plans = 0;
     /** Duration of planning. */
     LatencySummary m_planTime;
+    /** TaskPlan::m_fragmentation of the last plan. */
+    double m_fragmentation = 0;
     /** Time from acceptance to the first placement, of jobs that are not timed. */
     LatencySummary m_timeToFirstPlacement;
 };
@@ -228,6 +231,7 @@
     TaskPlan makeTrialPlan(const JobRecord& record) const;
     /** Returns the counters and latencies, which a change of leadership does not reset. */
     const JobStatistics& getStatistics() const noexcept { return m_statistics; }
+    const ReservationLog& getReservationLog() const noexcept { return m_reservationLog; }
     /** Returns the fragmentation weight, 0 to 100, that plans use at present. */
     std::uint32_t getFragmentationWeight() const noexcept { return m_currentFragmentationWeight; }
     /** Returns an operator's decision about a worker; RELEASE if there is none. */
@@ -416,6 +420,7 @@
     std::size_t m_waitingUnits = 0;
     Millis m_plannedAt{0};
     PlanThrottle m_planThrottle;
+    ReservationLog m_reservationLog;
     TimerId m_planTimer = TimerId::NONE;
     /** Cached; getWorkerSnapshots() refreshes the fields that may change at any time. */
     mutable std::vector<WorkerSnapshot> m_snapshots;
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -74,6 +74,7 @@
     m_areSnapshotsStale = true;
     m_waitingUnits = 0;
     m_waitingUrgentJobs.clear();
+    m_reservationLog.clear();
     m_earlyCancels.clear();
     m_learned.clear();
     m_capacityRefusals.clear();
@@ -206,6 +207,7 @@
     m_planThrottle.recordPlan(startedAt, m_plannedAt);
     recordPlanTime(m_plannedAt - startedAt, plan);
     logUrgentWaits(plan);
+    m_reservationLog.update(plan, m_plannedAt);
     place(plan.m_placements);
     for (const Placement& copy : plan.m_copies) {
         placeSpeculativeCopy(copy);
@@ -218,6 +220,7 @@
 void JobController::recordPlanTime(Millis duration, const TaskPlan& plan) {
     ++m_statistics.m_plans;
     m_statistics.m_planTime.add(duration);
+    m_statistics.m_fragmentation = plan.m_fragmentation;
     if (duration <= m_settings.m_slowPlanThreshold) {
         return;
     }
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -253,6 +253,16 @@
     bool m_mayPreempt = true;
 };
 
+/** A large unit that waits and for which hosts are reserved before it has starved. */
+struct PlannedReservation {
+    /** Id of the job, owned by the job's record. */
+    std::string_view m_job;
+    /** Expected time until the unit starts. */
+    Millis m_startsIn{0};
+    /** Reserved hosts, owned by the workers of the input. */
+    std::vector<std::string_view> m_hosts;
+};
+
 /** Decisions of one planning pass. */
 struct TaskPlan {
     std::vector<Placement> m_placements;
@@ -266,6 +276,13 @@
     std::vector<UrgentWait> m_urgentWaits;
     /** Number of units left unplaced; later passes may place them because time has passed. */
     std::size_t m_waitingUnits = 0;
+    /** Early reservations of units that wait; see ReservationPolicy. */
+    std::vector<PlannedReservation> m_reservations;
+    /**
+     * 0 to 1: share of the free accelerators that no waiting large unit can use, since too few of
+     * them are on one host; 0 if no large unit waits.
+     */
+    double m_fragmentation = 0;
 };
 
 /**
@@ -277,7 +294,8 @@
  * priority, units that can still meet their objective are placed first, in the order of their
  * objectives. Units of priority 0 preempt the runs that are the cheapest to stop; guaranteed units
  * may also preempt runs of priority 0 that no guarantee covers. Workers are reserved for starved
- * units, which are placed right after urgent work. Finally, slow tasks get copies, and tasks
+ * units, which are placed right after urgent work, and for large units that smaller work of their
+ * own or a lower priority would keep out, see ReservationPolicy. Finally, slow tasks get copies, and tasks
  * migrate from leaving workers.
  *
  * Reservations with backfill follow the EASY scheduler (Lifka, 1995).
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -67,8 +67,11 @@
     for (const WaitingStep& step : steps) {
         m_plan.m_waitingUnits += step.m_spec->m_isGang ? 1 : step.m_taskIndexes.size();
     }
-    for (const WaitingStep& step : steps) {
-        placeStep(step);
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        if (beginsPriority(steps, i)) {
+            reserveEarly(std::span(steps).subspan(i));
+        }
+        placeStep(steps[i]);
     }
     if (m_settings.m_copiesSlowTasks) {
         copySlowTasks();
@@ -76,6 +79,7 @@
     if (m_settings.m_migratesOffLeaving) {
         migrateOffLeaving();
     }
+    addReservationsToPlan();
     return std::move(m_plan);
 }
 
@@ -307,12 +311,17 @@
  */
 void PlanningPass::placeUnit(const WorkUnit& unit) {
     const bool isCacheable = !unit.isUrgent() && !unit.m_waitingStep->m_needsAdvice &&
-                             unit.getSpec().m_maxPerWorker == 0 && !isStarved(unit);
+                             unit.getSpec().m_maxPerWorker == 0 && !isStarved(unit) &&
+                             findEarlyReservation(unit) == nullptr;
     if (!isCacheable) {
-        if (!placeOrWait(unit)) {
-            addWaitExplanation(unit);
-            reserveFor(unit);
+        if (placeOrWait(unit)) {
+            releaseEarlyReservation(unit);
+            return;
         }
+        recordUnplaced(unit);
+        addWaitExplanation(unit);
+        addReservationExplanation(unit);
+        reserveFor(unit);
         return;
     }
     const auto smallestFailed = m_failedPlacements.find(getUnitClass(unit));
@@ -326,6 +335,7 @@
             addWaitExplanation(unit);
         }
     } else if (!placeOrWait(unit)) {
+        recordUnplaced(unit);
         addWaitExplanation(unit);
         recordFailedPlacement(unit);
     }
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "EarlyReservations.h"
 #include "pierbank/job/TaskPlanner.h"
 
 namespace pierbank {
@@ -67,6 +68,8 @@
     Millis m_weightedObjective{0};
     /** First sort key, see chooseBand(); lower bands are placed first. */
     std::uint32_t m_band = 0;
+    /** Run time that few tasks exceed on a normal host; computed on demand. */
+    mutable std::optional<Millis> m_highRunTime;
 };
 
 /** Smallest amount of work that is placed at once: a whole gang, or a single task. */
@@ -194,7 +197,11 @@
     };
     /** Properties on which the placement of a unit depends, apart from the number of members. */
     using UnitClass = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
-                                 std::uint32_t, bool, bool, DomainId, int, bool, bool, Millis>;
+                                 std::uint32_t, bool, bool, DomainId, int, bool, bool, Millis,
+                                 Millis, bool>;
+    /** Eligible workers, demand of a member, and minimum members on one worker. */
+    using LargeDemand = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
+                                   std::uint32_t, std::uint32_t>;
     /** Smallest unit of its class that could not be placed; larger units are not tried. */
     struct FailedPlacement {
         std::size_t m_memberCount = 0;
@@ -219,6 +226,7 @@
     void collectStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step,
                      std::vector<WaitingStep>& steps);
     void explainUnresolvedLosses(const JobRecord& record);
+    bool beginsPriority(std::span<const WaitingStep> steps, std::size_t index) const;
     static Millis getObjective(const JobRecord& record, std::uint32_t occurrence);
     std::uint32_t chooseBand(const WaitingStep& step, const OccurrenceRun& occurrence) const;
     WaitingStep makeStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step);
@@ -309,6 +317,28 @@
     const JobRecord& getRecord(const Occupant& occupant) const;
     std::optional<Millis> getRemaining(const Occupant& occupant) const;
 
+    // Early reservations (PlanningPassEarlyReservations.cpp).
+    void reserveEarly(std::span<const WaitingStep> rest);
+    bool reserveEarlyFor(const WorkUnit& unit, std::span<const WaitingStep> rest);
+    bool mayReserve(const WorkUnit& unit);
+    bool isLarge(const StepSpec& spec, std::uint32_t members) const;
+    bool hasSmallRuns(const WorkUnit& unit, const ReservedHosts& hosts) const;
+    std::vector<ReservableHost> listReservableHosts(const WorkUnit& unit);
+    void collectExpectedReleases();
+    bool ignoresEarlyReservation(const WorkUnit& unit, WorkerSlot slot) const;
+    bool mayUseIdleReserved(const WorkUnit& unit) const;
+    Resources limitToUnreserved(const WorkUnit& unit, WorkerSlot slot, const Resources& free) const;
+    const EarlyReservation* findEarlyReservation(const WorkUnit& unit) const;
+    void releaseEarlyReservation(const WorkUnit& unit);
+    Millis getHighRunTime(const WaitingStep& step) const;
+    void measureWholeRacks();
+    bool isPacked(const WorkUnit& unit) const;
+    double getPackingPenalty(const WorkUnit& unit, WorkerSlot slot, const Resources& capacity) const;
+    void addReservationExplanation(const WorkUnit& unit);
+    void recordUnplaced(const WorkUnit& unit);
+    double getFragmentation() const;
+    void addReservationsToPlan();
+
     // Reservations, speculative copies and migrations (PlanningPassReservations.cpp).
     bool isStarved(const WorkUnit& unit) const;
     bool isStarved(const WaitingStep& step) const;
@@ -369,6 +399,13 @@
      * cache a pass takes many times as long when thousands of gangs wait.
      */
     std::map<UnitClass, FailedPlacement> m_failedPlacements;
+    EarlyReservations m_early;
+    /** Expected ends of active runs by slot; empty until a reservation is considered. */
+    std::vector<std::vector<ExpectedRelease>> m_expectedReleases;
+    std::map<std::string_view, std::uint64_t> m_acceleratorsByService;
+    /** By rack number plus one: share of workers without an accelerator in use. */
+    std::vector<double> m_wholeShares;
+    std::set<LargeDemand> m_unplacedDemands;
     TaskPlan m_plan;
 };
 
--- a/libs/job/src/PlanningPassCapacity.cpp
+++ b/libs/job/src/PlanningPassCapacity.cpp
@@ -29,7 +29,7 @@
             free += m_workerStates[slot].m_releasing;
         }
     }
-    return free;
+    return m_early.isEmpty() ? free : limitToUnreserved(unit, slot, free);
 }
 
 bool PlanningPass::isExcluded(const WorkUnit& unit, WorkerSlot slot) const {
@@ -43,8 +43,9 @@
 }
 
 /**
- * Whether neither the headroom nor a reservation excludes the unit from a worker. Only work that
- * ends before the reservation starts may be placed on a reserved worker.
+ * Whether neither the headroom nor a reservation of a starved unit excludes the unit from a worker.
+ * Only work that ends before the reservation starts may be placed on a reserved worker. Early
+ * reservations only limit the capacity, see limitToUnreserved().
  */
 bool PlanningPass::isUnreservedFor(const WorkUnit& unit, WorkerSlot slot) const {
     const WorkerState& state = m_workerStates[slot];
@@ -224,7 +225,8 @@
  * Returns the penalty for placing a task on a worker; the worker with the lowest penalty is chosen.
  * Hosts on which the task failed are the last choice, workers with suspect runs the second last,
  * and the headroom the third last. Suspect tasks prefer workers with few runs. Among the other
- * workers, speed is weighed against the accelerators that stay free.
+ * workers, speed is weighed against the accelerators that stay free; while a large unit waits for
+ * whole hosts, smaller units are packed instead.
  */
 double PlanningPass::getPenalty(const WorkUnit& unit, std::uint32_t index, WorkerSlot slot,
                                 const Resources& capacity) const {
@@ -247,10 +249,12 @@
     const bool usesHeadroom = m_workerStates[slot].m_isHeadroom && !unit.isUrgent();
     const double speedWeight =
             unit.isUrgent() ? m_settings.m_urgentSpeedWeight : m_settings.m_nonUrgentSpeedWeight;
+    const double fitPenalty =
+            isPacked(unit) ? getPackingPenalty(unit, slot, capacity)
+                           : speedWeight * (worker.m_slowness - 1.0) + left.m_accelerators + cpuShare;
     return (hasFailedHere ? FAILED_HERE_PENALTY : 0.0) + riskPenalty +
            (usesHeadroom ? HEADROOM_PENALTY : 0.0) +
-           getSpreadPenalty(unit, index, worker.m_id.m_host) +
-           speedWeight * (worker.m_slowness - 1.0) + left.m_accelerators + cpuShare;
+           getSpreadPenalty(unit, index, worker.m_id.m_host) + fitPenalty;
 }
 
 /** Returns the number of the step's active runs by slot, including those placed by this pass. */
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -143,6 +143,17 @@
     return !isUrgent && isStarved(step) ? HOPELESS : priority * BANDS + band;
 }
 
+/** Whether the first step of a priority is at `index`; urgent and starved steps are left out. */
+bool PlanningPass::beginsPriority(std::span<const WaitingStep> steps, std::size_t index) const {
+    const auto isInOrder = [&](const WaitingStep& step) {
+        return step.m_record->m_policy.m_priority != 0 && !isStarved(step);
+    };
+    return isInOrder(steps[index]) &&
+           (index == 0 || !isInOrder(steps[index - 1]) ||
+            steps[index - 1].m_record->m_policy.m_priority !=
+                    steps[index].m_record->m_policy.m_priority);
+}
+
 /** Advances the objective in proportion to the unit's size, by up to the fragmentation weight. */
 Millis PlanningPass::getWeightedObjective(const WaitingStep& step) const {
     constexpr double WHOLE_WEIGHT = 100.0;
@@ -155,8 +166,8 @@
 }
 
 /**
- * Includes the estimate only if there are reservations, since only work that ends before a
- * reservation starts may be placed on the reserved workers.
+ * Includes the estimate and the forecast only if there are reservations, since only work that ends
+ * before a reservation starts may be placed on the reserved workers.
  */
 PlanningPass::UnitClass PlanningPass::getUnitClass(const WorkUnit& unit) {
     const StepSpec& spec = unit.getSpec();
@@ -172,7 +183,9 @@
             static_cast<int>(spec.m_adjacency),
             allowsRemote(unit),
             mayUseHeadroom(unit),
-            m_reservationCount > 0 ? spec.m_estimate : Millis(0)};
+            m_reservationCount > 0 ? spec.m_estimate : Millis(0),
+            m_early.isEmpty() ? Millis(0) : getHighRunTime(*unit.m_waitingStep),
+            !m_early.isEmpty() && mayUseIdleReserved(unit)};
 }
 
 const EligibleWorkers* PlanningPass::findEligible(const std::string& service,
--- a/libs/job/test/EarlyReservationTest.cpp
+++ b/libs/job/test/EarlyReservationTest.cpp
@@ -60,11 +60,13 @@
         return entry;
     }
 
-    Millis getRunTime(const TestJob& entry, std::string_view host) const {
+    /** Tasks of a step differ by up to a quarter, so that they do not all end at once. */
+    Millis getRunTime(const TestJob& entry, std::uint32_t index, std::string_view host) const {
         const auto worker = std::find_if(m_workers.begin(), m_workers.end(),
                                          [&](const auto& w) { return w.m_id.m_host == host; });
         const auto estimate = entry.m_record.m_spec.m_steps[0].m_estimate.count();
-        return Millis(std::llround(static_cast<double>(estimate) * worker->m_slowness));
+        const double share = 1.0 - 0.05 * (index % 6);
+        return Millis(std::llround(static_cast<double>(estimate) * share * worker->m_slowness));
     }
 
     std::optional<Millis> getRemaining(std::string_view host, const TaskRef& task) const override {
@@ -72,7 +74,7 @@
             return job.m_record.m_id == task.m_job;
         });
         const TaskRun& run = entry->m_run.m_occurrences[0].m_steps[0].m_tasks[task.m_index];
-        return std::max(run.m_placedAt + getRunTime(*entry, host) - m_now, Millis(0));
+        return std::max(run.m_placedAt + getRunTime(*entry, task.m_index, host) - m_now, Millis(0));
     }
 
     TaskPlan plan() const {
@@ -94,7 +96,7 @@
         m_now += PLAN_INTERVAL;
         for (TestJob& entry : m_jobs) {
             for (const ActiveRun& run : listActiveRuns(entry.m_record.m_id, entry.m_run)) {
-                if (m_now - run.m_placedAt >= getRunTime(entry, run.m_worker.m_host)) {
+                if (m_now - run.m_placedAt >= getRunTime(entry, run.m_task.m_index, run.m_worker.m_host)) {
                     applyEnd(entry.m_record, entry.m_run, run.m_task, run.m_run, RunEnd::DONE, "",
                              m_now);
                 }
@@ -138,14 +140,14 @@
 
     void SetUp() override {
         addHosts(77, 12);
-        for (int i = 0; i < 60; ++i) {
+        for (int i = 0; i < 80; ++i) {
             arrive();
             pass();
         }
     }
     void arrive() {
-        // Every 0.7 s a job of 39 tasks: more than half of the accelerators are in use.
-        if (m_now.count() % 700 == 0) {
+        // Somewhat more than the accelerators that become free.
+        if (m_now.count() % 400 == 0) {
             submit(2, 39, 1, SMALL_TIME);
         }
     }
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -289,6 +289,13 @@
     page.addCounter("pierbank_commits_total", "transactions of decisions", statistics.m_commits);
     page.addCounter("pierbank_plans_total", "plans made", statistics.m_plans);
     page.addSummary("pierbank_plan_ms", "time that a plan took", statistics.m_planTime);
+    page.addGauge("pierbank_fragmentation",
+                  "share of free accelerators that no waiting large unit can use",
+                  statistics.m_fragmentation);
+    page.addGauge("pierbank_reservations", "jobs with workers reserved before they starve",
+                  static_cast<double>(jobs.getReservationLog().countHeld()));
+    page.addCounter("pierbank_reservations_total", "such reservations that have begun",
+                    jobs.getReservationLog().countBegun());
     page.addSummary("pierbank_first_placement_ms", "from acceptance to the first placement",
                     statistics.m_timeToFirstPlacement);
     page.addCounter("pierbank_requests_served_total", "callers' requests answered with 200",
