--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -295,8 +295,8 @@
  * objectives. Units of priority 0 preempt the runs that are the cheapest to stop; guaranteed units
  * may also preempt runs of priority 0 that no guarantee covers. Workers are reserved for starved
  * units, which are placed right after urgent work, and for large units that smaller work of their
- * own or a lower priority would keep out, see ReservationPolicy. Finally, slow tasks get copies, and tasks
- * migrate from leaving workers.
+ * own or a lower priority would keep out, see ReservationPolicy. Finally, slow tasks get copies,
+ * and tasks migrate from leaving workers.
  *
  * Reservations with backfill follow the EASY scheduler (Lifka, 1995).
  */
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -196,9 +196,9 @@
         TasksPerWorker m_taskCounts;
     };
     /** Properties on which the placement of a unit depends, apart from the number of members. */
-    using UnitClass = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
-                                 std::uint32_t, bool, bool, DomainId, int, bool, bool, Millis,
-                                 Millis, bool>;
+    using UnitClass =
+            std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t, std::uint32_t, bool,
+                       bool, DomainId, int, bool, bool, Millis, Millis, bool>;
     /** Eligible workers, demand of a member, and minimum members on one worker. */
     using LargeDemand = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
                                    std::uint32_t, std::uint32_t>;
@@ -333,7 +333,8 @@
     Millis getHighRunTime(const WaitingStep& step) const;
     void measureWholeRacks();
     bool isPacked(const WorkUnit& unit) const;
-    double getPackingPenalty(const WorkUnit& unit, WorkerSlot slot, const Resources& capacity) const;
+    double getPackingPenalty(const WorkUnit& unit, WorkerSlot slot,
+                             const Resources& capacity) const;
     void addReservationExplanation(const WorkUnit& unit);
     void recordUnplaced(const WorkUnit& unit);
     double getFragmentation() const;
--- a/libs/job/src/PlanningPassCapacity.cpp
+++ b/libs/job/src/PlanningPassCapacity.cpp
@@ -249,9 +249,9 @@
     const bool usesHeadroom = m_workerStates[slot].m_isHeadroom && !unit.isUrgent();
     const double speedWeight =
             unit.isUrgent() ? m_settings.m_urgentSpeedWeight : m_settings.m_nonUrgentSpeedWeight;
-    const double fitPenalty =
-            isPacked(unit) ? getPackingPenalty(unit, slot, capacity)
-                           : speedWeight * (worker.m_slowness - 1.0) + left.m_accelerators + cpuShare;
+    const double fitPenalty = isPacked(unit) ? getPackingPenalty(unit, slot, capacity)
+                                             : speedWeight * (worker.m_slowness - 1.0) +
+                                                       left.m_accelerators + cpuShare;
     return (hasFailedHere ? FAILED_HERE_PENALTY : 0.0) + riskPenalty +
            (usesHeadroom ? HEADROOM_PENALTY : 0.0) +
            getSpreadPenalty(unit, index, worker.m_id.m_host) + fitPenalty;
--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -102,8 +102,7 @@
     state.m_waited = m_wallNow - unit.m_waitingStep->m_dueAt;
     state.m_hasSmallWaiting = std::any_of(rest.begin(), rest.end(), [&](const WaitingStep& step) {
         return step.m_record->m_policy.m_service == unit.getRecord().m_policy.m_service &&
-               step.m_spec->m_need.m_accelerators > 0 &&
-               !isLarge(*step.m_spec, countMembers(step));
+               step.m_spec->m_need.m_accelerators > 0 && !isLarge(*step.m_spec, countMembers(step));
     });
     state.m_hasSmallRunning = hasSmallRuns(unit, *hosts);
     if (ReservationPolicy::isKeptOut(state)) {
@@ -122,8 +121,7 @@
     const auto isSmall = [&](std::size_t index) {
         const Occupant& occupant = m_occupants[index];
         const std::uint32_t members = occupant.m_spec->m_isGang ? occupant.m_spec->m_tasks : 1;
-        return getRecord(occupant).m_policy.m_priority >=
-                       unit.getRecord().m_policy.m_priority &&
+        return getRecord(occupant).m_policy.m_priority >= unit.getRecord().m_policy.m_priority &&
                occupant.m_spec->m_need.m_accelerators > 0 && !isLarge(*occupant.m_spec, members);
     };
     return std::any_of(hosts.m_hosts.begin(), hosts.m_hosts.end(), [&](const HostShare& share) {
@@ -132,7 +130,7 @@
     });
 }
 
-/** Hosts that will not take work for long, or only to be tested, are left out. */
+/** Hosts that take work only to be tested are left out, and those of other reservations. */
 std::vector<ReservableHost> PlanningPass::listReservableHosts(const WorkUnit& unit) {
     collectExpectedReleases();
     const StepSpec& spec = unit.getSpec();
@@ -147,7 +145,7 @@
         const bool isOutside = domains.size() == 1 && domain != domains.front();
         if (isOutside || isExcluded(unit, slot) || !isUnreservedFor(unit, slot) ||
             state.m_reservationStartsIn.has_value() || m_early.findAt(slot) != nullptr ||
-            worker.m_leavesIn.has_value() || worker.m_isEvacuated || worker.m_maxTasksPerJob > 0) {
+            worker.m_maxTasksPerJob > 0) {
             continue;
         }
         ReservableHost& host = hosts.emplace_back();
@@ -155,9 +153,9 @@
         host.m_domain = domain;
         host.m_free = state.m_free;
         host.m_free += state.m_releasing;
-        host.m_usedAccelerators = worker.m_capacity.m_accelerators -
-                                  std::min(worker.m_capacity.m_accelerators,
-                                           host.m_free.m_accelerators);
+        host.m_usedAccelerators =
+                worker.m_capacity.m_accelerators -
+                std::min(worker.m_capacity.m_accelerators, host.m_free.m_accelerators);
         host.m_maxMembers = static_cast<std::uint32_t>(unit.m_taskIndexes.size());
         if (!used.empty()) {
             host.m_maxMembers = spec.m_maxPerWorker - std::min(spec.m_maxPerWorker, used[slot]);
@@ -243,8 +241,7 @@
 }
 
 const EarlyReservation* PlanningPass::findEarlyReservation(const WorkUnit& unit) const {
-    return m_early.isEmpty() ? nullptr
-                             : m_early.findOf(unit.getStep(), unit.m_taskIndexes.front());
+    return m_early.isEmpty() ? nullptr : m_early.findOf(unit.getStep(), unit.m_taskIndexes.front());
 }
 
 /** Gives the reservation of a placed unit back. */
@@ -287,8 +284,8 @@
                                        const Resources& capacity) const {
     const WorkerState& state = m_workerStates[slot];
     PackingChoice choice;
-    choice.m_left = capacity.m_accelerators - std::min(capacity.m_accelerators,
-                                                       unit.getSpec().m_need.m_accelerators);
+    choice.m_left = capacity.m_accelerators -
+                    std::min(capacity.m_accelerators, unit.getSpec().m_need.m_accelerators);
     choice.m_isWhole = capacity.m_accelerators >= state.m_snapshot->m_capacity.m_accelerators;
     choice.m_wholeShareOfRack = m_wholeShares[getRackIndex(state.m_rack)];
     choice.m_slowness = state.m_snapshot->m_slowness;
@@ -303,11 +300,11 @@
     }
     const ReservedHosts& hosts = reservation->m_hosts;
     const WorkerSlot first = hosts.m_hosts.front().m_slot;
-    addExplanation(unit, "waits: smaller work would keep it out, so that workers are reserved for "
-                         "it, the first is " +
-                                 m_workerStates[first].m_snapshot->m_id.m_host +
-                                 "; it should begin in " +
-                                 std::to_string(hosts.m_startsIn.count()) + " ms");
+    addExplanation(unit,
+                   "waits: smaller work would keep it out, so that workers are reserved for "
+                   "it, the first is " +
+                           m_workerStates[first].m_snapshot->m_id.m_host + "; it should begin in " +
+                           std::to_string(hosts.m_startsIn.count()) + " ms");
 }
 
 // Result of the pass.
@@ -320,8 +317,8 @@
     const auto members = static_cast<std::uint32_t>(unit.m_taskIndexes.size());
     if (m_unplacedDemands.size() < MAX_KINDS && isLarge(spec, members)) {
         const Resources need = spec.getCapacityDemand();
-        m_unplacedDemands.emplace(unit.m_waitingStep->m_eligible, need.m_cpuMillis,
-                                  need.m_memoryMb, need.m_accelerators,
+        m_unplacedDemands.emplace(unit.m_waitingStep->m_eligible, need.m_cpuMillis, need.m_memoryMb,
+                                  need.m_accelerators,
                                   spec.m_adjacency == Adjacency::WORKER ? members : 1);
     }
 }
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -148,10 +148,9 @@
     const auto isInOrder = [&](const WaitingStep& step) {
         return step.m_record->m_policy.m_priority != 0 && !isStarved(step);
     };
-    return isInOrder(steps[index]) &&
-           (index == 0 || !isInOrder(steps[index - 1]) ||
-            steps[index - 1].m_record->m_policy.m_priority !=
-                    steps[index].m_record->m_policy.m_priority);
+    return isInOrder(steps[index]) && (index == 0 || !isInOrder(steps[index - 1]) ||
+                                       steps[index - 1].m_record->m_policy.m_priority !=
+                                               steps[index].m_record->m_policy.m_priority);
 }
 
 /** Advances the objective in proportion to the unit's size, by up to the fragmentation weight. */
--- a/libs/job/src/ReservationPolicy.cpp
+++ b/libs/job/src/ReservationPolicy.cpp
@@ -28,8 +28,7 @@
     std::uint32_t count = 0;
     const auto addUpTo = [&](Millis in) {
         for (const std::uint32_t fitting = ReservationPolicy::countFitting(need, free, limit);
-             count < fitting;
-             ++count) {
+             count < fitting; ++count) {
             places.push_back({host.m_domain, in, host.m_usedAccelerators, index});
         }
     };
@@ -94,9 +93,8 @@
     // Reserved hosts are partly idle until the unit starts. As with the headroom, a quarter of the
     // service may be kept from other work; one unit gets its room whatever its size.
     constexpr std::uint64_t MIN_SERVICE_SHARE = 4;
-    return use.m_count == 0 ||
-           (use.m_count < MAX_RESERVATIONS &&
-            MIN_SERVICE_SHARE * (use.m_reserved + accelerators) <= use.m_total);
+    return use.m_count == 0 || (use.m_count < MAX_RESERVATIONS &&
+                                MIN_SERVICE_SHARE * (use.m_reserved + accelerators) <= use.m_total);
 }
 
 std::uint32_t ReservationPolicy::countFitting(const Resources& need, const Resources& capacity,
@@ -145,8 +143,7 @@
     // host. The speed only decides between hosts that are equal in all of these.
     const double host = m_largestHost + 1.0;
     constexpr double MAX_SPEED_EFFECT = 0.4;
-    const double speed =
-            -std::clamp(choice.m_slowness - 1.0, -1.0, 1.0) * MAX_SPEED_EFFECT;
+    const double speed = -std::clamp(choice.m_slowness - 1.0, -1.0, 1.0) * MAX_SPEED_EFFECT;
     const double rack = choice.m_isWhole ? host * (1.0 + choice.m_wholeShareOfRack) : 0.0;
     return (choice.m_isReserved ? 3.0 * host : 0.0) + rack + choice.m_left + speed;
 }
--- a/libs/job/test/EarlyReservationTest.cpp
+++ b/libs/job/test/EarlyReservationTest.cpp
@@ -2,134 +2,13 @@
 // Large units of work beside small work that never stops arriving.
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <array>
-#include <cmath>
-#include <deque>
+#include <set>
 
-#include "pierbank/job/TaskPlanner.h"
+#include "BusyRegion.h"
 
 namespace pierbank {
 namespace {
 
-constexpr Millis PLAN_INTERVAL{100};
-constexpr std::uint32_t ACCELERATORS = 8;
-
-/** Hosts with work that ends when its time is over, planned at the interval of the leader. */
-class BusyRegion : public ::testing::Test, protected RunForecast {
-protected:
-    struct TestJob {
-        JobRecord m_record;
-        JobRun m_run;
-    };
-
-    void addHosts(std::size_t count, std::size_t perRack) {
-        constexpr std::array<double, 3> SLOWNESS{0.6, 1.0, 1.6};
-        for (std::size_t i = 0; i < count; ++i) {
-            WorkerSnapshot& worker = m_workers.emplace_back();
-            worker.m_id = {"h" + std::to_string(i), "life"};
-            worker.m_service = "s";
-            worker.m_rack = "r" + std::to_string(i / perRack);
-            worker.m_capacity = {32'000, 64'000, ACCELERATORS};
-            worker.m_acceptsWork = true;
-            worker.m_slowness = SLOWNESS.at(i % SLOWNESS.size());
-        }
-    }
-
-    TestJob& submit(std::uint32_t priority, std::uint32_t tasks, std::uint32_t accelerators,
-                    Millis estimate) {
-        TestJob& entry = m_jobs.emplace_back();
-        entry.m_record.m_id = "j" + std::to_string(++m_lastJob);
-        entry.m_record.m_policy = {"q", "s", priority, 3, 3.0, Millis(1000), std::nullopt};
-        entry.m_record.m_acceptedAt = m_now;
-        StepSpec step;
-        step.m_tasks = tasks;
-        step.m_need = {4000 * accelerators, 8000 * accelerators, accelerators};
-        step.m_estimate = estimate;
-        entry.m_record.m_spec.m_steps = {step};
-        entry.m_run = makeJobRun(entry.m_record);
-        return entry;
-    }
-
-    TestJob& submitGang(std::uint32_t priority, std::uint32_t tasks, std::uint32_t accelerators,
-                        Millis estimate = Millis(6000)) {
-        TestJob& entry = submit(priority, tasks, accelerators, estimate);
-        entry.m_record.m_spec.m_steps[0].m_isGang = true;
-        entry.m_record.m_spec.m_steps[0].m_adjacency = Adjacency::RACK;
-        entry.m_run = makeJobRun(entry.m_record);
-        return entry;
-    }
-
-    /** Tasks of a step differ by up to a quarter, so that they do not all end at once. */
-    Millis getRunTime(const TestJob& entry, std::uint32_t index, std::string_view host) const {
-        const auto worker = std::find_if(m_workers.begin(), m_workers.end(),
-                                         [&](const auto& w) { return w.m_id.m_host == host; });
-        const auto estimate = entry.m_record.m_spec.m_steps[0].m_estimate.count();
-        const double share = 1.0 - 0.05 * (index % 6);
-        return Millis(std::llround(static_cast<double>(estimate) * share * worker->m_slowness));
-    }
-
-    std::optional<Millis> getRemaining(std::string_view host, const TaskRef& task) const override {
-        const auto entry = std::find_if(m_jobs.begin(), m_jobs.end(), [&](const TestJob& job) {
-            return job.m_record.m_id == task.m_job;
-        });
-        const TaskRun& run = entry->m_run.m_occurrences[0].m_steps[0].m_tasks[task.m_index];
-        return std::max(run.m_placedAt + getRunTime(*entry, task.m_index, host) - m_now, Millis(0));
-    }
-
-    TaskPlan plan() const {
-        std::vector<PlannedJob> jobs;
-        for (const TestJob& entry : m_jobs) {
-            jobs.push_back({&entry.m_record, &entry.m_run});
-        }
-        return TaskPlanner(m_settings).plan({m_workers, jobs, *this, m_guarantees, m_now});
-    }
-
-    /** Places what the plan says, lets the time to the next plan pass, and ends what is over. */
-    void pass() {
-        for (const Placement& placement : plan().m_placements) {
-            TestJob& entry = *std::find_if(m_jobs.begin(), m_jobs.end(), [&](const TestJob& job) {
-                return job.m_record.m_id == placement.m_task.m_job;
-            });
-            applyPlacement(entry.m_run, placement.m_task, 1, placement.m_worker, m_now);
-        }
-        m_now += PLAN_INTERVAL;
-        for (TestJob& entry : m_jobs) {
-            for (const ActiveRun& run : listActiveRuns(entry.m_record.m_id, entry.m_run)) {
-                if (m_now - run.m_placedAt >= getRunTime(entry, run.m_task.m_index, run.m_worker.m_host)) {
-                    applyEnd(entry.m_record, entry.m_run, run.m_task, run.m_run, RunEnd::DONE, "",
-                             m_now);
-                }
-            }
-        }
-        std::erase_if(m_jobs, [](const TestJob& entry) { return entry.m_run.isFinished(); });
-    }
-
-    /** Returns how long the newest job waits while `arrive` submits other work before each pass. */
-    template <typename Arrive>
-    std::optional<Millis> measureWait(const std::string& id, Millis limit, Arrive arrive) {
-        const Millis from = m_now;
-        while (m_now - from <= limit) {
-            arrive();
-            pass();
-            const auto job = std::find_if(m_jobs.begin(), m_jobs.end(), [&](const TestJob& entry) {
-                return entry.m_record.m_id == id;
-            });
-            if (job == m_jobs.end() || job->m_run.m_phase == JobPhase::RUNNING) {
-                return m_now - from - PLAN_INTERVAL;
-            }
-        }
-        return std::nullopt;
-    }
-
-    TaskPlannerSettings m_settings;
-    std::vector<WorkerSnapshot> m_workers;
-    std::deque<TestJob> m_jobs;
-    std::map<std::string, std::uint32_t> m_guarantees;
-    Millis m_now{1'000'000};
-    int m_lastJob = 0;
-};
-
 /**
  * A gang of six whole hosts in one rack was never placed while tasks of one accelerator and a lower
  * priority arrived: each accelerator that became free went to the next of them.
@@ -161,5 +40,201 @@
     EXPECT_LE(*wait, longest + PLAN_INTERVAL);
 }
 
+TEST_F(LargeGangBesideSmallWork, IsNotPlacedWithoutEarlyReservations) {
+    m_settings.m_reservesEarly = false;
+    const std::string id = submitGang(1, 6, ACCELERATORS).m_record.m_id;
+    EXPECT_FALSE(measureWait(id, Millis(30'000), [this] { arrive(); }).has_value());
+}
+
+/** Two racks of two hosts; the hosts of the first rack have room first, after 3 s. */
+class GangOfARack : public BusyRegion {
+protected:
+    using Hosts = std::vector<std::string_view>;
+
+    void SetUp() override {
+        addHosts(4, 2);
+        for (WorkerSnapshot& worker : m_workers) {
+            worker.m_slowness = 1.0;
+        }
+        addRunning(0, 6, Millis(3000));
+        addRunning(1, 4, Millis(2000));
+        addRunning(2, 8, Millis(8000));
+        addRunning(3, 8, Millis(9000));
+        m_gang = submitGang(1, 2, ACCELERATORS).m_record.m_id;
+    }
+    Hosts listReserved() const {
+        const TaskPlan made = plan();
+        return made.m_reservations.empty() ? Hosts() : made.m_reservations.front().m_hosts;
+    }
+    /** Returns how many tasks of one accelerator the plan starts. */
+    std::size_t countStarted(std::uint32_t priority, Millis estimate) {
+        submit(priority, 12, 1, estimate);
+        return plan().m_placements.size();
+    }
+
+    static constexpr std::size_t FREE = 6;
+    std::string m_gang;
+};
+
+TEST_F(GangOfARack, ReservesTheRackThatEmptiesFirst) {
+    const TaskPlan made = plan();
+    ASSERT_EQ(made.m_reservations.size(), 1U);
+    EXPECT_EQ(made.m_reservations[0].m_job, m_gang);
+    EXPECT_EQ(made.m_reservations[0].m_hosts, (Hosts{"h0", "h1"}));
+    EXPECT_EQ(made.m_reservations[0].m_startsIn, Millis(3000));
+}
+
+TEST_F(GangOfARack, ExplainsWhyItWaits) {
+    const std::string text = plan().m_explanations.back().m_text;
+    EXPECT_NE(text.find("the first is h0; it should begin in 3000 ms"), std::string::npos) << text;
+}
+
+TEST_F(GangOfARack, KeepsItsHostsUntilItStarts) {
+    while (m_now < Millis(1'002'900)) {
+        submit(2, 4, 1, Millis(5000));
+        pass();
+        EXPECT_EQ(listReserved(), (Hosts{"h0", "h1"})) << m_now.count();
+    }
+    pass();
+    EXPECT_FALSE(plan().m_placements.empty());
+    EXPECT_TRUE(listReserved().empty());
+}
+
+TEST_F(GangOfARack, LeavesItsHostsToShorterWork) {
+    EXPECT_EQ(countStarted(2, Millis(2500)), FREE);
+}
+
+TEST_F(GangOfARack, KeepsLongerWorkOffItsHosts) {
+    EXPECT_EQ(countStarted(2, Millis(3000)), 0U);
+}
+
+TEST_F(GangOfARack, KeepsLongerWorkOfItsOwnPriorityOffItsHosts) {
+    m_now -= Millis(1000);
+    submit(1, 12, 1, Millis(3000));
+    m_now += Millis(1000);
+    EXPECT_TRUE(plan().m_placements.empty()) << "its objective is earlier than the gang's";
+}
+
+TEST_F(GangOfARack, KeepsShortWorkOffItsHostsThatIsForecastToLast) {
+    m_highShare = 2.0;
+    EXPECT_EQ(countStarted(2, Millis(2500)), 0U);
+}
+
+TEST_F(GangOfARack, CountsTheSpeedOfTheHostForShorterWork) {
+    // Its runs, of 20 s, now end after 3 s as well.
+    m_workers[1].m_slowness = 1.05;
+    EXPECT_EQ(countStarted(2, Millis(2900)), 2U) << "only h0 ends it in time";
+}
+
+TEST_F(GangOfARack, LeavesItsHostsToWorkOfAHigherPriority) {
+    m_jobs.back().m_record.m_policy.m_priority = 2;
+    EXPECT_EQ(countStarted(1, Millis(9000)), FREE);
+}
+
+TEST_F(GangOfARack, LeavesItsHostsToUrgentWork) {
+    EXPECT_EQ(countStarted(0, Millis(9000)), FREE);
+}
+
+TEST_F(GangOfARack, GetsNoReservationIfItIsUrgent) {
+    m_jobs.back().m_record.m_policy.m_priority = 0;
+    EXPECT_TRUE(plan().m_reservations.empty());
+}
+
+TEST_F(GangOfARack, LeavesRoomBesideItsMembersToLongerWork) {
+    m_jobs.back().m_record.m_spec.m_steps[0].m_need = {28'000, 56'000, 7};
+    EXPECT_EQ(countStarted(2, Millis(9000)), 2U) << "one accelerator of each host";
+}
+
+/** While hardly anything is in use, no job may be without a run for long. */
+TEST_F(GangOfARack, LeavesItsHostsToJobsWithoutARunWhileCapacityIsIdle) {
+    for (WorkerSnapshot& worker : m_workers) {
+        worker.m_capacity.m_memoryMb *= 2;
+    }
+    EXPECT_EQ(countStarted(2, Millis(9000)), 0U);
+    m_jobs.back().m_record.m_acceptedAt = m_now - m_settings.m_headroomReleaseWait;
+    EXPECT_EQ(plan().m_placements.size(), 1U) << "the first run of the job";
+}
+
+/** A host that can't run the gang any more gives its reservation back. */
+class GangThatLosesAHost : public GangOfARack {
+protected:
+    void expectOtherRack() const { EXPECT_EQ(listReserved(), (Hosts{"h2", "h3"})); }
+};
+
+TEST_F(GangThatLosesAHost, MovesWhenTheHostIsGone) {
+    m_workers.erase(m_workers.begin());
+    expectOtherRack();
+}
+
+TEST_F(GangThatLosesAHost, MovesWhenTheHostTakesNoWork) {
+    // It leaves, drains, is evacuated, paused or not linked.
+    m_workers[0].m_acceptsWork = false;
+    expectOtherRack();
+}
+
+TEST_F(GangThatLosesAHost, MovesWhenTheHostIsTested) {
+    m_workers[1].m_maxTasksPerJob = 1;
+    expectOtherRack();
+}
+
+TEST_F(GangThatLosesAHost, WaitsWithoutAReservationWhenNoRackIsLeft) {
+    m_workers[0].m_acceptsWork = false;
+    m_workers[3].m_acceptsWork = false;
+    EXPECT_TRUE(plan().m_reservations.empty());
+    EXPECT_EQ(countStarted(2, Millis(9000)), 4U) << "what is free on h1";
+}
+
+/** Free accelerators that are of no use to what waits. */
+class FragmentationOfARegion : public GangOfARack {};
+
+TEST_F(FragmentationOfARegion, CountsAcceleratorsThatNoWaitingGangCanUse) {
+    EXPECT_DOUBLE_EQ(plan().m_fragmentation, 1.0);
+    submitGang(1, 8, 2);
+    EXPECT_DOUBLE_EQ(plan().m_fragmentation, 0.0) << "members of two accelerators fit";
+    submitGang(1, 5, 5);
+    EXPECT_DOUBLE_EQ(plan().m_fragmentation, 0.0);
+}
+
+TEST_F(FragmentationOfARegion, IsZeroWhileNoLargeUnitWaits) {
+    m_jobs.pop_back();
+    submit(2, 40, 1, Millis(1000));
+    EXPECT_EQ(plan().m_fragmentation, 0.0);
+}
+
+/** Three hosts of a rack, of which the slowest is empty, and a gang that waits for another rack. */
+class SmallWorkBesideAWaitingGang : public BusyRegion {
+protected:
+    void SetUp() override {
+        addHosts(5, 3);
+        m_workers[2].m_slowness = 3.0;
+        addRunning(0, 5, Millis(9000));
+        addRunning(1, 5, Millis(9000));
+        addRunning(3, 8, Millis(3000));
+        addRunning(4, 8, Millis(3000));
+        for (std::size_t host : {3U, 4U}) {
+            m_workers[host].m_labels = {"wanted"};
+        }
+        TestJob& gang = submitGang(1, 2, ACCELERATORS);
+        gang.m_record.m_spec.m_steps[0].m_requiredLabel = "wanted";
+    }
+    std::set<std::string> listHostsOfSmallTasks() {
+        submit(2, 6, 1, Millis(9000));
+        std::set<std::string> hosts;
+        for (const Placement& placement : plan().m_placements) {
+            hosts.insert(placement.m_worker.m_host);
+        }
+        return hosts;
+    }
+};
+
+TEST_F(SmallWorkBesideAWaitingGang, IsPackedOnHostsInUseWhateverTheirSpeed) {
+    EXPECT_EQ(listHostsOfSmallTasks(), (std::set<std::string>{"h0", "h1"}));
+}
+
+TEST_F(SmallWorkBesideAWaitingGang, GoesToSlowHostsWithoutOne) {
+    m_jobs.pop_back();
+    EXPECT_EQ(listHostsOfSmallTasks(), std::set<std::string>{"h2"});
+}
+
 }  // namespace
 }  // namespace pierbank
