Early reservations: the time of a pass

Run times in the class of a unit made the cache of failed placements useless; its key has the number of reserved hosts on which the unit ends in time instead. Searches for hosts are limited in the whole pass and select instead of sorting.

--- a/libs/job/src/EarlyReservations.cpp
+++ b/libs/job/src/EarlyReservations.cpp
@@ -22,11 +22,16 @@
 
 void EarlyReservations::indexHosts(std::size_t slotCount) {
     m_shares.assign(slotCount, std::nullopt);
+    m_backfillLimits.clear();
     for (std::size_t i = 0; i < m_reservations.size(); ++i) {
-        for (const HostShare& share : m_reservations[i].m_hosts.m_hosts) {
-            m_shares[share.m_slot] = Share{i, share};
+        const EarlyReservation& entry = m_reservations[i];
+        for (std::size_t j = 0; j < entry.m_hosts.m_hosts.size(); ++j) {
+            const HostShare& share = entry.m_hosts.m_hosts[j];
+            m_shares[share.m_slot] = Share{i, share, entry.m_backfillLimits[j]};
+            m_backfillLimits.push_back(entry.m_backfillLimits[j]);
         }
     }
+    std::sort(m_backfillLimits.begin(), m_backfillLimits.end());
 }
 
 const EarlyReservation* EarlyReservations::findOf(const StepRun& step,
@@ -53,6 +58,16 @@
     return free;
 }
 
+bool EarlyReservations::endsBefore(std::size_t slot, Millis runTime) const {
+    return runTime < m_shares[slot]->m_backfillLimit;
+}
+
+std::size_t EarlyReservations::countEndingBefore(Millis runTime) const {
+    return static_cast<std::size_t>(
+            m_backfillLimits.end() -
+            std::upper_bound(m_backfillLimits.begin(), m_backfillLimits.end(), runTime));
+}
+
 ReservationUse EarlyReservations::getUse(std::string_view service, std::uint64_t total) const {
     ReservationUse use;
     use.m_total = total;
--- a/libs/job/src/EarlyReservations.h
+++ b/libs/job/src/EarlyReservations.h
@@ -27,6 +27,11 @@
     /** Demand of one member. */
     Resources m_need;
     ReservedHosts m_hosts;
+    /**
+     * By host of m_hosts: run time, on a host of normal speed, below which a task ends before the
+     * reservation.
+     */
+    std::vector<Millis> m_backfillLimits;
 };
 
 /** The early reservations of one planning pass, by unit and by host. */
@@ -48,6 +53,13 @@
      * @param free capacity that is free now or is being freed.
      */
     Resources getSpare(std::size_t slot, Resources free) const;
+    /** Returns whether a task with this run time ends before the reservation of a host. */
+    bool endsBefore(std::size_t slot, Millis runTime) const;
+    /**
+     * Returns on how many hosts a task with this run time ends before the reservation. Two tasks
+     * with the same number do so on the same hosts.
+     */
+    std::size_t countEndingBefore(Millis runTime) const;
     /** Returns the use of a service with `total` accelerators. */
     ReservationUse getUse(std::string_view service, std::uint64_t total) const;
 
@@ -56,6 +68,7 @@
         /** Index in m_reservations. */
         std::size_t m_reservation = 0;
         HostShare m_share;
+        Millis m_backfillLimit{0};
     };
 
     void indexHosts(std::size_t slotCount);
@@ -63,6 +76,8 @@
     std::vector<EarlyReservation> m_reservations;
     /** By slot; empty without reservations. */
     std::vector<std::optional<Share>> m_shares;
+    /** All backfill limits in ascending order. */
+    std::vector<Millis> m_backfillLimits;
 };
 
 }  // namespace pierbank
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -198,7 +198,7 @@
     /** Properties on which the placement of a unit depends, apart from the number of members. */
     using UnitClass =
             std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t, std::uint32_t, bool,
-                       bool, DomainId, int, bool, bool, Millis, Millis, bool>;
+                       bool, DomainId, int, bool, bool, Millis, std::size_t, bool>;
     /** Eligible workers, demand of a member, and minimum members on one worker. */
     using LargeDemand = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
                                    std::uint32_t, std::uint32_t>;
@@ -401,6 +401,8 @@
      */
     std::map<UnitClass, FailedPlacement> m_failedPlacements;
     EarlyReservations m_early;
+    /** Large units for which hosts were searched in this pass. */
+    std::size_t m_reservationAttempts = 0;
     /** Expected ends of active runs by slot; empty until a reservation is considered. */
     std::vector<std::vector<ExpectedRelease>> m_expectedReleases;
     std::map<std::string_view, std::uint64_t> m_acceleratorsByService;
--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -43,7 +43,6 @@
     if (!m_settings.m_reservesEarly) {
         return;
     }
-    std::size_t attempts = 0;
     std::map<UnitClass, std::size_t> smallestFailed;
     for (const WaitingStep& step : rest) {
         if (step.m_record->m_policy.m_priority != rest.front().m_record->m_policy.m_priority) {
@@ -55,7 +54,7 @@
         }
         const std::span<const std::uint32_t> indexes(step.m_taskIndexes);
         for (std::size_t i = 0; i < indexes.size(); i += members) {
-            if (attempts == MAX_ATTEMPTS) {
+            if (m_reservationAttempts == MAX_ATTEMPTS) {
                 return;
             }
             WorkUnit unit{&step, indexes.subspan(i, members), {}};
@@ -69,7 +68,7 @@
             if (failed != smallestFailed.end() && failed->second <= members) {
                 continue;
             }
-            ++attempts;
+            ++m_reservationAttempts;
             if (!reserveEarlyFor(unit, rest) && unit.m_excludedSlots.empty()) {
                 smallestFailed[unitClass] = members;
             }
@@ -107,9 +106,14 @@
     state.m_hasSmallRunning = hasSmallRuns(unit, *hosts);
     if (ReservationPolicy::isKeptOut(state)) {
         const std::string& service = unit.getRecord().m_policy.m_service;
+        std::vector<Millis> limits;
+        for (const HostShare& share : hosts->m_hosts) {
+            const double slowness = m_workerStates[share.m_slot].m_snapshot->m_slowness;
+            limits.push_back(scale(hosts->m_startsIn, 1.0 / slowness));
+        }
         m_early.add({&unit.getStep(), unit.m_taskIndexes.front(), unit.getRecord().m_id, service,
                      unit.getRecord().m_policy.m_priority, unit.countAccelerators(),
-                     isUnderutilized(service), need, std::move(*hosts)},
+                     isUnderutilized(service), need, std::move(*hosts), std::move(limits)},
                     m_workerStates.size());
         measureWholeRacks();
     }
@@ -215,9 +219,7 @@
         (reservation->m_isUnderutilized && mayUseIdleReserved(unit))) {
         return true;
     }
-    const double slowness = m_workerStates[slot].m_snapshot->m_slowness;
-    return !unit.getSpec().m_isLongRunning &&
-           scale(getHighRunTime(*unit.m_waitingStep), slowness) < reservation->m_hosts.m_startsIn;
+    return m_early.endsBefore(slot, getHighRunTime(*unit.m_waitingStep));
 }
 
 /**
@@ -254,6 +256,9 @@
 }
 
 Millis PlanningPass::getHighRunTime(const WaitingStep& step) const {
+    if (step.m_spec->m_isLongRunning) {
+        return Millis::max();
+    }
     if (!step.m_highRunTime.has_value()) {
         step.m_highRunTime = m_input.m_forecast.getRunTime(*step.m_record, *step.m_spec).m_high;
     }
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -183,7 +183,7 @@
             allowsRemote(unit),
             mayUseHeadroom(unit),
             m_reservationCount > 0 ? spec.m_estimate : Millis(0),
-            m_early.isEmpty() ? Millis(0) : getHighRunTime(*unit.m_waitingStep),
+            m_early.isEmpty() ? 0 : m_early.countEndingBefore(getHighRunTime(*unit.m_waitingStep)),
             !m_early.isEmpty() && mayUseIdleReserved(unit)};
 }
 
--- a/libs/job/src/ReservationPolicy.cpp
+++ b/libs/job/src/ReservationPolicy.cpp
@@ -2,7 +2,7 @@
 #include "pierbank/job/ReservationPolicy.h"
 
 #include <algorithm>
-#include <limits>
+#include <map>
 #include <tuple>
 
 namespace pierbank {
@@ -11,7 +11,6 @@
 
 /** One member's place on a host, from the time at which the host has room for it. */
 struct MemberPlace {
-    std::int32_t m_domain = 0;
     Millis m_in{0};
     std::uint32_t m_usedAccelerators = 0;
     /** Index of the host. */
@@ -29,7 +28,7 @@
     const auto addUpTo = [&](Millis in) {
         for (const std::uint32_t fitting = ReservationPolicy::countFitting(need, free, limit);
              count < fitting; ++count) {
-            places.push_back({host.m_domain, in, host.m_usedAccelerators, index});
+            places.push_back({in, host.m_usedAccelerators, index});
         }
     };
     addUpTo(Millis(0));
@@ -109,31 +108,28 @@
 
 std::optional<ReservedHosts> ReservationPolicy::findEarliest(
         const Resources& need, std::uint32_t members, std::span<const ReservableHost> hosts) {
-    std::vector<MemberPlace> places;
+    std::map<std::int32_t, std::vector<MemberPlace>> placesByDomain;
     for (std::size_t index = 0; index < hosts.size(); ++index) {
-        addPlaces(need, members, hosts, index, places);
+        addPlaces(need, members, hosts, index, placesByDomain[hosts[index].m_domain]);
     }
-    std::sort(places.begin(), places.end());
     std::optional<std::span<const MemberPlace>> best;
     std::tuple<Millis, std::uint64_t> bestRank{Millis::max(), 0};
-    for (std::size_t first = 0; first < places.size();) {
-        std::size_t end = first;
-        while (end < places.size() && places[end].m_domain == places[first].m_domain) {
-            ++end;
+    for (auto& [domain, places] : placesByDomain) {
+        if (places.size() < members) {
+            continue;
         }
-        if (end - first >= members) {
-            const std::span<const MemberPlace> chosen(&places[first], members);
-            std::uint64_t used = 0;
-            for (const MemberPlace& place : chosen) {
-                used += place.m_usedAccelerators;
-            }
-            const std::tuple<Millis, std::uint64_t> rank{chosen.back().m_in, used};
-            if (rank < bestRank) {
-                best = chosen;
-                bestRank = rank;
-            }
+        const auto last = places.begin() + (members - 1);
+        std::nth_element(places.begin(), last, places.end());
+        const std::span<const MemberPlace> chosen(places.data(), members);
+        std::uint64_t used = 0;
+        for (const MemberPlace& place : chosen) {
+            used += place.m_usedAccelerators;
+        }
+        const std::tuple<Millis, std::uint64_t> rank{last->m_in, used};
+        if (rank < bestRank) {
+            best = chosen;
+            bestRank = rank;
         }
-        first = end;
     }
     return best.has_value() ? std::optional(makeReservedHosts(*best, hosts)) : std::nullopt;
 }
