--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -23,6 +23,7 @@
 #include "pierbank/control/PersistedEnds.h"
 #include "pierbank/control/PlanThrottle.h"
 #include "pierbank/control/ProgressTracker.h"
+#include "pierbank/control/ReservationLog.h"
 #include "pierbank/control/TicketCache.h"
 #include "pierbank/control/WaveController.h"
 #include "pierbank/control/WorkAccount.h"
@@ -152,6 +153,8 @@
     WorkAccount m_work;
     /** Duration of planning. */
     LatencySummary m_planTime;
+    /** TaskPlan::m_fragmentation of the last plan. */
+    double m_fragmentation = 0;
     /** Time from acceptance to the first placement, of jobs that are not timed. */
     LatencySummary m_timeToFirstPlacement;
 };
@@ -242,6 +245,8 @@
     std::size_t countPausedHosts() const { return m_learned.health().countPaused(m_loop.now()); }
     /** Returns the number of runs that probed a host after a pause. */
     std::uint64_t countProbes() const noexcept { return m_learned.health().countProbes(); }
+    /** Returns the reservations of the last plan and the counters of reservations. */
+    const ReservationLog& getReservationLog() const noexcept { return m_reservationLog; }
     /** Returns the fragmentation weight, 0 to 100, that plans use at present. */
     std::uint32_t getFragmentationWeight() const noexcept { return m_currentFragmentationWeight; }
     /** Returns an operator's decision about a worker; RELEASE if there is none. */
@@ -444,6 +449,7 @@
     std::size_t m_waitingUnits = 0;
     Millis m_plannedAt{0};
     PlanThrottle m_planThrottle;
+    ReservationLog m_reservationLog;
     TimerId m_planTimer = TimerId::NONE;
     /** Cached; getWorkerSnapshots() refreshes the fields that may change at any time. */
     mutable std::vector<WorkerSnapshot> m_snapshots;
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -143,6 +143,16 @@
     return !isUrgent && isStarved(step) ? HOPELESS : priority * BANDS + band;
 }
 
+/** Whether the first step of a priority is at `index`; urgent and starved steps are left out. */
+bool PlanningPass::beginsPriority(std::span<const WaitingStep> steps, std::size_t index) const {
+    const auto isInOrder = [&](const WaitingStep& step) {
+        return step.m_record->m_policy.m_priority != 0 && !isStarved(step);
+    };
+    return isInOrder(steps[index]) && (index == 0 || !isInOrder(steps[index - 1]) ||
+                                       steps[index - 1].m_record->m_policy.m_priority !=
+                                               steps[index].m_record->m_policy.m_priority);
+}
+
 /** Advances the objective in proportion to the unit's size, by up to the fragmentation weight. */
 Millis PlanningPass::getWeightedObjective(const WaitingStep& step) const {
     constexpr double WHOLE_WEIGHT = 100.0;
@@ -155,9 +165,9 @@
 }
 
 /**
- * Includes the estimate only if there are reservations, since only work that ends before a
- * reservation starts may be placed on the reserved workers; and the job only if workers limit the
- * tasks of one job.
+ * Includes the estimate and the forecast only if there are reservations, since only work that ends
+ * before a reservation starts may be placed on the reserved workers; and the job only if workers
+ * limit the tasks of one job.
  */
 PlanningPass::UnitClass PlanningPass::getUnitClass(const WorkUnit& unit) {
     const StepSpec& spec = unit.getSpec();
@@ -174,7 +184,9 @@
             allowsRemote(unit),
             mayUseHeadroom(unit),
             m_reservationCount > 0 ? spec.m_estimate : Millis(0),
-            hasTaskLimit(unit) ? unit.m_waitingStep->m_jobIndex + 1 : 0};
+            hasTaskLimit(unit) ? unit.m_waitingStep->m_jobIndex + 1 : 0,
+            m_early.isEmpty() ? 0 : m_early.countEndingBefore(getHighRunTime(*unit.m_waitingStep)),
+            !m_early.isEmpty() && mayUseIdleReserved(unit)};
 }
 
 const EligibleWorkers* PlanningPass::findEligible(const std::string& service,
