--- a/libs/control/src/HostTrials.cpp
+++ b/libs/control/src/HostTrials.cpp
@@ -55,7 +55,7 @@
  */
 bool HostTrials::recordFailure(const RunEvidence& evidence, const TrialScale& scale, Millis now) {
     const bool isWide = !evidence.m_wideStep.empty();
-    const auto share = isWide ? m_steps.getShareElsewhere(evidence) : std::nullopt;
+    const auto share = m_steps.getShareElsewhere(evidence);
     if (!isWide && m_hosts.count(evidence.m_host) == 0) {
         return false;
     }
