--- a/libs/job/src/ReservationPolicy.cpp
+++ b/libs/job/src/ReservationPolicy.cpp
@@ -16,7 +16,10 @@
     /** Index of the host. */
     std::size_t m_host = 0;
 
-    auto operator<=>(const MemberPlace&) const = default;
+    bool operator<(const MemberPlace& other) const {
+        return std::tie(m_in, m_usedAccelerators, m_host) <
+               std::tie(other.m_in, other.m_usedAccelerators, other.m_host);
+    }
 };
 
 void addPlaces(const Resources& need, std::uint32_t members, std::span<const ReservableHost> hosts,
