A refused start makes the sidecar poll at once, also while a lost poll is awaited

Seed 73477 of RestartSeedsTest: the waiting poll was lost, the worker restarted, and the start of another job was refused 3 ms later. The sidecar went on waiting for the lost poll, and the next incarnation was up for about 110 ms without a call and carried out a start of the former one, 282 ms after the restart. The refused start makes it poll at once now, and a failed poll ends the wait for a poll that was sent before it.

--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -276,6 +276,10 @@
 
 void WorkerAgent::recordRefused(const TaskKey& task, std::uint32_t run) {
     m_incarnationRuns.recordAbsent({task, run});
+    // Possibly no process is listening any more. The poll in progress does not tell if it was lost.
+    if (m_isAnswering) {
+        poll(Millis(0));
+    }
 }
 
 void WorkerAgent::reportAbsent(const TaskKey& task, std::uint32_t run, std::string_view reason) {
--- a/libs/control/src/WorkerAgentPolls.cpp
+++ b/libs/control/src/WorkerAgentPolls.cpp
@@ -86,7 +86,7 @@
                       if (term.expired()) {
                           return;
                       }
-                      if (isWaiting) {
+                      if (isWaiting && number >= m_firstPollSinceFailure) {
                           m_isLongPolling = false;
                       }
                       handleHoldReply(reply, number);
@@ -155,6 +155,9 @@
         m_fence.raise();
     }
     m_firstPollSinceFailure = m_pollNumber + 1;
+    // A long poll that is still in progress may have been lost with its process. The next poll must
+    // not wait for its answer.
+    m_isLongPolling = false;
     m_incarnationRuns.recordNoAnswer(m_loop.now());
     recordConnectionRefused(reply.m_isConnectionRefused);
     logNoAnswer(reply, wasAnswering);
--- a/test/failures/DelayedStartsTest.cpp
+++ b/test/failures/DelayedStartsTest.cpp
@@ -19,6 +19,7 @@
 
 constexpr const char* SMALL = R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":1,"est_ms":400})";
 constexpr const char* ID = "00000000000000a1";
+constexpr const char* OTHER_ID = "00000000000000b2";
 
 /** A worker that carries out a start with a delay, after the run has already ended. */
 class DelayedStart : public JobFleetTest {
@@ -52,6 +53,25 @@
     Millis m_arrivesAt{0};
 };
 
+/**
+ * A waiting poll is lost, the worker restarts, and the start of another job is refused. The lost
+ * poll does not tell that the process has ended, but the refused start does: the sidecar that went
+ * on waiting for the poll called the next incarnation too late (seed 73477 of RestartSeedsTest).
+ */
+class DelayedStartAfterALostPoll : public DelayedStart, public ::testing::WithParamInterface<int> {
+protected:
+    void loseAPoll() {
+        constexpr Millis BEFORE_RESTART{110};
+        advanceToArrival(Millis(GetParam()) + BEFORE_RESTART);
+        getWorker().m_holdsToDelay = 1;
+        ASSERT_TRUE(waitUntil(BEFORE_RESTART, [this] { return getWorker().m_holdsToDelay == 0; }));
+        advanceToArrival(Millis(GetParam()));
+    }
+
+    /** Not a multiple of the delay at which the sidecar repeats a stop that failed. */
+    static constexpr Millis AWAY{170};
+};
+
 class DelayedStartAfterARestart : public DelayedStart, public ::testing::WithParamInterface<int> {};
 
 }  // namespace
@@ -70,6 +90,17 @@
     expectOneStart();
 }
 
+TEST_P(DelayedStartAfterALostPoll, RunsNothingIfAnotherStartWasRefusedBefore) {
+    loseAPoll();
+    getWorker().m_restartDelay = AWAY;
+    getWorker().crash();
+    m_fleet.submit(OTHER_ID, SMALL, "200");
+    expectOneStart();
+}
+
+INSTANTIATE_TEST_SUITE_P(Milliseconds, DelayedStartAfterALostPoll,
+                         ::testing::Values(200, 240, 280));
+
 INSTANTIATE_TEST_SUITE_P(Milliseconds, DelayedStartAfterARestart,
                          ::testing::Values(15, 20, 30, 40, 60, 90, 120, 150));
 
--- a/test/failures/RestartSeedsTest.cpp
+++ b/test/failures/RestartSeedsTest.cpp
@@ -137,11 +137,11 @@
 
 /**
  * Seeds with which a task ran twice: the third attempt to carry out its order started the task
- * again, or the task was started elsewhere although a delayed start of the task was known to be
- * pending.
+ * again, the task was started elsewhere although a delayed start of the task was known to be
+ * pending, or the sidecar waited for a lost poll after another call had been refused.
  */
 INSTANTIATE_TEST_SUITE_P(Found, RestartsWithOtherFaults,
-                         ::testing::Values<std::uint64_t>(950, 1183, 1239));
+                         ::testing::Values<std::uint64_t>(950, 1183, 1239, 73477));
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RestartsWithOtherFaults, ::testing::ValuesIn(listSeeds(1, 25)));
 
