--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -175,6 +175,9 @@
         return;
     }
     m_expectedReleases.resize(m_workerStates.size());
+    for (WorkerSlot slot = 0; slot < m_workerStates.size(); ++slot) {
+        m_expectedReleases[slot].reserve(m_occupantsOn[slot].size());
+    }
     std::vector<std::optional<RunTimeEstimate>> runTimes(m_groups.size());
     for (const Occupant& occupant : m_occupants) {
         if (occupant.m_isPreempted || occupant.m_isAwaited || occupant.m_spec->m_isLongRunning) {
@@ -197,8 +200,8 @@
     }
     for (WorkerSlot slot = 0; slot < m_workerStates.size(); ++slot) {
         auto& releases = m_expectedReleases[slot];
-        std::stable_sort(releases.begin(), releases.end(),
-                         [](const auto& a, const auto& b) { return a.m_in < b.m_in; });
+        std::sort(releases.begin(), releases.end(),
+                  [](const auto& a, const auto& b) { return a.m_in < b.m_in; });
         Resources overcommitted = m_workerStates[slot].m_overcommitted;
         for (ExpectedRelease& release : releases) {
             const Resources demand = std::exchange(release.m_capacity, {});
--- a/libs/job/src/ReservationPolicy.cpp
+++ b/libs/job/src/ReservationPolicy.cpp
@@ -22,8 +22,9 @@
     }
 };
 
+/** Adds the places on a host that it has room for until `latest`. */
 void addPlaces(const Resources& need, std::uint32_t members, std::span<const ReservableHost> hosts,
-               std::size_t index, std::vector<MemberPlace>& places) {
+               std::size_t index, Millis latest, std::vector<MemberPlace>& places) {
     const ReservableHost& host = hosts[index];
     const std::uint32_t limit = std::min(members, host.m_maxMembers);
     Resources free = host.m_free;
@@ -36,7 +37,7 @@
     };
     addUpTo(Millis(0));
     for (const ExpectedRelease& release : host.m_releases) {
-        if (count == limit) {
+        if (count == limit || release.m_in > latest) {
             return;
         }
         free += release.m_capacity;
@@ -111,30 +112,34 @@
 
 std::optional<ReservedHosts> ReservationPolicy::findEarliest(
         const Resources& need, std::uint32_t members, std::span<const ReservableHost> hosts) {
-    std::map<std::int32_t, std::vector<MemberPlace>> placesByDomain;
+    std::map<std::int32_t, std::vector<std::size_t>> hostsByDomain;
     for (std::size_t index = 0; index < hosts.size(); ++index) {
-        addPlaces(need, members, hosts, index, placesByDomain[hosts[index].m_domain]);
+        hostsByDomain[hosts[index].m_domain].push_back(index);
     }
-    std::optional<std::span<const MemberPlace>> best;
+    std::vector<MemberPlace> best;
     std::tuple<Millis, std::uint64_t> bestRank{Millis::max(), 0};
-    for (auto& [domain, places] : placesByDomain) {
+    std::vector<MemberPlace> places;
+    for (const auto& [domain, indexes] : hostsByDomain) {
+        places.clear();
+        for (const std::size_t index : indexes) {
+            addPlaces(need, members, hosts, index, std::get<Millis>(bestRank), places);
+        }
         if (places.size() < members) {
             continue;
         }
-        const auto last = places.begin() + (members - 1);
-        std::nth_element(places.begin(), last, places.end());
-        const std::span<const MemberPlace> chosen(places.data(), members);
+        std::nth_element(places.begin(), places.begin() + (members - 1), places.end());
+        places.resize(members);
         std::uint64_t used = 0;
-        for (const MemberPlace& place : chosen) {
+        for (const MemberPlace& place : places) {
             used += place.m_usedAccelerators;
         }
-        const std::tuple<Millis, std::uint64_t> rank{last->m_in, used};
+        const std::tuple<Millis, std::uint64_t> rank{places.back().m_in, used};
         if (rank < bestRank) {
-            best = chosen;
+            best.swap(places);
             bestRank = rank;
         }
     }
-    return best.has_value() ? std::optional(makeReservedHosts(*best, hosts)) : std::nullopt;
+    return best.empty() ? std::nullopt : std::optional(makeReservedHosts(best, hosts));
 }
 
 double ReservationPolicy::getPackingPenalty(const PackingChoice& choice) const {
