--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -99,9 +99,14 @@
     ContentionState state;
     state.m_fitsNow = hosts->m_startsIn == Millis(0);
     state.m_waited = m_wallNow - unit.m_waitingStep->m_dueAt;
+    const auto mayUse = [&](const WaitingStep& step) {
+        return std::any_of(hosts->m_hosts.begin(), hosts->m_hosts.end(), [&](const auto& share) {
+            return step.m_eligible->m_isEligible[share.m_slot];
+        });
+    };
     state.m_hasSmallWaiting = std::any_of(rest.begin(), rest.end(), [&](const WaitingStep& step) {
-        return step.m_record->m_policy.m_service == unit.getRecord().m_policy.m_service &&
-               step.m_spec->m_need.m_accelerators > 0 && !isLarge(*step.m_spec, countMembers(step));
+        return step.m_spec->m_need.m_accelerators > 0 &&
+               !isLarge(*step.m_spec, countMembers(step)) && mayUse(step);
     });
     state.m_hasSmallRunning = hasSmallRuns(unit, *hosts);
     if (ReservationPolicy::isKeptOut(state)) {
--- a/libs/job/test/EarlyReservationTest.cpp
+++ b/libs/job/test/EarlyReservationTest.cpp
@@ -135,6 +135,20 @@
     EXPECT_EQ(countStarted(0, Millis(9000)), FREE);
 }
 
+TEST_F(GangOfARack, GetsNoReservationAgainstWorkThatCannotUseItsHosts) {
+    const TestJob gang = m_jobs.back();
+    m_jobs.clear();
+    for (const std::size_t host : {0U, 1U, 2U, 3U}) {
+        TestJob& other = submitGang(1, 2, 6);
+        applyPlacement(other.m_run, {other.m_record.m_id, 0, 0, 0}, 1, m_workers[host].m_id, m_now);
+    }
+    m_jobs.push_back(gang);
+    submit(2, 4, 1, Millis(5000)).m_record.m_spec.m_steps[0].m_requiredLabel = "elsewhere";
+    EXPECT_TRUE(plan().m_reservations.empty());
+    submit(2, 4, 1, Millis(5000));
+    EXPECT_EQ(plan().m_reservations.size(), 1U);
+}
+
 TEST_F(GangOfARack, GetsNoReservationIfItIsUrgent) {
     m_jobs.back().m_record.m_policy.m_priority = 0;
     EXPECT_TRUE(plan().m_reservations.empty());
