--- a/libs/control/test/RunTimesTest.cpp
+++ b/libs/control/test/RunTimesTest.cpp
@@ -5,6 +5,8 @@
 
 #include <limits>
 
+#include "pierbank/control/LearnedState.h"
+
 namespace pierbank {
 namespace {
 
@@ -95,6 +97,15 @@
     EXPECT_EQ(m_runTimes.exportRecords().front().m_image, "new");
 }
 
+// A former leader that leads again would act on what it learned in an earlier term.
+TEST_F(LeaderTest, KeepsNoRunTimesBeyondItsTerm) {
+    LearnedState learned{LearnedStateSettings()};
+    learned.runTimes().recordSample({"q", "i", 10.0, 1.0, DECLARED}, m_now);
+    ASSERT_EQ(learned.runTimes().exportRecords().size(), 1U);
+    learned.clear();
+    EXPECT_TRUE(learned.runTimes().exportRecords().empty());
+}
+
 // The leader changes several times a day; without its records the next one would begin with the
 // declared times again.
 class SuccessorTest : public AfterTasksThatRunHalfAsLongAgainTest {
--- a/test/failures/LearnedRunTimesTest.cpp
+++ b/test/failures/LearnedRunTimesTest.cpp
@@ -42,7 +42,7 @@
     EXPECT_LT(getExpected(getLeader()), DECLARED * 5 / 2);
 }
 
-/** A leader that is frozen keeps its memory; what it learned before must not outlive its term. */
+/** The former leader is killed: what it learned is gone with it, and is no promise to anybody. */
 TEST_F(FleetWithWrongDeclaredTimes, ANewLeaderBeginsWithTheDeclaredTimesAndLearnsAgain) {
     runTasks(ID);
     const std::size_t former = getLeader();
