--- a/libs/job/src/PlanningPassVictims.cpp
+++ b/libs/job/src/PlanningPassVictims.cpp
@@ -36,9 +36,10 @@
     Resources overcommitted = m_workerStates[slot].m_overcommitted;
     std::vector<std::size_t> storage;
     const std::span<const std::size_t> candidates = orderVictims(unit, slot, storage);
-    for (const std::size_t candidate : candidates) {
-        const Occupant& occupant = m_occupants[candidate];
-        if (unit.m_usesForecast && isFreedByGang(occupant, preemption)) {
+    const bool hasFreed = unit.m_usesForecast && !preemption.m_gangGroups.empty();
+    for (std::size_t i = 0; hasFreed && i < candidates.size(); ++i) {
+        const Occupant& occupant = m_occupants[candidates[i]];
+        if (isFreedByGang(occupant, preemption)) {
             releaseCapacity(capacity, overcommitted, occupant.m_spec->getCapacityDemand());
         }
     }
@@ -47,8 +48,7 @@
         if (need.fitsInto(capacity)) {
             break;
         }
-        const bool isFreed =
-                unit.m_usesForecast && isFreedByGang(m_occupants[candidate], preemption);
+        const bool isFreed = hasFreed && isFreedByGang(m_occupants[candidate], preemption);
         if (!isFreed && mayPreempt(unit, m_occupants[candidate])) {
             releaseCapacity(capacity, overcommitted,
                             m_occupants[candidate].m_spec->getCapacityDemand());
