--- a/libs/control/include/pierbank/control/HostTrials.h
+++ b/libs/control/include/pierbank/control/HostTrials.h
@@ -31,7 +31,7 @@
     double m_suspectEvidence = 4.2;
     /** Evidence from which a host is paused: the odds for a bad host are then 50 to 1. */
     double m_pauseEvidence = 6.9;
-    /** Maximum evidence, so that a host that failed many runs at one moment can be cleared. */
+    /** Maximum evidence that good ends have to outweigh, however many runs failed at a moment. */
     double m_maxEvidence = 10.0;
     /**
      * First pause, and the longest one; each failed probe doubles the pause. A probe costs one
--- a/libs/control/src/HostTrials.cpp
+++ b/libs/control/src/HostTrials.cpp
@@ -19,7 +19,7 @@
 }
 
 void HostTrials::setEvidence(Host& host, double evidence, Millis now) const {
-    host.m_evidence = std::clamp(evidence, 0.0, m_settings.m_maxEvidence);
+    host.m_evidence = std::max(evidence, 0.0);
     host.m_updatedAt = now;
 }
 
@@ -136,8 +136,10 @@
         return;
     }
     host.m_isLimited = false;
-    setEvidence(host, getEvidence(host, scale, now) + std::log(1.0 - m_settings.m_badHostShare),
-                now);
+    // The limit applies here and not to failures, so that acquitHosts() leaves what other steps
+    // added.
+    const double before = std::min(getEvidence(host, scale, now), m_settings.m_maxEvidence);
+    setEvidence(host, before + std::log(1.0 - m_settings.m_badHostShare), now);
     if (host.m_evidence <= 0.0) {
         host.m_pauseCount = 0;
         host.m_longestFailed = Millis(0);
@@ -251,7 +253,7 @@
         return;
     }
     Host& host = m_hosts[name];
-    setEvidence(host, record.m_evidence, now);
+    setEvidence(host, std::min(record.m_evidence, m_settings.m_maxEvidence), now);
     host.m_failedAt = now;
     host.m_isLimited = true;
     host.m_needsProbe = record.m_needsProbe;
--- a/libs/control/test/HostTrialsTest.cpp
+++ b/libs/control/test/HostTrialsTest.cpp
@@ -259,6 +259,37 @@
     }
 }
 
+/** A faulty step fails on one host first, where it looks like the host's fault. */
+class HostPausedForAFaultyStepTest : public HostTrialsTest {
+protected:
+    HostPausedForAFaultyStepTest() {
+        RunEvidence evidence{"h0", "job", RunEnd::FAILED, QUICK, "life", FAULTY};
+        evidence.m_outlastingHosts = {"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"};
+        for (int i = 0; i < 2; ++i) {
+            m_trials.recordRunEnd(evidence, m_scale, m_now);
+        }
+    }
+    static constexpr const char* FAULTY = "faulty/0/0/0";
+};
+
+TEST_F(HostPausedForAFaultyStepTest, IsClearedWhenTheStepHasFailedOnMostHosts) {
+    EXPECT_TRUE(isPaused());
+    for (std::size_t i = 1; i <= StepComparison::MIN_HOSTS + 1; ++i) {
+        fail(makeHost(i), SLOW, FAULTY);
+    }
+    EXPECT_FALSE(isPaused());
+    EXPECT_FALSE(isSuspect());
+}
+
+TEST_F(HostPausedForAFaultyStepTest, StaysPausedForFailuresOfOtherSteps) {
+    fail("h0");
+    fail("h0");
+    for (std::size_t i = 1; i <= StepComparison::MIN_HOSTS + 1; ++i) {
+        fail(makeHost(i), SLOW, FAULTY);
+    }
+    EXPECT_TRUE(isPaused());
+}
+
 class WorkerThatHasComeBackTest : public HostTrialsTest {};
 
 TEST_F(WorkerThatHasComeBackTest, IsLimitedUntilARunEndsWell) {
