--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -99,9 +99,14 @@
     ContentionState state;
     state.m_fitsNow = hosts->m_startsIn == Millis(0);
     state.m_waited = m_wallNow - unit.m_waitingStep->m_dueAt;
+    const auto mayUse = [&](const WaitingStep& step) {
+        return std::any_of(hosts->m_hosts.begin(), hosts->m_hosts.end(), [&](const auto& share) {
+            return step.m_eligible->m_isEligible[share.m_slot];
+        });
+    };
     state.m_hasSmallWaiting = std::any_of(rest.begin(), rest.end(), [&](const WaitingStep& step) {
-        return step.m_record->m_policy.m_service == unit.getRecord().m_policy.m_service &&
-               step.m_spec->m_need.m_accelerators > 0 && !isLarge(*step.m_spec, countMembers(step));
+        return step.m_spec->m_need.m_accelerators > 0 &&
+               !isLarge(*step.m_spec, countMembers(step)) && mayUse(step);
     });
     state.m_hasSmallRunning = hasSmallRuns(unit, *hosts);
     if (ReservationPolicy::isKeptOut(state)) {
@@ -175,6 +180,9 @@
         return;
     }
     m_expectedReleases.resize(m_workerStates.size());
+    for (WorkerSlot slot = 0; slot < m_workerStates.size(); ++slot) {
+        m_expectedReleases[slot].reserve(m_occupantsOn[slot].size());
+    }
     std::vector<std::optional<RunTimeEstimate>> runTimes(m_groups.size());
     for (const Occupant& occupant : m_occupants) {
         if (occupant.m_isPreempted || occupant.m_isAwaited || occupant.m_spec->m_isLongRunning) {
@@ -197,8 +205,8 @@
     }
     for (WorkerSlot slot = 0; slot < m_workerStates.size(); ++slot) {
         auto& releases = m_expectedReleases[slot];
-        std::stable_sort(releases.begin(), releases.end(),
-                         [](const auto& a, const auto& b) { return a.m_in < b.m_in; });
+        std::sort(releases.begin(), releases.end(),
+                  [](const auto& a, const auto& b) { return a.m_in < b.m_in; });
         Resources overcommitted = m_workerStates[slot].m_overcommitted;
         for (ExpectedRelease& release : releases) {
             const Resources demand = std::exchange(release.m_capacity, {});
