--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -12,153 +12,29 @@
 #include <vector>
 
 #include "pierbank/base/EventLoop.h"
-#include "pierbank/base/Metrics.h"
 #include "pierbank/control/CapacityRefusals.h"
 #include "pierbank/control/CommitResolver.h"
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EvacuationFeed.h"
+#include "pierbank/control/JobControllerSettings.h"
+#include "pierbank/control/JobStatistics.h"
 #include "pierbank/control/JobTable.h"
 #include "pierbank/control/LearnedHandover.h"
 #include "pierbank/control/LearnedState.h"
+#include "pierbank/control/LossCause.h"
 #include "pierbank/control/PersistedEnds.h"
 #include "pierbank/control/PlanThrottle.h"
 #include "pierbank/control/ProgressTracker.h"
 #include "pierbank/control/ReservationLog.h"
 #include "pierbank/control/TicketCache.h"
 #include "pierbank/control/WaveController.h"
-#include "pierbank/control/WorkAccount.h"
+#include "pierbank/control/WorkerAdminState.h"
 #include "pierbank/control/WorkerPool.h"
 #include "pierbank/job/TaskPlanner.h"
 #include "pierbank/store/RecordStore.h"
 
 namespace pierbank {
 
-/** Settings of a JobController and of the parts that it owns. */
-struct JobControllerSettings {
-    TaskPlannerSettings m_planner;
-    LearnedStateSettings m_learned;
-    EvacuationFeedSettings m_evacuations;
-    /**
-     * Time from the receipt of an evacuation until the runs in its failure domain that have not
-     * started are revoked. Orders that are already in flight normally start within milliseconds. A
-     * further fifth of EvacuationFeedSettings::m_maxEnforcementDelay remains for delivering the
-     * revocations.
-     */
-    Millis m_startTimeout{1000};
-    /**
-     * Whether capacity is reserved for urgent work according to its observed arrivals. The gain is
-     * small in simulations.
-     */
-    bool m_reservesHeadroom = true;
-    /**
-     * Whether hosts get a failure score from the ends of their runs and are avoided accordingly.
-     * Without scores, a single worker on which every run fails makes jobs exhaust their attempts.
-     */
-    bool m_scoresHosts = true;
-    /** Whether stalled hosts get no new work and their runs may be restarted on other hosts. */
-    bool m_detectsStalls = true;
-    /** Whether the sidecars keep what the leader has learned, for its successor. */
-    bool m_keepsLearned = true;
-    /** Whether urgent work prefers hosts that were observed to be fast, which other work avoids. */
-    bool m_learnsSpeeds = true;
-    /**
-     * Factor by which a cold worker's slowness is multiplied, so that urgent work prefers warmed-up
-     * workers and other work warms up the cold ones. The value is an assumption: no setting states
-     * how much slower a cold worker is.
-     */
-    double m_coldSlowdown = 1.5;
-    /** Delay of a scheduling step; events within this time are handled in one step and commit. */
-    Millis m_commitDelay{3};
-    /**
-     * Interval between plans while nothing else changes: `m_planInterval` while units wait for
-     * workers, otherwise `m_idlePlanInterval`. The passage of time alone changes a plan only
-     * through waiting units, and through runs that are slow, stalled or on a leaving worker.
-     */
-    Millis m_planInterval{100};
-    Millis m_idlePlanInterval{500};
-    /** Planning time above which a plan is logged, together with the sizes of its input. */
-    Millis m_slowPlanThreshold{20};
-    /**
-     * Duration of one long-polling watch call. A watch whose connection was cut may report no
-     * error until this time has passed, so the value bounds how long the leader can miss changes.
-     * That bound, not the cost of the calls, determines the value.
-     */
-    Millis m_watchWait{800};
-    /**
-     * On a stalled host, a run is stopped at once, to restart on another host, if it is urgent,
-     * saves its progress or has worked for less than `m_maxCheapLoss`. Any other run is stopped
-     * after `m_stallTimeout`, since a stalled run may resume.
-     */
-    Millis m_maxCheapLoss{2500};
-    Millis m_stallTimeout{8000};
-    /** Time after which an order that the host's reports do not list counts as lost. */
-    Millis m_orderReportTimeout{2000};
-    /**
-     * Maximum time after loading for which a new leader waits for its initial links to workers
-     * before it preempts work.
-     */
-    Millis m_initialLinkTimeout{1000};
-    /**
-     * Maximum age of the last confirmation of the leadership at which the leader answers queries
-     * about pending jobs; less than the leader's lease.
-     */
-    Millis m_maxConfirmationAge{900};
-    /** Retention of the state of a finished job; longer than the platform's contract requires. */
-    Millis m_finishedJobRetention{180'000};
-};
-
-/** An operator's decision about a worker. */
-enum class WorkerAdminState {
-    /** Normal operation. */
-    RELEASE,
-    /** The worker gets no new work; its runs continue. */
-    QUARANTINE,
-    /** The worker gets no new work, and runs that can migrate move to other workers. */
-    DRAIN,
-};
-
-/** Returns the text of a state in statements and in the store. */
-std::string_view toText(WorkerAdminState state);
-
-/** How the leader found out that the runs of a worker no longer run. */
-enum class LossCause {
-    /** The worker's lease lapsed. */
-    LEASE_LAPSED,
-    /** The host reports another incarnation of the worker. */
-    OTHER_INCARNATION,
-    /** The worker reported that it has exited. */
-    WORKER_LEFT,
-};
-
-/** Returns the description of a cause for the log. */
-std::string_view toText(LossCause cause);
-
-/** Counters and latencies of the work that a JobController did as the leader. */
-struct JobStatistics {
-    /** Placed runs, without speculative copies. */
-    std::uint64_t m_placed = 0;
-    /** Speculative copies. */
-    std::uint64_t m_copied = 0;
-    /** Runs stopped by a plan, by a stall or by a revocation. */
-    std::uint64_t m_stopped = 0;
-    /** Runs lost with their workers. */
-    std::uint64_t m_lost = 0;
-    /** Runs revoked because their failure domain is under evacuation. */
-    std::uint64_t m_revoked = 0;
-    /** Transactions with decisions that were sent to the store. */
-    std::uint64_t m_commits = 0;
-    /** Plans that were made and applied. */
-    std::uint64_t m_plans = 0;
-    /** Work of the runs that ended: kept, and thrown away by cause. */
-    WorkAccount m_work;
-    /** Duration of planning. */
-    LatencySummary m_planTime;
-    /** TaskPlan::m_fragmentation of the last plan. */
-    double m_fragmentation = 0;
-    /** Time from acceptance to the first placement, of jobs that are not timed. */
-    LatencySummary m_timeToFirstPlacement;
-};
-
 /**
  * Schedules all jobs while this gateway leads: decides which task runs on which worker and sends
  * the orders to the sidecars. Owned by JobCore; all calls and callbacks happen on the event loop.
@@ -362,19 +238,20 @@
     void resendLostOrders();
     void resendOrderOrStop(JobEntry& entry, const ActiveRun& run, const RunReport& report);
     static bool isInReport(const ActiveRun& run, const RunReport& report);
-    void recordProgress(const std::string& host, const RunReport& report);
-    void recordRunTime(const std::string& incarnation, const ProgressRate& rate);
-    static bool hasFailedOnSeveralHosts(const JobEntry& entry, const TaskKey& task);
-    bool isWholeGangRunning(const JobEntry& entry, const TaskKey& member, std::uint32_t run) const;
     std::optional<ActiveRun> findOrRebindRun(JobEntry& entry, const TaskKey& key, std::uint32_t run,
                                              const WorkerId& worker);
     std::string_view getReportedIncarnation(const std::string& host) const;
     void stopOrphanedRuns(const WorkerId& worker, const RunReport& report);
     void applyRunEnd(const WorkerId& worker, const EndedEntry& end);
-    // Rates hosts (JobControllerHealth.cpp).
-    void recordActiveRuns(const WorkerId& worker, const RunReport& report);
     void applyEffect(JobEntry& entry, const EndEffect& effect);
 
+    // Learns from what the sidecars report of the runs (JobControllerHealth.cpp).
+    void recordProgress(const std::string& host, const RunReport& report);
+    void recordRunTime(const std::string& incarnation, const ProgressRate& rate);
+    static bool hasFailedOnSeveralHosts(const JobEntry& entry, const TaskKey& task);
+    bool isWholeGangRunning(const JobEntry& entry, const TaskKey& member, std::uint32_t run) const;
+    void recordActiveRuns(const WorkerId& worker, const RunReport& report);
+
     // Handles runs that are lost with their workers (JobControllerLosses.cpp).
     void releaseLostRuns(const std::string& host, const std::string& exceptIncarnation,
                          LossCause cause);
--- /dev/null
+++ b/libs/control/include/pierbank/control/JobStatistics.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef PIERBANK_CONTROL_JOBSTATISTICS_H
+#define PIERBANK_CONTROL_JOBSTATISTICS_H
+
+#include <cstdint>
+
+#include "pierbank/base/Metrics.h"
+#include "pierbank/control/WorkAccount.h"
+
+namespace pierbank {
+
+/** Counters and latencies of the work that a JobController did as the leader. */
+struct JobStatistics {
+    /** Placed runs, without speculative copies. */
+    std::uint64_t m_placed = 0;
+    /** Speculative copies. */
+    std::uint64_t m_copied = 0;
+    /** Runs stopped by a plan, by a stall or by a revocation. */
+    std::uint64_t m_stopped = 0;
+    /** Runs lost with their workers. */
+    std::uint64_t m_lost = 0;
+    /** Runs revoked because their failure domain is under evacuation. */
+    std::uint64_t m_revoked = 0;
+    /** Transactions with decisions that were sent to the store. */
+    std::uint64_t m_commits = 0;
+    /** Plans that were made and applied. */
+    std::uint64_t m_plans = 0;
+    /** Work of the runs that ended: kept, and thrown away by cause. */
+    WorkAccount m_work;
+    /** Duration of planning. */
+    LatencySummary m_planTime;
+    /** TaskPlan::m_fragmentation of the last plan. */
+    double m_fragmentation = 0;
+    /** Time from acceptance to the first placement, of jobs that are not timed. */
+    LatencySummary m_timeToFirstPlacement;
+};
+
+}  // namespace pierbank
+
+#endif  // PIERBANK_CONTROL_JOBSTATISTICS_H
