Own evidence is compared with a kept record as of now

A new leader that had found a stalled host dated its own failure score back by the age of the record that the host's sidecar gave back: with a record of a minute, a score of 1 counted for 0.06, and the stalled host was taken for well. The record's score was compared as it was when the record was sent, too. WorkerHealth compares both at the present time now and keeps the stronger one.

Tests: LearnedStateTest.KeepsItsOwnEvidenceIfThatOfAnOldRecordHasDecayed and KeepsItsOwnScoreBesideTheEvidenceOfARecord. WorkerHealthTest calls restore() with the present time as well; its checks are as strict as before.

--- a/libs/control/include/pierbank/control/HostTrials.h
+++ b/libs/control/include/pierbank/control/HostTrials.h
@@ -97,7 +97,12 @@
     /** Fills the fields of a record that belong to this class. */
     void fillRecord(const std::string& host, const TrialScale& scale, HealthRecord& record,
                     Millis now) const;
-    void restore(const std::string& host, const HealthRecord& record, Millis now);
+    /**
+     * Takes over the evidence of a record, unless something was observed of the host already.
+     * @param at time of the record.
+     * @return whether anything was taken over.
+     */
+    bool restore(const std::string& host, const HealthRecord& record, Millis at);
     void clear();
 
 private:
--- a/libs/control/include/pierbank/control/LearnedState.h
+++ b/libs/control/include/pierbank/control/LearnedState.h
@@ -105,7 +105,6 @@
     void clear();
 
 private:
-    bool restoreHealth(const std::string& host, const HealthRecord& record, Millis at, Millis now);
     bool restoreCommon(const ReturnedRecord& returned, const Moment& moment);
     WorkerHealth m_health;
     HostSpeeds m_speeds;
--- a/libs/control/include/pierbank/control/WorkerHealth.h
+++ b/libs/control/include/pierbank/control/WorkerHealth.h
@@ -102,11 +102,12 @@
     /** Returns the evidence against a host, for the next leader. */
     HealthRecord getRecord(const std::string& host, Millis now) const;
     /**
-     * Takes over the evidence that a previous leader had. A stall that this leader found in the
-     * records of runs stays.
+     * Takes over the evidence that a previous leader had. If this leader has evidence of its own,
+     * such as a stall that it found in the records of runs, the stronger of the two counts.
      * @param at time of the record, which may lie before the start of this process.
+     * @return whether the record told anything beyond the own evidence.
      */
-    void restore(const std::string& host, const HealthRecord& record, Millis at);
+    bool restore(const std::string& host, const HealthRecord& record, Millis at, Millis now);
     void clear();
 
 private:
@@ -136,6 +137,7 @@
     TrialScale getTrialScale() const;
     /** Returns the failure score, decayed to `now`. */
     double getFailureScore(const Host& host, Millis now) const;
+    bool restoreScore(const std::string& host, const HealthRecord& record, Millis at, Millis now);
     void recordSuccess(Host& host, Millis startedAt, Millis now);
     void recordFailure(const RunEvidence& evidence, Millis now);
     /** Returns whether the job also failed on another host that is not suspect because of other
--- a/libs/control/src/HostTrials.cpp
+++ b/libs/control/src/HostTrials.cpp
@@ -248,17 +248,19 @@
     record.m_pauseCount = found->second.m_pauseCount;
 }
 
-void HostTrials::restore(const std::string& name, const HealthRecord& record, Millis now) {
-    if (record.m_evidence <= 0.0 && !record.m_needsProbe) {
-        return;
+bool HostTrials::restore(const std::string& name, const HealthRecord& record, Millis at) {
+    const bool hasEvidence = record.m_evidence > 0.0 || record.m_needsProbe;
+    if (!hasEvidence || m_hosts.count(name) != 0) {
+        return false;
     }
     Host& host = m_hosts[name];
-    setEvidence(host, std::min(record.m_evidence, m_settings.m_maxEvidence), now);
-    host.m_failedAt = now;
+    setEvidence(host, std::min(record.m_evidence, m_settings.m_maxEvidence), at);
+    host.m_failedAt = at;
     host.m_isLimited = true;
     host.m_needsProbe = record.m_needsProbe;
-    host.m_pausedUntil = now + std::min(record.m_pauseFor, m_settings.m_maxPause);
+    host.m_pausedUntil = at + std::min(record.m_pauseFor, m_settings.m_maxPause);
     host.m_pauseCount = record.m_pauseCount;
+    return true;
 }
 
 /** Runs at most once in a half-life, since it looks at all hosts. */
--- a/libs/control/src/LearnedState.cpp
+++ b/libs/control/src/LearnedState.cpp
@@ -34,13 +34,6 @@
            record.m_arrivals.size() <= 1 && returned.m_age >= Millis(0);
 }
 
-/** Returns whether a record of this age tells anything against a host beyond the own evidence. */
-bool isWorse(const HealthRecord& record, const HealthRecord& own, Millis age) {
-    return record.m_failureScore > own.m_failureScore || record.m_evidence > own.m_evidence ||
-           record.m_avoidFor - age > own.m_avoidFor || record.m_pauseFor - age > own.m_pauseFor ||
-           (record.m_needsProbe && !own.m_needsProbe);
-}
-
 }  // namespace
 
 bool isRefusal(RestoreResult result) {
@@ -106,31 +99,12 @@
     const Millis at = moment.m_now - returned.m_age;
     const bool hasSpeed = !record.m_incarnation.empty() &&
                           m_speeds.restore(record.m_incarnation, record.m_speed, at, moment.m_now);
-    const bool hasHealth = restoreHealth(host, record.m_health, at, moment.m_now);
+    const bool hasHealth = m_health.restore(host, record.m_health, at, moment.m_now);
     const bool hasCommon = restoreCommon(returned, moment);
     return hasSpeed || hasHealth || hasCommon ? RestoreResult::RESTORED
                                               : RestoreResult::NOTHING_NEW;
 }
 
-/**
- * Restores the evidence against a host. A new leader has some already, of hosts on which runs of
- * unfinished jobs stalled; the stronger of the two counts.
- */
-bool LearnedState::restoreHealth(const std::string& host, const HealthRecord& record, Millis at,
-                                 Millis now) {
-    // An unbounded pause would keep the host from work for good.
-    HealthRecord restored = record;
-    restored.m_avoidFor = std::min(record.m_avoidFor, MAX_RECORD_AGE);
-    restored.m_pauseFor = std::min(record.m_pauseFor, MAX_RECORD_AGE);
-    const HealthRecord own = m_health.getRecord(host, now);
-    if (!isWorse(restored, own, now - at)) {
-        return false;
-    }
-    restored.m_failureScore = std::max(restored.m_failureScore, own.m_failureScore);
-    m_health.restore(host, restored, at);
-    return true;
-}
-
 /**
  * Restores what does not concern the host alone, from the newest record that any host gave back.
  * All hosts have nearly the same of it, so it must count once only.
--- a/libs/control/src/WorkerHealth.cpp
+++ b/libs/control/src/WorkerHealth.cpp
@@ -213,19 +213,38 @@
     return record;
 }
 
-void WorkerHealth::restore(const std::string& name, const HealthRecord& record, Millis at) {
-    if (record.m_failureScore > 0.0 || record.m_avoidFor > Millis(0) || record.m_avoidCount > 0) {
-        const Millis maxTime = scale(m_settings.m_maxAvoidTime, m_settings.m_halfLifeFactor);
-        Host& host = m_hosts[name];
-        host.m_failureScore = record.m_failureScore;
-        host.m_scoreUpdatedAt = at;
-        host.m_failedAt = at;
-        host.m_avoidedUntil = at + std::min(record.m_avoidFor, maxTime);
-        host.m_avoidCount = record.m_avoidCount;
+bool WorkerHealth::restore(const std::string& name, const HealthRecord& record, Millis at,
+                           Millis now) {
+    const bool hasScore = restoreScore(name, record, at, now);
+    const bool hasTrials = m_settings.m_probesHosts && m_trials.restore(name, record, at);
+    return hasScore || hasTrials;
+}
+
+/** Scores are compared as of now, since that of the record has decayed since `at`. */
+bool WorkerHealth::restoreScore(const std::string& name, const HealthRecord& record, Millis at,
+                                Millis now) {
+    if (record.m_failureScore <= 0.0 && record.m_avoidFor <= Millis(0) &&
+        record.m_avoidCount == 0) {
+        return false;
     }
-    if (m_settings.m_probesHosts) {
-        m_trials.restore(name, record, at);
+    Host recorded;
+    recorded.m_failureScore = record.m_failureScore;
+    recorded.m_scoreUpdatedAt = at;
+    recorded.m_failedAt = at;
+    const auto [position, isNew] = m_hosts.try_emplace(name, recorded);
+    Host& host = position->second;
+    const bool isStronger = getFailureScore(recorded, now) > getFailureScore(host, now);
+    if (isStronger) {
+        host.m_failureScore = recorded.m_failureScore;
+        host.m_scoreUpdatedAt = at;
+        host.m_failedAt = std::max(host.m_failedAt, at);
     }
+    const Millis maxTime = scale(m_settings.m_maxAvoidTime, m_settings.m_halfLifeFactor);
+    const Millis avoidedUntil = at + std::min(record.m_avoidFor, maxTime);
+    const bool isAvoidedLonger = avoidedUntil > std::max(host.m_avoidedUntil, now);
+    host.m_avoidedUntil = std::max(host.m_avoidedUntil, avoidedUntil);
+    host.m_avoidCount = std::max(host.m_avoidCount, record.m_avoidCount);
+    return isNew || isStronger || isAvoidedLonger;
 }
 
 }  // namespace pierbank
--- a/libs/control/test/LearnedStateTest.cpp
+++ b/libs/control/test/LearnedStateTest.cpp
@@ -100,6 +100,29 @@
     EXPECT_TRUE(m_learned.health().isSuspect(HOST, m_moment.m_now));
 }
 
+/**
+ * Guards against a host that seems well after a take-over although its runs stall: the own evidence
+ * was dated back by the age of a record that had been stronger when it was sent.
+ */
+TEST_F(LearnedStateTest, KeepsItsOwnEvidenceIfThatOfAnOldRecordHasDecayed) {
+    m_learned.health().recordStalled(HOST, m_moment.m_now);
+    m_returned.m_record.m_health = {1.2, Millis(0), 0};
+    m_returned.m_age = Millis(60'000);
+    restore();
+    EXPECT_TRUE(m_learned.health().isSuspect(HOST, m_moment.m_now));
+}
+
+/** The score comes from this leader, the evidence of wide steps from the record. */
+TEST_F(LearnedStateTest, KeepsItsOwnScoreBesideTheEvidenceOfARecord) {
+    m_learned.health().recordStalled(HOST, m_moment.m_now);
+    m_returned.m_record.m_health = {0.2, Millis(0), 0, 6.0};
+    m_returned.m_age = Millis(60'000);
+    EXPECT_EQ(restore(), RestoreResult::RESTORED);
+    const HealthRecord record = m_learned.health().getRecord(HOST, m_moment.m_now);
+    EXPECT_NEAR(record.m_failureScore, 1.0, 1e-6);
+    EXPECT_NEAR(record.m_evidence, 6.0 / 16, 1e-6);
+}
+
 /** What a link that broke gives back once more is older than what was seen over it. */
 TEST_F(LearnedStateTest, BelievesAHostOnlyOnceInATerm) {
     m_returned.m_record.m_health = {};
--- a/libs/control/test/WorkerHealthTest.cpp
+++ b/libs/control/test/WorkerHealthTest.cpp
@@ -202,7 +202,7 @@
 TEST_F(HealthRecordTest, CarriesTheFailureScoreToTheNextLeader) {
     const HealthRecord record = m_health.getRecord("h", m_now);
     const Millis later{7'000};
-    m_next.restore("h", record, later);
+    m_next.restore("h", record, later, later);
     EXPECT_TRUE(m_next.isAvoided("h", later));
     EXPECT_TRUE(m_next.isSuspect("h", later));
     EXPECT_EQ(m_next.getRecord("h", later), record);
@@ -210,7 +210,7 @@
 
 TEST_F(HealthRecordTest, IsEmptyForAHostWithoutFailures) {
     EXPECT_EQ(m_health.getRecord("another", m_now), HealthRecord());
-    m_next.restore("another", HealthRecord(), m_now);
+    EXPECT_FALSE(m_next.restore("another", HealthRecord(), m_now, m_now));
     EXPECT_FALSE(m_next.isSuspect("another", m_now));
 }
 
