Records with amounts beyond all bounds are refused

isValid() took every finite number from the wire. A failure score of 1e300 keeps a host suspect for hours, since a score halves in 15 s; work of 1e300 makes lround() in UrgentDemand::getHeadroom() undefined, and a large headroom keeps all work but urgent work from hosts.

Tests: InvalidRecordTest, EndlessScore and EndlessArrivals.

--- a/libs/control/src/LearnedState.cpp
+++ b/libs/control/src/LearnedState.cpp
@@ -3,30 +3,37 @@
 
 #include <algorithm>
 #include <cmath>
-#include <initializer_list>
 
 namespace pierbank {
 
 namespace {
 
-/** Returns whether all values are finite and not negative. */
-bool areAmounts(std::initializer_list<double> values) {
-    return std::all_of(values.begin(), values.end(),
-                       [](double value) { return std::isfinite(value) && value >= 0; });
+/** More jobs, accelerators or samples than any region has. */
+constexpr double MAX_AMOUNT = 1e9;
+/** The same for accelerators times milliseconds. */
+constexpr double MAX_WORK = 1e15;
+/** A host is avoided from a score of 1.5; a greater score would take hours to decay. */
+constexpr double MAX_FAILURE_SCORE = 1000;
+
+/** Returns whether a value is a number from zero to `max`. */
+bool isAmount(double value, double max = MAX_AMOUNT) {
+    return value >= 0 && value <= max;
 }
 
 bool isValid(const ReturnedRecord& returned) {
     const HostRecord& record = returned.m_record;
     const bool isHostValid = std::isfinite(record.m_speed.m_logSpeed) &&
-                             areAmounts({record.m_speed.m_samples, record.m_health.m_failureScore,
-                                         record.m_health.m_evidence});
+                             isAmount(record.m_speed.m_samples) &&
+                             isAmount(record.m_health.m_failureScore, MAX_FAILURE_SCORE) &&
+                             isAmount(record.m_health.m_evidence);
     const bool areArrivalsValid = std::all_of(
             record.m_arrivals.begin(), record.m_arrivals.end(), [](const ArrivalsRecord& arrivals) {
-                return areAmounts({arrivals.m_jobs, arrivals.m_accelerators, arrivals.m_work});
+                return isAmount(arrivals.m_jobs) && isAmount(arrivals.m_accelerators) &&
+                       isAmount(arrivals.m_work, MAX_WORK);
             });
     const bool areRunTimesValid = std::all_of(
             record.m_runTimes.begin(), record.m_runTimes.end(), [](const RunTimeRecord& runTime) {
-                return std::isfinite(runTime.m_logRatio) && areAmounts({runTime.m_samples});
+                return std::isfinite(runTime.m_logRatio) && isAmount(runTime.m_samples);
             });
     return isHostValid && areArrivalsValid && areRunTimesValid &&
            record.m_health.m_avoidFor >= Millis(0) && record.m_health.m_pauseFor >= Millis(0) &&
--- a/libs/control/test/LearnedStateTest.cpp
+++ b/libs/control/test/LearnedStateTest.cpp
@@ -240,6 +240,14 @@
                                         [](ReturnedRecord& r) {
                                             r.m_record.m_arrivals = {{"s", 1, NOT_A_NUMBER, 1}};
                                         }},
+                          InvalidRecord{"EndlessScore",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_health.m_failureScore = 1e300;
+                                        }},
+                          InvalidRecord{"EndlessArrivals",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_arrivals = {{"s", 1, 1, 1e300}};
+                                        }},
                           InvalidRecord{"RunTime",
                                         [](ReturnedRecord& r) {
                                             r.m_record.m_runTimes[0].m_logRatio = NOT_A_NUMBER;
--- a/libs/control/test/RecordSchedulerTest.cpp
+++ b/libs/control/test/RecordSchedulerTest.cpp
@@ -174,6 +174,35 @@
     EXPECT_EQ(learn(), 1U);
 }
 
+/**
+ * Guards against a host that the next leader still limits although it is well: once nothing was
+ * known against it any more, its sidecar kept the last record about its failures.
+ */
+class EvidenceThatWasSent : public RecordThatWasSent {
+protected:
+    EvidenceThatWasSent() {
+        m_record = HostRecord();
+        m_record.m_incarnation = "w0-1@1700000000000";
+        m_record.m_health.m_needsProbe = true;
+        learn();
+        advance(Millis(5000));
+        m_record.m_health = HealthRecord();
+    }
+};
+
+TEST_F(EvidenceThatWasSent, IsReplacedByAnEmptyRecordOnce) {
+    EXPECT_EQ(learn(), 1U);
+    advance(Millis(5000));
+    EXPECT_EQ(learn(), 0U);
+}
+
+TEST_F(EvidenceThatWasSent, IsReplacedAfterANewLinkToo) {
+    m_scheduler.handleUnlinked("h");
+    EXPECT_EQ(learn(), 1U);
+    advance(Millis(5000));
+    EXPECT_EQ(learn(), 0U);
+}
+
 TEST_F(RecordThatWasSent, IsForgottenWithItsHost) {
     m_scheduler.recordChange("h", m_now);
     m_scheduler.forget("h");
