A host about which nothing is known any more gets an empty record

A record that tells nothing was never sent. So a sidecar kept the record of a pause or a probe for up to an hour after its host had been cleared, and the next leader put the host on probe again. It is told once now, also after a new link and if the record is of a former leader.

--- a/libs/control/include/pierbank/control/RecordScheduler.h
+++ b/libs/control/include/pierbank/control/RecordScheduler.h
@@ -39,6 +39,8 @@
     void start(std::uint64_t epoch);
     /** Marks a host: something was learned about it. Cheap if the host is marked already. */
     void recordChange(const std::string& host, Millis now);
+    /** Handles that a host's sidecar has a record of a former leader, which has to be replaced. */
+    void recordKept(const std::string& host) { m_sent.try_emplace(host); }
     /** Handles the loss of a host's link: its sidecar may be another process when it returns. */
     void handleUnlinked(const std::string& host);
     /** Forgets a host that the leader forgets. */
@@ -53,9 +55,10 @@
                                            Millis now);
 
 private:
-    /** What the sidecar of a host was sent last. */
+    /** What the sidecar of a host was sent last, or may have from a former leader. */
     struct Sent {
-        HostRecord m_record;
+        /** Empty if the sidecar may have another record, or none. */
+        std::optional<HostRecord> m_record;
         Millis m_at{0};
         /** Earliest time of the next record. */
         Millis m_nextAt{0};
--- a/libs/control/src/LearnedHandover.cpp
+++ b/libs/control/src/LearnedHandover.cpp
@@ -46,6 +46,7 @@
     if (!m_isEnabled) {
         return false;
     }
+    m_scheduler.recordKept(host);
     const ReturnedRecord returned = decodeKeptRecord(kept);
     const RestoreResult result = m_learned.restore(host, returned, m_epoch, getMoment());
     if (isRefusal(result)) {
--- a/libs/control/src/RecordScheduler.cpp
+++ b/libs/control/src/RecordScheduler.cpp
@@ -98,7 +98,7 @@
     const auto sent = m_sent.find(host);
     if (sent != m_sent.end()) {
         // The time of the next record stays, so that a link that breaks often costs no more.
-        sent->second.m_record = HostRecord();
+        sent->second.m_record.reset();
     }
 }
 
@@ -123,12 +123,14 @@
 
 std::optional<LearnedRecord> RecordScheduler::makeFrame(const std::string& host,
                                                         const HostRecord& record, Millis now) {
-    if (isEmpty(record)) {
+    // A sidecar that may have a record is also told that nothing is known any more.
+    if (isEmpty(record) && m_sent.count(host) == 0) {
         return std::nullopt;
     }
     Sent& sent = m_sent[host];
-    const bool isFirst = isEmpty(sent.m_record);
-    if (!isFirst && !hasChanged(sent.m_record, record) && now - sent.m_at < REFRESH_INTERVAL) {
+    const bool isKnown = sent.m_record.has_value() && !hasChanged(*sent.m_record, record);
+    const bool isFresh = now - sent.m_at < REFRESH_INTERVAL || isEmpty(record);
+    if (isKnown && isFresh) {
         sent.m_nextAt = now + MIN_INTERVAL;
         return std::nullopt;
     }
--- a/libs/control/test/RecordSchedulerTest.cpp
+++ b/libs/control/test/RecordSchedulerTest.cpp
@@ -203,6 +203,14 @@
     EXPECT_EQ(learn(), 0U);
 }
 
+/** The sidecar has what a former leader told it, which was restored and is refuted since. */
+TEST_F(RecordSchedulerTest, ReplacesTheRecordOfAFormerLeaderByAnEmptyOne) {
+    m_record = HostRecord();
+    m_scheduler.recordKept("h");
+    m_scheduler.recordChange("h", m_now);
+    EXPECT_EQ(advance(TICK), 1U);
+}
+
 TEST_F(RecordThatWasSent, IsForgottenWithItsHost) {
     m_scheduler.recordChange("h", m_now);
     m_scheduler.forget("h");
