Run times of a record: only the chosen ones are copied, in the order of their names

It also listed them by their numbers of samples, which change with each run: more than 16 images changed places all the time, so that each record seemed to differ from the one before and was sent.

Test: LearnedStateTest.ListsTheRunTimesWithTheMostSamplesInTheOrderOfTheirNames.

--- a/libs/control/include/pierbank/control/RunTimes.h
+++ b/libs/control/include/pierbank/control/RunTimes.h
@@ -42,8 +42,12 @@
     /** Returns the run time on an average host of a task with this declared time. */
     RunTimeEstimate getRunTime(std::string_view queue, std::string_view image,
                                Millis declared) const;
-    /** Returns one record for each image, in ascending order of queue and image. */
-    std::vector<RunTimeRecord> exportRecords() const;
+    /**
+     * Returns a record for each image, in ascending order of queue and image; if there are more
+     * images than `maxRecords`, of those with the most samples. Copies no other names, so that it
+     * may be called for each record that is sent.
+     */
+    std::vector<RunTimeRecord> exportRecords(std::size_t maxRecords = MAX_IMAGES) const;
     /**
      * Takes over what another leader learned about an image, unless as much is known already: the
      * same record may arrive several times, and must not count more than once.
@@ -62,11 +66,12 @@
     };
     /** Queue and image. */
     using Key = std::pair<std::string, std::string>;
+    using Images = std::map<Key, Image>;
 
     Image& findOrAdd(std::string_view queue, std::string_view image, Millis now);
     void removeOld(Millis now);
 
-    std::map<Key, Image> m_images;
+    Images m_images;
 };
 
 }  // namespace pierbank
--- a/libs/control/src/LearnedState.cpp
+++ b/libs/control/src/LearnedState.cpp
@@ -76,14 +76,7 @@
     if (arrivals.has_value()) {
         record.m_arrivals.push_back(*arrivals);
     }
-    record.m_runTimes = m_runTimes.exportRecords();
-    if (record.m_runTimes.size() > MAX_RUN_TIMES) {
-        std::stable_sort(record.m_runTimes.begin(), record.m_runTimes.end(),
-                         [](const RunTimeRecord& a, const RunTimeRecord& b) {
-                             return a.m_samples > b.m_samples;
-                         });
-        record.m_runTimes.resize(MAX_RUN_TIMES);
-    }
+    record.m_runTimes = m_runTimes.exportRecords(MAX_RUN_TIMES);
     return record;
 }
 
--- a/libs/control/src/RunTimes.cpp
+++ b/libs/control/src/RunTimes.cpp
@@ -56,10 +56,25 @@
             scale(declared, std::exp(logRatio + HIGH_QUANTILE * spread))};
 }
 
-std::vector<RunTimeRecord> RunTimes::exportRecords() const {
+std::vector<RunTimeRecord> RunTimes::exportRecords(std::size_t maxRecords) const {
+    std::vector<const Images::value_type*> chosen;
+    chosen.reserve(m_images.size());
+    for (const auto& entry : m_images) {
+        chosen.push_back(&entry);
+    }
+    if (chosen.size() > maxRecords) {
+        const auto end = chosen.begin() + static_cast<std::ptrdiff_t>(maxRecords);
+        std::nth_element(chosen.begin(), end, chosen.end(), [](const auto* a, const auto* b) {
+            return a->second.m_count > b->second.m_count;
+        });
+        chosen.erase(end, chosen.end());
+        std::sort(chosen.begin(), chosen.end(),
+                  [](const auto* a, const auto* b) { return a->first < b->first; });
+    }
     std::vector<RunTimeRecord> records;
-    records.reserve(m_images.size());
-    for (const auto& [key, image] : m_images) {
+    records.reserve(chosen.size());
+    for (const auto* const entry : chosen) {
+        const auto& [key, image] = *entry;
         records.push_back({key.first, key.second, image.m_sum / image.m_count, image.m_count});
     }
     return records;
--- a/libs/control/test/LearnedStateTest.cpp
+++ b/libs/control/test/LearnedStateTest.cpp
@@ -3,8 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string>
 
 #include "pierbank/control/HostRecordCodec.h"
 
@@ -199,6 +201,26 @@
     EXPECT_EQ(getLogRatio(), 0.2);
 }
 
+/**
+ * Guards against records that are sent without need: while the chosen run times changed places,
+ * each record seemed to differ from the one before.
+ */
+TEST_F(LearnedStateTest, ListsTheRunTimesWithTheMostSamplesInTheOrderOfTheirNames) {
+    constexpr std::size_t IMAGES = LearnedState::MAX_RUN_TIMES + 4;
+    for (std::size_t i = 0; i < IMAGES; ++i) {
+        const std::string image(1, static_cast<char>('a' + i));
+        m_learned.runTimes().restore({"q", image, 0.5, 1.0 + static_cast<double>(i % 10)},
+                                     m_moment.m_now);
+    }
+    const auto listed = m_learned.getRecord(HOST, "", "", m_moment).m_runTimes;
+    ASSERT_EQ(listed.size(), LearnedState::MAX_RUN_TIMES);
+    EXPECT_TRUE(std::is_sorted(listed.begin(), listed.end(),
+                               [](const auto& a, const auto& b) { return a.m_image < b.m_image; }));
+    for (const RunTimeRecord& runTime : listed) {
+        EXPECT_GT(runTime.m_samples, 2.0) << runTime.m_image;
+    }
+}
+
 /** Corrupt values must not keep a host from work for good, or make it seem infinitely fast. */
 struct InvalidRecord {
     const char* m_name;
