Soak: mutants for records of learned state and for hosts that clear each other

They have not been played in the soak. It checks promises, and none rests on records or on ratings of hosts, so it is not expected to find them; docs/SOAK.md says so.

--- a/test/soak/mutants.sh
+++ b/test/soak/mutants.sh
@@ -34,7 +34,8 @@
 PYTHON
 }
 
-# mutate NAME : disables the mechanism. The comment of each case names the promise that breaks.
+# mutate NAME : disables the mechanism. The comment of each case names the promise that breaks, or
+# says "none" and names the rule that breaks if only the placement of work rests on it.
 mutate() {
     soak_options=()
     case $1 in
@@ -73,6 +74,17 @@
     done-too-early) # whole answers to the right caller
         replace libs/control/src/JobIntakeReads.cpp 'm_codec.writePhase(run->m_phase)' \
             'm_codec.writePhase(run->m_hasStarted ? JobPhase::SUCCEEDED : run->m_phase)' ;;
+    record-of-another-incarnation) # none: a speed is that of the machine that was measured
+        replace libs/control/src/RecordKeeper.cpp 'kept.m_record.m_incarnation.clear();
+        kept.m_record.m_logSpeed = 0;
+        kept.m_record.m_speedSamples = 0;' \
+            'kept.m_record.m_incarnation = std::string(present);' ;;
+    record-of-a-later-epoch) # none: a superseded leader restores nothing
+        replace libs/control/src/LearnedState.cpp \
+            'if (returned.m_version.first > epoch) {' 'if (returned.m_version.first == 0) {' ;;
+    bad-hosts-clear-each-other) # none: evidence is cleared only if a step fails on most hosts
+        replace libs/control/src/HostTrials.cpp \
+            'share->m_failed >= m_settings.m_faultyStepShare' 'share->m_failed > 0' ;;
     *) echo "no mutant $1"; exit 2 ;;
     esac
 }
@@ -112,7 +124,8 @@
 names=("$@")
 if ((${#names[@]} == 0)); then
     names=(lost-without-waiting taken-before-kept unknown-is-refused gang-goes-on
-        keys-never-fade stop-is-not-sent done-too-early evacuations-not-read)
+        keys-never-fade stop-is-not-sent done-too-early evacuations-not-read
+        record-of-another-incarnation record-of-a-later-epoch bad-hosts-clear-each-other)
 fi
 missed=0
 for name in "${names[@]}"; do
