--- a/libs/control/include/pierbank/control/HostTrials.h
+++ b/libs/control/include/pierbank/control/HostTrials.h
@@ -35,13 +35,13 @@
     double m_maxEvidence = 10.0;
     /**
      * First pause, and the longest one; each failed probe doubles the pause. A probe costs one
-     * attempt of one task, a pause the room of a whole host, so that the pauses begin short.
+     * attempt of one task, a pause the capacity of a whole host, so that pauses are short at first.
      */
     Millis m_minPause{500};
     Millis m_maxPause{8000};
     /** Factor by which a probe must outlast the longest failed run to count as a good end. */
     int m_probeFactor = 3;
-    /** Maximum number of tasks of one job on a host that has just failed or come back. */
+    /** Maximum number of tasks of one job on a host whose last run failed or whose worker restarted. */
     std::uint32_t m_maxTasksPerJob = 2;
     /** Time after which a host without evidence and without ends is forgotten. */
     Millis m_retention{600'000};
@@ -118,7 +118,7 @@
         bool m_needsProbe = false;
         /** Number of pauses since the evidence was last zero. */
         std::uint32_t m_pauseCount = 0;
-        /** Whether the last end was a failure, or the worker has just come back. */
+        /** Whether the last end was a failure, or nothing has ended here since the term began. */
         bool m_isLimited = false;
         /** Time at which a run ended well that began after the last failure. */
         std::optional<Millis> m_provenAt;
--- a/libs/control/src/HostTrials.cpp
+++ b/libs/control/src/HostTrials.cpp
@@ -23,7 +23,7 @@
     host.m_updatedAt = now;
 }
 
-/** Whether the worker has come back since the last end that is known of the host. */
+/** Returns whether the worker has restarted since the last end that is known of the host. */
 bool HostTrials::isNewIncarnation(const Host& host, const WorkerId& worker) const {
     return !host.m_incarnation.empty() && host.m_incarnation != worker.m_incarnation;
 }
--- a/libs/job/src/PlanningPassHosts.cpp
+++ b/libs/job/src/PlanningPassHosts.cpp
@@ -186,7 +186,7 @@
 
 /**
  * Keeps a last attempt of a wide step, which decides over the work of all its tasks, off hosts that
- * have just failed others or just come back. For a short time after the last run it also waits for
+ * have just failed others or have restarted. For a short time after the last run it also waits for
  * a host on which a run ended well recently.
  */
 void PlanningPass::excludeUnprovenHosts(WorkUnit& unit) {
