--- a/libs/control/include/pierbank/control/HostTrials.h
+++ b/libs/control/include/pierbank/control/HostTrials.h
@@ -41,7 +41,7 @@
     Millis m_maxPause{8000};
     /** Factor by which a probe must outlast the longest failed run to count as a good end. */
     int m_probeFactor = 3;
-    /** Maximum number of tasks of one job on a host whose last run failed or whose worker restarted. */
+    /** Maximum number of tasks of one job on a host whose last run failed or that restarted. */
     std::uint32_t m_maxTasksPerJob = 2;
     /** Time after which a host without evidence and without ends is forgotten. */
     Millis m_retention{600'000};
