Run times of a newer record replace those of an older one

Where several former leaders had told different hosts, the run times of the record that arrived first stayed unless a later record had more samples: RunTimes::restore() keeps what is known better, and took what an older record had told for known. A leader forgets now what it has only from records before it restores a newer one. Runs that it has observed itself are kept as before.

--- a/libs/control/include/pierbank/control/RunTimes.h
+++ b/libs/control/include/pierbank/control/RunTimes.h
@@ -53,6 +53,8 @@
      * same record may arrive several times, and must not count more than once.
      */
     void restore(const RunTimeRecord& record, Millis now);
+    /** Forgets an image if all that is known of it was restored, so that a newer record counts. */
+    void forgetRestored(std::string_view queue, std::string_view image);
     void clear() { m_images.clear(); }
 
 private:
@@ -63,6 +65,8 @@
         double m_squares = 0;
         double m_count = 0;
         Millis m_updatedAt{0};
+        /** Whether a run was observed here since the last record was restored. */
+        bool m_hasOwnSamples = false;
     };
     /** Queue and image. */
     using Key = std::pair<std::string, std::string>;
--- a/libs/control/src/LearnedState.cpp
+++ b/libs/control/src/LearnedState.cpp
@@ -118,6 +118,7 @@
     if (returned.m_version > m_commonVersion && !record.m_runTimes.empty()) {
         m_commonVersion = returned.m_version;
         for (const RunTimeRecord& runTime : record.m_runTimes) {
+            m_runTimes.forgetRestored(runTime.m_queue, runTime.m_image);
             m_runTimes.restore(runTime, moment.m_now);
         }
         isRestored = true;
--- a/libs/control/src/RunTimes.cpp
+++ b/libs/control/src/RunTimes.cpp
@@ -40,6 +40,7 @@
     image.m_squares = image.m_squares * SAMPLE_DECAY + logRatio * logRatio;
     image.m_count = image.m_count * SAMPLE_DECAY + 1;
     image.m_updatedAt = now;
+    image.m_hasOwnSamples = true;
 }
 
 RunTimeEstimate RunTimes::getRunTime(std::string_view queue, std::string_view image,
@@ -93,8 +94,16 @@
     }
     // Records have no spread, so the assumed one applies to their samples.
     const double square = record.m_logRatio * record.m_logRatio + PRIOR_SPREAD * PRIOR_SPREAD;
-    findOrAdd(record.m_queue, record.m_image, now) = {
-            record.m_logRatio * record.m_samples, square * record.m_samples, record.m_samples, now};
+    findOrAdd(record.m_queue, record.m_image, now) = {record.m_logRatio * record.m_samples,
+                                                      square * record.m_samples, record.m_samples,
+                                                      now, false};
+}
+
+void RunTimes::forgetRestored(std::string_view queue, std::string_view image) {
+    const auto found = m_images.find({std::string(queue), std::string(image)});
+    if (found != m_images.end() && !found->second.m_hasOwnSamples) {
+        m_images.erase(found);
+    }
 }
 
 RunTimes::Image& RunTimes::findOrAdd(std::string_view queue, std::string_view image, Millis now) {
