--- a/libs/control/src/RunTimes.cpp
+++ b/libs/control/src/RunTimes.cpp
@@ -40,6 +40,7 @@
     image.m_squares = image.m_squares * SAMPLE_DECAY + logRatio * logRatio;
     image.m_count = image.m_count * SAMPLE_DECAY + 1;
     image.m_updatedAt = now;
+    image.m_hasOwnSamples = true;
 }
 
 RunTimeEstimate RunTimes::getRunTime(std::string_view queue, std::string_view image,
@@ -56,10 +57,25 @@
             scale(declared, std::exp(logRatio + HIGH_QUANTILE * spread))};
 }
 
-std::vector<RunTimeRecord> RunTimes::exportRecords() const {
+std::vector<RunTimeRecord> RunTimes::exportRecords(std::size_t maxRecords) const {
+    std::vector<const Images::value_type*> chosen;
+    chosen.reserve(m_images.size());
+    for (const auto& entry : m_images) {
+        chosen.push_back(&entry);
+    }
+    if (chosen.size() > maxRecords) {
+        const auto end = chosen.begin() + static_cast<std::ptrdiff_t>(maxRecords);
+        std::nth_element(chosen.begin(), end, chosen.end(), [](const auto* a, const auto* b) {
+            return a->second.m_count > b->second.m_count;
+        });
+        chosen.erase(end, chosen.end());
+        std::sort(chosen.begin(), chosen.end(),
+                  [](const auto* a, const auto* b) { return a->first < b->first; });
+    }
     std::vector<RunTimeRecord> records;
-    records.reserve(m_images.size());
-    for (const auto& [key, image] : m_images) {
+    records.reserve(chosen.size());
+    for (const auto* const entry : chosen) {
+        const auto& [key, image] = *entry;
         records.push_back({key.first, key.second, image.m_sum / image.m_count, image.m_count});
     }
     return records;
@@ -78,8 +94,16 @@
     }
     // Records have no spread, so the assumed one applies to their samples.
     const double square = record.m_logRatio * record.m_logRatio + PRIOR_SPREAD * PRIOR_SPREAD;
-    findOrAdd(record.m_queue, record.m_image, now) = {
-            record.m_logRatio * record.m_samples, square * record.m_samples, record.m_samples, now};
+    findOrAdd(record.m_queue, record.m_image, now) = {record.m_logRatio * record.m_samples,
+                                                      square * record.m_samples, record.m_samples,
+                                                      now, false};
+}
+
+void RunTimes::forgetRestored(std::string_view queue, std::string_view image) {
+    const auto found = m_images.find({std::string(queue), std::string(image)});
+    if (found != m_images.end() && !found->second.m_hasOwnSamples) {
+        m_images.erase(found);
+    }
 }
 
 RunTimes::Image& RunTimes::findOrAdd(std::string_view queue, std::string_view image, Millis now) {
--- a/libs/control/test/LearnedStateTest.cpp
+++ b/libs/control/test/LearnedStateTest.cpp
@@ -3,8 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string>
 
 #include "pierbank/control/HostRecordCodec.h"
 
@@ -100,6 +102,29 @@
     EXPECT_TRUE(m_learned.health().isSuspect(HOST, m_moment.m_now));
 }
 
+/**
+ * Guards against a host that seems well after a take-over although its runs stall: the own evidence
+ * was dated back by the age of a record that had been stronger when it was sent.
+ */
+TEST_F(LearnedStateTest, KeepsItsOwnEvidenceIfThatOfAnOldRecordHasDecayed) {
+    m_learned.health().recordStalled(HOST, m_moment.m_now);
+    m_returned.m_record.m_health = {1.2, Millis(0), 0};
+    m_returned.m_age = Millis(60'000);
+    restore();
+    EXPECT_TRUE(m_learned.health().isSuspect(HOST, m_moment.m_now));
+}
+
+/** The score comes from this leader, the evidence of wide steps from the record. */
+TEST_F(LearnedStateTest, KeepsItsOwnScoreBesideTheEvidenceOfARecord) {
+    m_learned.health().recordStalled(HOST, m_moment.m_now);
+    m_returned.m_record.m_health = {0.2, Millis(0), 0, 6.0};
+    m_returned.m_age = Millis(60'000);
+    EXPECT_EQ(restore(), RestoreResult::RESTORED);
+    const HealthRecord record = m_learned.health().getRecord(HOST, m_moment.m_now);
+    EXPECT_NEAR(record.m_failureScore, 1.0, 1e-6);
+    EXPECT_NEAR(record.m_evidence, 6.0 / 16, 1e-6);
+}
+
 /** What a link that broke gives back once more is older than what was seen over it. */
 TEST_F(LearnedStateTest, BelievesAHostOnlyOnceInATerm) {
     m_returned.m_record.m_health = {};
@@ -176,6 +201,26 @@
     EXPECT_EQ(getLogRatio(), 0.2);
 }
 
+/**
+ * Guards against records that are sent without need: while the chosen run times changed places,
+ * each record seemed to differ from the one before.
+ */
+TEST_F(LearnedStateTest, ListsTheRunTimesWithTheMostSamplesInTheOrderOfTheirNames) {
+    constexpr std::size_t IMAGES = LearnedState::MAX_RUN_TIMES + 4;
+    for (std::size_t i = 0; i < IMAGES; ++i) {
+        const std::string image(1, static_cast<char>('a' + i));
+        m_learned.runTimes().restore({"q", image, 0.5, 1.0 + static_cast<double>(i % 10)},
+                                     m_moment.m_now);
+    }
+    const auto listed = m_learned.getRecord(HOST, "", "", m_moment).m_runTimes;
+    ASSERT_EQ(listed.size(), LearnedState::MAX_RUN_TIMES);
+    EXPECT_TRUE(std::is_sorted(listed.begin(), listed.end(),
+                               [](const auto& a, const auto& b) { return a.m_image < b.m_image; }));
+    for (const RunTimeRecord& runTime : listed) {
+        EXPECT_GT(runTime.m_samples, 2.0) << runTime.m_image;
+    }
+}
+
 /** Corrupt values must not keep a host from work for good, or make it seem infinitely fast. */
 struct InvalidRecord {
     const char* m_name;
@@ -217,6 +262,14 @@
                                         [](ReturnedRecord& r) {
                                             r.m_record.m_arrivals = {{"s", 1, NOT_A_NUMBER, 1}};
                                         }},
+                          InvalidRecord{"EndlessScore",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_health.m_failureScore = 1e300;
+                                        }},
+                          InvalidRecord{"EndlessArrivals",
+                                        [](ReturnedRecord& r) {
+                                            r.m_record.m_arrivals = {{"s", 1, 1, 1e300}};
+                                        }},
                           InvalidRecord{"RunTime",
                                         [](ReturnedRecord& r) {
                                             r.m_record.m_runTimes[0].m_logRatio = NOT_A_NUMBER;
