Forecast: only the steps that follow a unit's step take from its time

The time left was reduced by the rest of the job's critical path, also where a longer step that runs beside it made the path: the unit was taken to be late.

--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -338,6 +338,9 @@
 /** Returns the declared time of the critical path through the steps that are not done. */
 Millis estimateRemainingCriticalPath(const JobSpec& spec, const OccurrenceRun& occurrence);
 
+/** Returns the declared time of the longest path through the steps that follow a step. */
+Millis estimateTimeAfter(const JobSpec& spec, std::uint32_t step);
+
 /** Returns the declared time of the critical path through all steps of a job. */
 Millis estimateCriticalPath(const JobSpec& spec);
 
--- a/libs/job/src/PlanningPassForecast.cpp
+++ b/libs/job/src/PlanningPassForecast.cpp
@@ -31,9 +31,7 @@
 
 CompletionForecast PlanningPass::makeForecast(const WorkUnit& unit) {
     const WaitingStep& step = *unit.m_waitingStep;
-    const OccurrenceRun* const occurrence = step.m_run->findOccurrence(step.m_occurrence);
-    const Millis remaining = estimateRemainingCriticalPath(step.m_record->m_spec, *occurrence);
-    const Millis later = std::max(remaining - step.m_spec->m_estimate, Millis(0));
+    const Millis later = estimateTimeAfter(step.m_record->m_spec, step.m_number);
     return {m_input.m_forecast.getRunTime(*step.m_record, *step.m_spec),
             step.m_objective - m_wallNow - later, getSpeeds(*step.m_eligible)};
 }
--- a/libs/job/src/TaskPlanner.cpp
+++ b/libs/job/src/TaskPlanner.cpp
@@ -102,6 +102,20 @@
     });
 }
 
+Millis estimateTimeAfter(const JobSpec& spec, std::uint32_t step) {
+    // Steps only follow steps with a lower index.
+    std::vector<Millis> after(spec.m_steps.size());
+    for (std::size_t i = spec.m_steps.size(); i-- > 0;) {
+        for (const std::uint32_t predecessor : spec.m_steps[i].m_after) {
+            if (predecessor < i) {
+                after[predecessor] =
+                        std::max(after[predecessor], spec.m_steps[i].m_estimate + after[i]);
+            }
+        }
+    }
+    return after[step];
+}
+
 Millis getObjectiveSpan(const JobRecord& record) {
     const auto chain = static_cast<double>(estimateCriticalPath(record.m_spec).count());
     return Millis(static_cast<std::int64_t>(record.m_policy.m_stretch * chain)) +
--- a/libs/job/test/ForecastPlacementTest.cpp
+++ b/libs/job/test/ForecastPlacementTest.cpp
@@ -214,6 +214,28 @@
     EXPECT_EQ(listPlaces(), SLOW);
 }
 
+// A gang was taken to be late because of a longer step of its job that runs beside it, and started on
+// slow hosts although it would have been in time on others a moment later.
+TEST_F(WithStopsOnFastHostsTest, OnlyTheStepsThatFollowTheGangTakeFromItsTime) {
+    TestJob& job = m_jobs.back();
+    std::vector<StepSpec>& steps = job.m_record.m_spec.m_steps;
+    StepSpec& longer = steps.emplace_back();
+    longer.m_need = {1000, 1000, 0};
+    longer.m_estimate = Millis(10'000);
+    StepSpec& following = steps.emplace_back();
+    following.m_after = {0};
+    following.m_estimate = Millis(500);
+    // The objective is 15 s after the acceptance; 2.6 s are left for the gang.
+    job.m_record.m_acceptedAt = NOW - Millis(11'900);
+    job.m_run = makeJobRun(job.m_record);
+    TaskRun& running = job.m_run.m_occurrences[0].m_steps[1].m_tasks[0];
+    running.m_state = TaskState::PLACED;
+    running.m_run = running.m_lastRun = 1;
+    running.m_worker = m_workers[0].m_id;
+    running.m_placedAt = NOW - Millis(9000);
+    expectWait(Cause::STOPS, Outlook::IN_TIME);
+}
+
 TEST_F(WithOnlySlowHostsFreeTest, WithoutTheSwitchAGangStartsAtOnce) {
     m_settings.m_forecastsCompletion = false;
     endNormalIn(Millis(400));
