Preemption: the capacity of an awaited run is allocated once though its gang is stopped

A unit that waits for the end of one member of a gang has its capacity; when another unit preempted another member, the stop of the gang added that capacity a second time, and a third unit was left waiting for it. The test failed before.

--- a/libs/job/src/PlanningPassPreemption.cpp
+++ b/libs/job/src/PlanningPassPreemption.cpp
@@ -305,7 +305,10 @@
             continue;
         }
         occupant.m_isPreempted = true;
-        addReleasing(occupant.m_slot, occupant.m_spec->getCapacityDemand());
+        // The capacity of an awaited run is allocated to the unit that waits for it.
+        if (!occupant.m_isAwaited) {
+            addReleasing(occupant.m_slot, occupant.m_spec->getCapacityDemand());
+        }
         m_plan.m_stops.push_back({getKey(occupant), occupant.m_run, explanation, cause});
     }
 }
--- a/libs/job/test/ForecastPlacementTest.cpp
+++ b/libs/job/test/ForecastPlacementTest.cpp
@@ -415,5 +415,26 @@
     EXPECT_EQ(listVictims(), std::set<std::string>{gang});
 }
 
+// The first urgent job waits for the end of one member of a gang, the second preempts the other
+// member, which stops both. The capacity of the first member then counted twice: a third job was
+// left waiting for it and preempted nothing.
+TEST_F(HostsOfThreeSpeedsTest, CapacityOfAnAwaitedRunIsAllocatedOnceThoughItsGangIsStopped) {
+    m_settings.m_forecastsCompletion = false;
+    m_guarantees["urgent"] = 24;
+    fill({0}, Millis(9000));
+    fill({1}, Millis(9000));
+    for (std::size_t host = 4; host < m_workers.size(); ++host) {
+        fill({host}, Millis(9000));
+    }
+    const std::string gang = fill({2, 3}, Millis(300)).m_record.m_id;
+    m_remaining[{gang, 0, 0, 0}] = Millis(400);
+    addJob(0, 1);
+    addJob(0, 1, Millis(701)).m_record.m_policy.m_stretch = 3.0;
+    addJob(0, 1, Millis(701)).m_record.m_policy.m_stretch = 4.0;
+    const TaskPlan result = plan();
+    EXPECT_EQ(result.m_urgentWaits.size(), 3U);
+    EXPECT_EQ(result.m_stops.size(), 3U) << "both members of the gang, and a run for the third job";
+}
+
 }  // namespace
 }  // namespace pierbank
