Early reservations: a gang that spreads its members ends no search for others of its demand

The class of a unit does not include the limit of tasks per worker, nor that the unit avoids suspect runs; both are now excluded where a failed search stands for its class, as for failed placements. The test failed before; the 176 tests of libs/job and libs/base pass.

--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -346,11 +346,17 @@
 }
 
 /**
- * Records that units of this class and size cannot be placed. Units that avoid hosts are ignored,
- * since other units of the class may be placed there.
+ * Whether a unit that has no place shows that no larger unit of its class has one: it avoids no
+ * hosts, and its members need not spread over more hosts than those of other units.
  */
+bool PlanningPass::isTypicalOfClass(const WorkUnit& unit) {
+    return unit.m_excludedSlots.empty() && !unit.m_avoidsSuspectRuns &&
+           unit.getSpec().m_maxPerWorker == 0;
+}
+
+/** Records that units of this class and size cannot be placed. */
 void PlanningPass::recordFailedPlacement(const WorkUnit& unit) {
-    if (!unit.m_excludedSlots.empty() || unit.m_avoidsSuspectRuns) {
+    if (!isTypicalOfClass(unit)) {
         return;
     }
     FailedPlacement& failed = m_failedPlacements[getUnitClass(unit)];
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -253,6 +253,7 @@
 
     void placeStep(const WaitingStep& step);
     void placeUnit(const WorkUnit& unit);
+    static bool isTypicalOfClass(const WorkUnit& unit);
     void recordFailedPlacement(const WorkUnit& unit);
     void recordUrgentWait(const WorkUnit& unit, UrgentWait::Cause cause, double preemptionCost = 0);
     bool placeOrWait(const WorkUnit& unit);
--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -69,7 +69,7 @@
                 continue;
             }
             ++m_reservationAttempts;
-            if (!reserveEarlyFor(unit, rest) && unit.m_excludedSlots.empty()) {
+            if (!reserveEarlyFor(unit, rest) && isTypicalOfClass(unit)) {
                 smallestFailed[unitClass] = members;
             }
         }
--- a/libs/job/test/EarlyReservationTest.cpp
+++ b/libs/job/test/EarlyReservationTest.cpp
@@ -169,6 +169,20 @@
     EXPECT_EQ(plan().m_placements.size(), 1U) << "the first run of the job";
 }
 
+// A gang that no rack can hold, since it spreads its members, also ended the search for the gangs
+// after it that have the same demand.
+TEST_F(GangOfARack, GetsAReservationAfterAGangThatNoRackCanHold) {
+    StepSpec& spread = m_jobs.back().m_record.m_spec.m_steps[0];
+    spread.m_tasks = 3;
+    spread.m_need = {16'000, 32'000, 4};
+    spread.m_maxPerWorker = 1;
+    m_jobs.back().m_run = makeJobRun(m_jobs.back().m_record);
+    const std::string packed = submitGang(1, 3, 4).m_record.m_id;
+    const TaskPlan made = plan();
+    ASSERT_EQ(made.m_reservations.size(), 1U);
+    EXPECT_EQ(made.m_reservations[0].m_job, packed);
+}
+
 /** A host that can't run the gang any more gives its reservation back. */
 class GangThatLosesAHost : public GangOfARack {
 protected:
