Planning pass: less work for units that find no place, same plans

The second search is skipped while nothing is being freed; topology domains are listed once a pass; the capacity of domains is added up without a map; a reserved unit's avoided hosts are looked for only if its class has not failed; run times are asked for only where no remaining time is known.

--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -71,7 +71,7 @@
         m_plan.m_waitingUnits += step.m_spec->m_isGang ? 1 : step.m_taskIndexes.size();
     }
     for (std::size_t i = 0; i < steps.size(); ++i) {
-        if (beginsPriority(steps, i)) {
+        if (m_settings.m_reservesEarly && beginsPriority(steps, i)) {
             reserveEarly(std::span(steps).subspan(i));
         }
         placeStep(steps[i]);
@@ -227,6 +227,7 @@
         const Resources stopping = state.m_releasing;
         state.m_releasing = Resources();
         releaseCapacity(state.m_releasing, state.m_overcommitted, stopping);
+        m_hasReleasing = m_hasReleasing || state.m_releasing != Resources();
     }
 }
 
@@ -384,7 +385,8 @@
         commit(unit, *assignment);
         return true;
     }
-    if (const auto assignment = findPlace(unit, true)) {
+    // While nothing is being freed, the second search would be the same as the first.
+    if (const auto assignment = m_hasReleasing ? findPlace(unit, true) : std::nullopt) {
         awaitReleasing(unit, *assignment);
         return true;
     }
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -425,6 +425,8 @@
     /** Slots by host; a host with several incarnations of its worker has several slots. */
     std::unordered_multimap<std::string_view, WorkerSlot> m_slots;
     std::unordered_map<std::string_view, DomainId> m_racks;
+    /** Topology domains of each level in ascending order, computed on demand. */
+    mutable std::map<Adjacency, std::vector<DomainId>> m_domainsByLevel;
     /** Workers on suspect hosts. */
     std::vector<WorkerSlot> m_suspectSlots;
     /** Workers with a limit of tasks per job. */
@@ -443,6 +445,8 @@
     std::size_t m_reservationCount = 0;
     /** Services with headroom for which some resource is in low use, see isUnderutilized(). */
     std::set<std::string> m_underutilizedServices;
+    /** Whether capacity of some worker is, or was in this pass, about to be freed. */
+    bool m_hasReleasing = false;
     /** Whether some worker has a run of a suspect task. */
     bool m_hasSuspectRuns = false;
     /** By job index: whether this pass has placed a run of the job. */
--- a/libs/job/src/PlanningPassCapacity.cpp
+++ b/libs/job/src/PlanningPassCapacity.cpp
@@ -99,12 +99,15 @@
     if (!needsSingleDomain(unit)) {
         return {ANY_DOMAIN};
     }
-    std::vector<DomainId> domains;
-    for (WorkerSlot slot = 0; slot < m_workerStates.size(); ++slot) {
-        domains.push_back(getTopologyDomain(unit, slot));
+    const auto [place, isNew] = m_domainsByLevel.try_emplace(spec.m_adjacency);
+    std::vector<DomainId>& domains = place->second;
+    if (isNew) {
+        for (WorkerSlot slot = 0; slot < m_workerStates.size(); ++slot) {
+            domains.push_back(getTopologyDomain(unit, slot));
+        }
+        std::sort(domains.begin(), domains.end());
+        domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
     }
-    std::sort(domains.begin(), domains.end());
-    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
     return domains;
 }
 
@@ -140,13 +143,19 @@
     if (domains.size() == 1) {
         return assignWithin(unit, capacities, domains.front());
     }
-    std::map<DomainId, std::uint64_t> capacityByDomain;
-    for (WorkerSlot slot = 0; slot < m_workerStates.size(); ++slot) {
-        capacityByDomain[getTopologyDomain(unit, slot)] += capacities[slot].m_accelerators;
+    // The first number of a domain is ANY_DOMAIN, of workers outside all domains of the level.
+    const auto getIndex = [](DomainId domain) {
+        return static_cast<std::size_t>(domain - ANY_DOMAIN);
+    };
+    std::vector<std::uint64_t> capacityByDomain(m_workerStates.size() + 1);
+    for (const WorkerSlot slot : unit.m_waitingStep->m_eligible->m_slots) {
+        capacityByDomain[getIndex(getTopologyDomain(unit, slot))] +=
+                capacities[slot].m_accelerators;
     }
     std::optional<Assignment> best;
     std::uint64_t bestCapacity = std::numeric_limits<std::uint64_t>::max();
-    for (const auto& [domain, capacity] : capacityByDomain) {
+    for (const DomainId domain : domains) {
+        const std::uint64_t capacity = capacityByDomain[getIndex(domain)];
         if (capacity >= bestCapacity || capacity < unit.countAccelerators()) {
             continue;
         }
--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -40,9 +40,6 @@
 void PlanningPass::reserveEarly(std::span<const WaitingStep> rest) {
     // Bounds the time of a plan. Units beyond it come to the front as those before them start.
     constexpr std::size_t MAX_ATTEMPTS = 6;
-    if (!m_settings.m_reservesEarly) {
-        return;
-    }
     std::map<UnitClass, std::size_t> smallestFailed;
     for (const WaitingStep& step : rest) {
         if (step.m_record->m_policy.m_priority != rest.front().m_record->m_policy.m_priority) {
@@ -61,13 +58,13 @@
             if (!mayReserve(unit)) {
                 break;
             }
-            excludeHosts(unit);
-            avoidSuspectRuns(unit);
             const UnitClass unitClass = getUnitClass(unit);
             const auto failed = smallestFailed.find(unitClass);
             if (failed != smallestFailed.end() && failed->second <= members) {
                 continue;
             }
+            excludeHosts(unit);
+            avoidSuspectRuns(unit);
             ++m_reservationAttempts;
             if (!reserveEarlyFor(unit, rest) && isTypicalOfClass(unit)) {
                 smallestFailed[unitClass] = members;
@@ -188,12 +185,12 @@
         if (occupant.m_isPreempted || occupant.m_isAwaited || occupant.m_spec->m_isLongRunning) {
             continue;
         }
-        auto& runTime = runTimes[occupant.m_group];
-        if (!runTime.has_value()) {
-            runTime = m_input.m_forecast.getRunTime(getRecord(occupant), *occupant.m_spec);
-        }
         auto remaining = getRemaining(occupant);
         if (!remaining.has_value()) {
+            auto& runTime = runTimes[occupant.m_group];
+            if (!runTime.has_value()) {
+                runTime = m_input.m_forecast.getRunTime(getRecord(occupant), *occupant.m_spec);
+            }
             const double slowness = m_workerStates[occupant.m_slot].m_snapshot->m_slowness;
             remaining = ReservationPolicy::estimateRemaining(scale(runTime->m_expected, slowness),
                                                              scale(runTime->m_high, slowness),
--- a/libs/job/src/PlanningPassPreemption.cpp
+++ b/libs/job/src/PlanningPassPreemption.cpp
@@ -322,6 +322,7 @@
 
 void PlanningPass::addReleasing(WorkerSlot slot, const Resources& need) {
     releaseCapacity(m_workerStates[slot].m_releasing, m_workerStates[slot].m_overcommitted, need);
+    m_hasReleasing = true;
 }
 
 /** Allocates capacity to a unit, free capacity first, the rest from capacity about to be freed. */
