--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -70,8 +70,12 @@
     for (const WaitingStep& step : steps) {
         m_plan.m_waitingUnits += step.m_spec->m_isGang ? 1 : step.m_taskIndexes.size();
     }
+    // Urgent and starved steps come first; the others follow in the order of their priorities.
+    std::uint32_t reservedPriority = 0;
     for (std::size_t i = 0; i < steps.size(); ++i) {
-        if (m_settings.m_reservesEarly && beginsPriority(steps, i)) {
+        const std::uint32_t priority = steps[i].m_record->m_policy.m_priority;
+        if (m_settings.m_reservesEarly && priority > reservedPriority && !isStarved(steps[i])) {
+            reservedPriority = priority;
             reserveEarly(std::span(steps).subspan(i));
         }
         placeStep(steps[i]);
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -241,7 +241,6 @@
     void collectStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step,
                      std::vector<WaitingStep>& steps);
     void explainUnresolvedLosses(const JobRecord& record);
-    bool beginsPriority(std::span<const WaitingStep> steps, std::size_t index) const;
     static Millis getObjective(const JobRecord& record, std::uint32_t occurrence);
     std::uint32_t chooseBand(const WaitingStep& step, const OccurrenceRun& occurrence) const;
     WaitingStep makeStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step);
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -143,16 +143,6 @@
     return !isUrgent && isStarved(step) ? HOPELESS : priority * BANDS + band;
 }
 
-/** Whether the first step of a priority is at `index`; urgent and starved steps are left out. */
-bool PlanningPass::beginsPriority(std::span<const WaitingStep> steps, std::size_t index) const {
-    const auto isInOrder = [&](const WaitingStep& step) {
-        return step.m_record->m_policy.m_priority != 0 && !isStarved(step);
-    };
-    return isInOrder(steps[index]) && (index == 0 || !isInOrder(steps[index - 1]) ||
-                                       steps[index - 1].m_record->m_policy.m_priority !=
-                                               steps[index].m_record->m_policy.m_priority);
-}
-
 /** Advances the objective in proportion to the unit's size, by up to the fragmentation weight. */
 Millis PlanningPass::getWeightedObjective(const WaitingStep& step) const {
     constexpr double WHOLE_WEIGHT = 100.0;
