--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -14,95 +14,14 @@
 #include <vector>
 
 #include "EarlyReservations.h"
+#include "Occupant.h"
 #include "pierbank/job/CompletionForecast.h"
 #include "pierbank/job/TaskPlanner.h"
+#include "WorkerState.h"
+#include "WorkUnit.h"
 
 namespace pierbank {
 
-/** Index of a worker in PlanInput::m_workers and PlanningPass::m_workerStates. */
-using WorkerSlot = std::size_t;
-
-/**
- * Number of a topology domain (host, rack or failure domain): its position among the domains of the
- * same level, in the order of their names.
- */
-using DomainId = std::int32_t;
-/** Stands for the whole region: any worker may be used. */
-constexpr DomainId ANY_DOMAIN = -1;
-/** Stands for a topology domain without workers. */
-constexpr DomainId UNKNOWN_DOMAIN = -2;
-
-/** Workers that may run a step, regardless of their free capacity. */
-struct EligibleWorkers {
-    /** In ascending order. */
-    std::vector<WorkerSlot> m_slots;
-    /** Indexed by slot. */
-    std::vector<bool> m_isEligible;
-};
-
-/** A step with waiting tasks: the properties that all its units share. */
-struct WaitingStep {
-    const JobRecord* m_record = nullptr;
-    const JobRun* m_run = nullptr;
-    const StepRun* m_step = nullptr;
-    const StepSpec* m_spec = nullptr;
-    /** Index of the job in PlanInput::m_jobs. */
-    std::size_t m_jobIndex = 0;
-    /** Number of the occurrence. */
-    std::uint32_t m_occurrence = 0;
-    /** Index of the step within the job. */
-    std::uint32_t m_number = 0;
-    /** Indexes of the waiting tasks. */
-    std::vector<std::uint32_t> m_taskIndexes;
-    /** Whether the guarantee of the job's organisation covers the job. */
-    bool m_isGuaranteed = false;
-    const EligibleWorkers* m_eligible = nullptr;
-    /** Advised incarnations of workers; null if no advice is needed or available yet. */
-    const std::set<std::string>* m_advised = nullptr;
-    /** Whether only workers with placement advice may run the step. */
-    bool m_needsAdvice = false;
-    /** Wall time at which the occurrence became due, or its job was accepted. */
-    Millis m_dueAt{0};
-    /** Wall time by which the occurrence should be done. */
-    Millis m_objective{0};
-    /** Sort key: the objective, advanced for large units by the fragmentation weight. */
-    Millis m_weightedObjective{0};
-    /** First sort key, see chooseBand(); lower bands are placed first. */
-    std::uint32_t m_band = 0;
-    /** Run time that few tasks exceed on a normal host; computed on demand. */
-    mutable std::optional<Millis> m_highRunTime;
-};
-
-/** Smallest amount of work that is placed at once: a whole gang, or a single task. */
-struct WorkUnit {
-    const WaitingStep* m_waitingStep = nullptr;
-    /** Indexes of the unit's tasks; more than one only for a gang. */
-    std::span<const std::uint32_t> m_taskIndexes;
-    /** Workers that the unit avoids: runs of its tasks failed there, or the host is suspect. */
-    std::vector<WorkerSlot> m_excludedSlots;
-    /** Whether one of the tasks is suspected of crashing its worker. */
-    bool m_isSuspect = false;
-    /** Whether the unit avoids workers that have a run of a suspect task at its placement. */
-    bool m_avoidsSuspectRuns = false;
-    /** By slot: workers that may make the unit late, which it avoids at present; null for none. */
-    const std::vector<bool>* m_avoidedSlots = nullptr;
-    /** Whether the unit is placed by its forecast completion. */
-    bool m_usesForecast = false;
-    /** Forecast of the unit's end on the workers that are tried for it. */
-    UrgentWait::Outlook m_outlook = UrgentWait::Outlook::UNKNOWN;
-
-    const JobRecord& getRecord() const { return *m_waitingStep->m_record; }
-    const StepSpec& getSpec() const { return *m_waitingStep->m_spec; }
-    const StepRun& getStep() const { return *m_waitingStep->m_step; }
-    TaskKey getKey(std::uint32_t index) const {
-        return {getRecord().m_id, m_waitingStep->m_occurrence, m_waitingStep->m_number, index};
-    }
-    /** Whether the job has priority 0, which may preempt other runs. */
-    bool isUrgent() const { return getRecord().m_policy.m_priority == 0; }
-    /** Returns the number of accelerators that all tasks of the unit need together. */
-    std::uint32_t countAccelerators() const;
-};
-
 /**
  * One execution of TaskPlanner::plan(). For speed, workers and topology domains are identified by
  * dense numbers, which are assigned from their names once at the beginning of the pass.
@@ -115,66 +34,6 @@
     TaskPlan run();
 
 private:
-    /** Free capacity and other state of a worker during the pass. */
-    struct WorkerState {
-        const WorkerSnapshot* m_snapshot = nullptr;
-        /** Capacity that no run occupies and this pass has not allocated yet. */
-        Resources m_free;
-        /** Capacity that runs which are being stopped, or are awaited, will free. */
-        Resources m_releasing;
-        /**
-         * Demand of active runs beyond the capacity of a worker that has shrunk. Runs that end
-         * reduce this demand first and free only what exceeds it.
-         */
-        Resources m_overcommitted;
-        /** Time until a starved unit is expected to start; only shorter work may be placed. */
-        std::optional<Millis> m_reservationStartsIn;
-        /** Whether the worker is kept free for urgent work that is expected. */
-        bool m_isHeadroom = false;
-        /** Whether a run of a suspect task is active there, which may crash the worker. */
-        bool m_hasSuspectRun = false;
-        /** Number of active runs, including those placed by this pass. */
-        std::size_t m_runCount = 0;
-        /** Topology domains that contain the worker. */
-        DomainId m_host = ANY_DOMAIN;
-        DomainId m_rack = ANY_DOMAIN;
-        DomainId m_failureDomain = ANY_DOMAIN;
-    };
-    /** Active run that is not being stopped, and so may be preempted, copied or migrated. */
-    struct Occupant {
-        /** Index of the job in PlanInput::m_jobs. */
-        std::size_t m_jobIndex = 0;
-        const StepRun* m_step = nullptr;
-        const StepSpec* m_spec = nullptr;
-        /** Index in m_groups. */
-        std::size_t m_group = 0;
-        /** Number of the occurrence. */
-        std::uint32_t m_occurrence = 0;
-        /** Index of the step within the job. */
-        std::uint32_t m_stepNumber = 0;
-        /** Index of the task within the step. */
-        std::uint32_t m_index = 0;
-        std::uint32_t m_run = 0;
-        /** Wall time. */
-        Millis m_placedAt{0};
-        WorkerSlot m_slot = 0;
-        bool m_isCopy = false;
-        bool m_isUrgent = false;
-        bool m_isGuaranteed = false;
-        /** Whether this pass stops the run. */
-        bool m_isPreempted = false;
-        /** Whether the capacity is already allocated to a unit that waits for the run to end. */
-        bool m_isAwaited = false;
-        /**
-         * Core-milliseconds of work that is lost if the run is stopped; for gangs, of all members.
-         */
-        double m_preemptionCost = 0;
-    };
-    /** Range of the occupants of one step of one occurrence in m_occupants, end exclusive. */
-    struct OccupantGroup {
-        std::size_t m_first = 0;
-        std::size_t m_end = 0;
-    };
     /** Slots for the tasks of a unit, in their order. */
     using Assignment = std::vector<WorkerSlot>;
     /** Indexes in m_occupants of runs to preempt. */
@@ -226,6 +85,8 @@
     // Initial state.
     void assignDomainIds();
     void findGuaranteed();
+
+    // Active runs (PlanningPassActiveRuns.cpp).
     void collectActiveRuns();
     void collectActiveRunsOfStep(std::size_t job, const OccurrenceRun& occurrence,
                                  std::uint32_t step);
--- a/libs/job/test/ForecastPlacementTest.cpp
+++ b/libs/job/test/ForecastPlacementTest.cpp
@@ -214,8 +214,8 @@
     EXPECT_EQ(listPlaces(), SLOW);
 }
 
-// A gang was taken to be late because of a longer step of its job that runs beside it, and started on
-// slow hosts although it would have been in time on others a moment later.
+// A gang was taken to be late because of a longer step of its job that runs beside it, and started
+// on slow hosts although it would have been in time on others a moment later.
 TEST_F(WithStopsOnFastHostsTest, OnlyTheStepsThatFollowTheGangTakeFromItsTime) {
     TestJob& job = m_jobs.back();
     std::vector<StepSpec>& steps = job.m_record.m_spec.m_steps;
