Fragmentation test: a check that could not fail is replaced

After the gang whose members fit everywhere the share was zero whatever was added. A gang of which one member fits is now checked first, with a share of one half.

--- a/libs/job/test/EarlyReservationTest.cpp
+++ b/libs/job/test/EarlyReservationTest.cpp
@@ -217,10 +217,10 @@
 
 TEST_F(FragmentationOfARegion, CountsAcceleratorsThatNoWaitingGangCanUse) {
     EXPECT_DOUBLE_EQ(plan().m_fragmentation, 1.0);
+    submitGang(1, 5, 3);
+    EXPECT_DOUBLE_EQ(plan().m_fragmentation, 0.5) << "one member of three accelerators fits on h1";
     submitGang(1, 8, 2);
     EXPECT_DOUBLE_EQ(plan().m_fragmentation, 0.0) << "members of two accelerators fit";
-    submitGang(1, 5, 5);
-    EXPECT_DOUBLE_EQ(plan().m_fragmentation, 0.0);
 }
 
 TEST_F(FragmentationOfARegion, IsZeroWhileNoLargeUnitWaits) {
