--- a/libs/control/src/RunTimes.cpp
+++ b/libs/control/src/RunTimes.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "pierbank/base/Scale.h"
+
 namespace pierbank {
 
 namespace {
@@ -22,10 +24,6 @@
 constexpr Millis IMAGE_RETENTION{3'600'000};
 constexpr double PERCENT_MILLIS_PER_SECOND = 100.0 * 1000.0;
 
-Millis scale(Millis time, double factor) {
-    return Millis(std::llround(static_cast<double>(time.count()) * factor));
-}
-
 }  // namespace
 
 void RunTimes::recordSample(const RunTimeSample& sample, Millis now) {
--- a/libs/job/src/CompletionForecast.cpp
+++ b/libs/job/src/CompletionForecast.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "pierbank/base/Scale.h"
+
 namespace pierbank {
 
 namespace {
@@ -21,10 +23,6 @@
 /** The slowness of a worker without a sample of its own says nothing about it. */
 constexpr double MIN_RATED_SAMPLES = 1.0;
 
-Millis scale(Millis time, double factor) {
-    return Millis(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
-}
-
 }  // namespace
 
 bool SpeedSpread::isUneven() const noexcept {
--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 // Reservations for large units before they starve, and the fragmentation of the free capacity.
 #include <algorithm>
-#include <cmath>
 
 #include "PlanningPass.h"
+#include "pierbank/base/Scale.h"
 
 namespace pierbank {
 
@@ -14,10 +14,6 @@
             std::min(a.m_accelerators, b.m_accelerators)};
 }
 
-Millis scale(Millis time, double factor) {
-    return Millis(std::llround(static_cast<double>(time.count()) * factor));
-}
-
 std::size_t getRackIndex(DomainId rack) {
     return static_cast<std::size_t>(rack + 1);
 }
