--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -2,8 +2,8 @@
 // Reservations for large units before they starve, and the fragmentation of the free capacity.
 #include <algorithm>
 
-#include "PlanningPass.h"
 #include "pierbank/base/Scale.h"
+#include "PlanningPass.h"
 
 namespace pierbank {
 
