--- a/libs/job/test/ForecastPlacementTest.cpp
+++ b/libs/job/test/ForecastPlacementTest.cpp
@@ -214,6 +214,28 @@
     EXPECT_EQ(listPlaces(), SLOW);
 }
 
+// A gang was taken to be late because of a longer step of its job that runs beside it, and started
+// on slow hosts although it would have been in time on others a moment later.
+TEST_F(WithStopsOnFastHostsTest, OnlyTheStepsThatFollowTheGangTakeFromItsTime) {
+    TestJob& job = m_jobs.back();
+    std::vector<StepSpec>& steps = job.m_record.m_spec.m_steps;
+    StepSpec& longer = steps.emplace_back();
+    longer.m_need = {1000, 1000, 0};
+    longer.m_estimate = Millis(10'000);
+    StepSpec& following = steps.emplace_back();
+    following.m_after = {0};
+    following.m_estimate = Millis(500);
+    // The objective is 15 s after the acceptance; 2.6 s are left for the gang.
+    job.m_record.m_acceptedAt = NOW - Millis(11'900);
+    job.m_run = makeJobRun(job.m_record);
+    TaskRun& running = job.m_run.m_occurrences[0].m_steps[1].m_tasks[0];
+    running.m_state = TaskState::PLACED;
+    running.m_run = running.m_lastRun = 1;
+    running.m_worker = m_workers[0].m_id;
+    running.m_placedAt = NOW - Millis(9000);
+    expectWait(Cause::STOPS, Outlook::IN_TIME);
+}
+
 TEST_F(WithOnlySlowHostsFreeTest, WithoutTheSwitchAGangStartsAtOnce) {
     m_settings.m_forecastsCompletion = false;
     endNormalIn(Millis(400));
@@ -393,5 +415,26 @@
     EXPECT_EQ(listVictims(), std::set<std::string>{gang});
 }
 
+// The first urgent job waits for the end of one member of a gang, the second preempts the other
+// member, which stops both. The capacity of the first member then counted twice: a third job was
+// left waiting for it and preempted nothing.
+TEST_F(HostsOfThreeSpeedsTest, CapacityOfAnAwaitedRunIsAllocatedOnceThoughItsGangIsStopped) {
+    m_settings.m_forecastsCompletion = false;
+    m_guarantees["urgent"] = 24;
+    fill({0}, Millis(9000));
+    fill({1}, Millis(9000));
+    for (std::size_t host = 4; host < m_workers.size(); ++host) {
+        fill({host}, Millis(9000));
+    }
+    const std::string gang = fill({2, 3}, Millis(300)).m_record.m_id;
+    m_remaining[{gang, 0, 0, 0}] = Millis(400);
+    addJob(0, 1);
+    addJob(0, 1, Millis(701)).m_record.m_policy.m_stretch = 3.0;
+    addJob(0, 1, Millis(701)).m_record.m_policy.m_stretch = 4.0;
+    const TaskPlan result = plan();
+    EXPECT_EQ(result.m_urgentWaits.size(), 3U);
+    EXPECT_EQ(result.m_stops.size(), 3U) << "both members of the gang, and a run for the third job";
+}
+
 }  // namespace
 }  // namespace pierbank
