--- a/libs/control/src/LearnedState.cpp
+++ b/libs/control/src/LearnedState.cpp
@@ -3,30 +3,37 @@
 
 #include <algorithm>
 #include <cmath>
-#include <initializer_list>
 
 namespace pierbank {
 
 namespace {
 
-/** Returns whether all values are finite and not negative. */
-bool areAmounts(std::initializer_list<double> values) {
-    return std::all_of(values.begin(), values.end(),
-                       [](double value) { return std::isfinite(value) && value >= 0; });
+/** More jobs, accelerators or samples than any region has. */
+constexpr double MAX_AMOUNT = 1e9;
+/** The same for accelerators times milliseconds. */
+constexpr double MAX_WORK = 1e15;
+/** A host is avoided from a score of 1.5; a greater score would take hours to decay. */
+constexpr double MAX_FAILURE_SCORE = 1000;
+
+/** Returns whether a value is a number from zero to `max`. */
+bool isAmount(double value, double max = MAX_AMOUNT) {
+    return value >= 0 && value <= max;
 }
 
 bool isValid(const ReturnedRecord& returned) {
     const HostRecord& record = returned.m_record;
     const bool isHostValid = std::isfinite(record.m_speed.m_logSpeed) &&
-                             areAmounts({record.m_speed.m_samples, record.m_health.m_failureScore,
-                                         record.m_health.m_evidence});
+                             isAmount(record.m_speed.m_samples) &&
+                             isAmount(record.m_health.m_failureScore, MAX_FAILURE_SCORE) &&
+                             isAmount(record.m_health.m_evidence);
     const bool areArrivalsValid = std::all_of(
             record.m_arrivals.begin(), record.m_arrivals.end(), [](const ArrivalsRecord& arrivals) {
-                return areAmounts({arrivals.m_jobs, arrivals.m_accelerators, arrivals.m_work});
+                return isAmount(arrivals.m_jobs) && isAmount(arrivals.m_accelerators) &&
+                       isAmount(arrivals.m_work, MAX_WORK);
             });
     const bool areRunTimesValid = std::all_of(
             record.m_runTimes.begin(), record.m_runTimes.end(), [](const RunTimeRecord& runTime) {
-                return std::isfinite(runTime.m_logRatio) && areAmounts({runTime.m_samples});
+                return std::isfinite(runTime.m_logRatio) && isAmount(runTime.m_samples);
             });
     return isHostValid && areArrivalsValid && areRunTimesValid &&
            record.m_health.m_avoidFor >= Millis(0) && record.m_health.m_pauseFor >= Millis(0) &&
@@ -34,13 +41,6 @@
            record.m_arrivals.size() <= 1 && returned.m_age >= Millis(0);
 }
 
-/** Returns whether a record of this age tells anything against a host beyond the own evidence. */
-bool isWorse(const HealthRecord& record, const HealthRecord& own, Millis age) {
-    return record.m_failureScore > own.m_failureScore || record.m_evidence > own.m_evidence ||
-           record.m_avoidFor - age > own.m_avoidFor || record.m_pauseFor - age > own.m_pauseFor ||
-           (record.m_needsProbe && !own.m_needsProbe);
-}
-
 }  // namespace
 
 bool isRefusal(RestoreResult result) {
@@ -76,14 +76,7 @@
     if (arrivals.has_value()) {
         record.m_arrivals.push_back(*arrivals);
     }
-    record.m_runTimes = m_runTimes.exportRecords();
-    if (record.m_runTimes.size() > MAX_RUN_TIMES) {
-        std::stable_sort(record.m_runTimes.begin(), record.m_runTimes.end(),
-                         [](const RunTimeRecord& a, const RunTimeRecord& b) {
-                             return a.m_samples > b.m_samples;
-                         });
-        record.m_runTimes.resize(MAX_RUN_TIMES);
-    }
+    record.m_runTimes = m_runTimes.exportRecords(MAX_RUN_TIMES);
     return record;
 }
 
@@ -106,31 +99,12 @@
     const Millis at = moment.m_now - returned.m_age;
     const bool hasSpeed = !record.m_incarnation.empty() &&
                           m_speeds.restore(record.m_incarnation, record.m_speed, at, moment.m_now);
-    const bool hasHealth = restoreHealth(host, record.m_health, at, moment.m_now);
+    const bool hasHealth = m_health.restore(host, record.m_health, at, moment.m_now);
     const bool hasCommon = restoreCommon(returned, moment);
     return hasSpeed || hasHealth || hasCommon ? RestoreResult::RESTORED
                                               : RestoreResult::NOTHING_NEW;
 }
 
-/**
- * Restores the evidence against a host. A new leader has some already, of hosts on which runs of
- * unfinished jobs stalled; the stronger of the two counts.
- */
-bool LearnedState::restoreHealth(const std::string& host, const HealthRecord& record, Millis at,
-                                 Millis now) {
-    // An unbounded pause would keep the host from work for good.
-    HealthRecord restored = record;
-    restored.m_avoidFor = std::min(record.m_avoidFor, MAX_RECORD_AGE);
-    restored.m_pauseFor = std::min(record.m_pauseFor, MAX_RECORD_AGE);
-    const HealthRecord own = m_health.getRecord(host, now);
-    if (!isWorse(restored, own, now - at)) {
-        return false;
-    }
-    restored.m_failureScore = std::max(restored.m_failureScore, own.m_failureScore);
-    m_health.restore(host, restored, at);
-    return true;
-}
-
 /**
  * Restores what does not concern the host alone, from the newest record that any host gave back.
  * All hosts have nearly the same of it, so it must count once only.
@@ -144,6 +118,7 @@
     if (returned.m_version > m_commonVersion && !record.m_runTimes.empty()) {
         m_commonVersion = returned.m_version;
         for (const RunTimeRecord& runTime : record.m_runTimes) {
+            m_runTimes.forgetRestored(runTime.m_queue, runTime.m_image);
             m_runTimes.restore(runTime, moment.m_now);
         }
         isRestored = true;
