--- a/libs/control/include/pierbank/control/HostTrials.h
+++ b/libs/control/include/pierbank/control/HostTrials.h
@@ -134,7 +134,7 @@
     void pause(Host& host, const RunEvidence& failure, Millis now);
     void acceptProbe(const std::string& name, Host& host, std::string_view proof, Millis now);
     /** Takes back what a faulty step added to hosts. */
-    void acquitHosts(const std::string& step, const TrialScale& scale, Millis now);
+    void withdrawEvidence(const std::string& step, const TrialScale& scale, Millis now);
     void removeOld(const TrialScale& scale, Millis now);
     bool isNewIncarnation(const Host& host, const WorkerId& worker) const;
 
--- a/libs/control/src/HostTrials.cpp
+++ b/libs/control/src/HostTrials.cpp
@@ -69,7 +69,7 @@
         host.m_incarnation = evidence.m_incarnation;
     }
     if (share.has_value() && share->m_failed >= m_settings.m_faultyStepShare) {
-        acquitHosts(evidence.m_wideStep, scale, now);
+        withdrawEvidence(evidence.m_wideStep, scale, now);
         return true;
     }
     if (share.has_value()) {
@@ -99,7 +99,7 @@
               {"ran_ms", std::to_string(failure.m_ran.count())}});
 }
 
-void HostTrials::acquitHosts(const std::string& step, const TrialScale& scale, Millis now) {
+void HostTrials::withdrawEvidence(const std::string& step, const TrialScale& scale, Millis now) {
     for (const auto& [name, evidence] : m_steps.takeContributions(step)) {
         const auto found = m_hosts.find(name);
         if (found == m_hosts.end()) {
@@ -136,8 +136,8 @@
         return;
     }
     host.m_isLimited = false;
-    // The limit applies here and not to failures, so that acquitHosts() leaves what other steps
-    // added.
+    // The limit applies here and not to failures, so that withdrawEvidence() leaves what other
+    // steps added.
     const double before = std::min(getEvidence(host, scale, now), m_settings.m_maxEvidence);
     setEvidence(host, before + std::log(1.0 - m_settings.m_badHostShare), now);
     if (host.m_evidence <= 0.0) {
--- a/libs/trace/include/pierbank/trace/WasteReport.h
+++ b/libs/trace/include/pierbank/trace/WasteReport.h
@@ -14,7 +14,7 @@
 namespace pierbank {
 
 /** How a job ended, judged by its objective. */
-enum class JobVerdict : std::uint8_t {
+enum class JobResult : std::uint8_t {
     IN_TIME,
     LATE,
     FAILED,
@@ -27,16 +27,16 @@
     UNKNOWN,
 };
 
-/** Returns the verdict's name as the trace tool prints it. */
-std::string_view toText(JobVerdict verdict);
+/** Returns the name of the result as the trace tool prints it. */
+std::string_view toText(JobResult result);
 
 /** A run that gave way to urgent work. */
 struct PreemptedRun {
     std::string m_task;
     std::string m_priority;
     /** Job that the run gave way to. */
-    std::string m_beneficiary;
-    JobVerdict m_beneficiaryVerdict = JobVerdict::UNKNOWN;
+    std::string m_preemptor;
+    JobResult m_preemptorResult = JobResult::UNKNOWN;
     /** The next run resumes from saved progress, or the run was done before it could be stopped. */
     bool m_isKept = false;
     /** Work of the run, which is thrown away unless it is kept; zero without a logged end. */
@@ -51,7 +51,7 @@
     static constexpr double MAX_USUAL_SLOWNESS = 1.3;
 
     std::string m_id;
-    JobVerdict m_verdict = JobVerdict::OPEN;
+    JobResult m_result = JobResult::OPEN;
     /** Time from the acceptance to the first placement. */
     Millis m_firstWait{0};
     /** Slowest host among the last placements of its tasks, and its slowness; zero if unknown. */
--- a/libs/trace/include/pierbank/trace/WasteTrace.h
+++ b/libs/trace/include/pierbank/trace/WasteTrace.h
@@ -44,7 +44,7 @@
     struct PreemptionStop {
         std::string m_task;
         std::string m_priority;
-        std::string m_beneficiary;
+        std::string m_preemptor;
     };
     /** Placement of a task's latest run. */
     struct Placement {
@@ -59,9 +59,9 @@
     void handleEnd(const LogLine& line);
     void handleStopped(const LogLine& line);
     void handlePlaced(const LogLine& line);
-    using Verdicts = std::map<std::string_view, JobVerdict>;
-    void addWork(WasteReport& report, const Verdicts& verdicts) const;
-    void addPreemptions(WasteReport& report, const Verdicts& verdicts) const;
+    using Results = std::map<std::string_view, JobResult>;
+    void addWork(WasteReport& report, const Results& results) const;
+    void addPreemptions(WasteReport& report, const Results& results) const;
     void addUrgentJobs(WasteReport& report, std::span<const JobTimeline> timelines) const;
 
     std::map<std::string, Run> m_runs;
@@ -70,7 +70,7 @@
 };
 
 /** Judges a job by its objective. */
-JobVerdict judge(const JobTimeline& timeline);
+JobResult getResult(const JobTimeline& timeline);
 
 }  // namespace pierbank
 
--- a/libs/trace/src/WasteReport.cpp
+++ b/libs/trace/src/WasteReport.cpp
@@ -18,7 +18,7 @@
 struct PreemptionTotals {
     std::size_t m_runs = 0;
     double m_coreSeconds = 0;
-    std::set<std::string> m_beneficiaries;
+    std::set<std::string> m_preemptors;
 };
 
 template <typename Condition>
@@ -40,10 +40,10 @@
 
 }  // namespace
 
-std::string_view toText(JobVerdict verdict) {
-    constexpr std::array<std::string_view, static_cast<std::size_t>(JobVerdict::UNKNOWN) + 1>
-            NAMES = {"in-time", "late", "failed", "cancelled", "open", "no-objective", "unknown"};
-    return NAMES.at(static_cast<std::size_t>(verdict));
+std::string_view toText(JobResult result) {
+    constexpr std::array<std::string_view, static_cast<std::size_t>(JobResult::UNKNOWN) + 1> NAMES =
+            {"in-time", "late", "failed", "cancelled", "open", "no-objective", "unknown"};
+    return NAMES.at(static_cast<std::size_t>(result));
 }
 
 void WasteReport::add(const WasteReport& other) {
@@ -80,12 +80,12 @@
 }
 
 void WasteReport::printPreemptions(std::ostream& out) const {
-    std::map<std::tuple<std::string, JobVerdict, bool>, PreemptionTotals> rows;
+    std::map<std::tuple<std::string, JobResult, bool>, PreemptionTotals> rows;
     for (const PreemptedRun& run : m_preemptions) {
-        PreemptionTotals& row = rows[{run.m_priority, run.m_beneficiaryVerdict, run.m_isKept}];
+        PreemptionTotals& row = rows[{run.m_priority, run.m_preemptorResult, run.m_isKept}];
         ++row.m_runs;
         row.m_coreSeconds += run.m_coreSeconds;
-        row.m_beneficiaries.insert(run.m_beneficiary);
+        row.m_preemptors.insert(run.m_preemptor);
     }
     out << std::left << std::setw(NAME_WIDTH) << "victim_prio"
         << " " << std::setw(NAME_WIDTH) << "for_job"
@@ -93,26 +93,26 @@
         << "runs" << std::setw(NUMBER_WIDTH) << "for_jobs" << std::setw(NUMBER_WIDTH) << "core_s"
         << "\n";
     for (const auto& [key, row] : rows) {
-        const auto& [priority, verdict, isKept] = key;
+        const auto& [priority, result, isKept] = key;
         out << std::left << std::setw(NAME_WIDTH) << priority << " " << std::setw(NAME_WIDTH)
-            << toText(verdict) << " " << std::setw(NAME_WIDTH) << (isKept ? "yes" : "no")
+            << toText(result) << " " << std::setw(NAME_WIDTH) << (isKept ? "yes" : "no")
             << std::right << std::setw(NUMBER_WIDTH) << row.m_runs << std::setw(NUMBER_WIDTH)
-            << row.m_beneficiaries.size() << std::setw(NUMBER_WIDTH) << row.m_coreSeconds << "\n";
+            << row.m_preemptors.size() << std::setw(NUMBER_WIDTH) << row.m_coreSeconds << "\n";
     }
 }
 
 void WasteReport::printUrgentJobs(std::ostream& out, bool withJobs) const {
-    std::map<JobVerdict, std::size_t> verdicts;
+    std::map<JobResult, std::size_t> results;
     std::vector<UrgentJob> late;
     for (const UrgentJob& job : m_urgentJobs) {
-        ++verdicts[job.m_verdict];
-        if (job.m_verdict == JobVerdict::LATE) {
+        ++results[job.m_result];
+        if (job.m_result == JobResult::LATE) {
             late.push_back(job);
         }
     }
     out << "urgent jobs " << m_urgentJobs.size();
-    for (const auto& [verdict, count] : verdicts) {
-        out << ", " << toText(verdict) << " " << count;
+    for (const auto& [result, count] : results) {
+        out << ", " << toText(result) << " " << count;
     }
     std::map<std::string, std::size_t> causes;
     for (const UrgentJob& job : late) {
--- a/libs/trace/src/WasteTrace.cpp
+++ b/libs/trace/src/WasteTrace.cpp
@@ -29,20 +29,20 @@
 
 }  // namespace
 
-JobVerdict judge(const JobTimeline& timeline) {
+JobResult getResult(const JobTimeline& timeline) {
     if (!timeline.m_acceptedAt.has_value()) {
-        return JobVerdict::UNKNOWN;
+        return JobResult::UNKNOWN;
     }
     if (timeline.m_phase.empty()) {
-        return JobVerdict::OPEN;
+        return JobResult::OPEN;
     }
     if (timeline.m_phase != "succeeded") {
-        return timeline.m_phase == "failed" ? JobVerdict::FAILED : JobVerdict::CANCELLED;
+        return timeline.m_phase == "failed" ? JobResult::FAILED : JobResult::CANCELLED;
     }
     if (timeline.m_objective <= Millis(0)) {
-        return JobVerdict::NO_OBJECTIVE;
+        return JobResult::NO_OBJECTIVE;
     }
-    return timeline.isLate() ? JobVerdict::LATE : JobVerdict::IN_TIME;
+    return timeline.isLate() ? JobResult::LATE : JobResult::IN_TIME;
 }
 
 void WasteTrace::take(const LogLine& line) {
@@ -92,13 +92,13 @@
 }
 
 WasteReport WasteTrace::tell(std::span<const JobTimeline> timelines) const {
-    Verdicts verdicts;
+    Results results;
     for (const JobTimeline& timeline : timelines) {
-        verdicts[timeline.m_id] = judge(timeline);
+        results[timeline.m_id] = getResult(timeline);
     }
     WasteReport report;
-    addWork(report, verdicts);
-    addPreemptions(report, verdicts);
+    addWork(report, results);
+    addPreemptions(report, results);
     addUrgentJobs(report, timelines);
     return report;
 }
@@ -107,26 +107,25 @@
     return m_outcome == toText(WorkOutcome::DONE);
 }
 
-void WasteTrace::addWork(WasteReport& report, const Verdicts& verdicts) const {
+void WasteTrace::addWork(WasteReport& report, const Results& results) const {
     for (const auto& [key, run] : m_runs) {
         (run.isKept() ? report.m_kept : report.m_wasted[run.m_outcome]) += run.m_coreSeconds;
-        const auto verdict = verdicts.find(getJob(run.m_task));
-        const bool isInVain =
-                verdict != verdicts.end() &&
-                (verdict->second == JobVerdict::FAILED || verdict->second == JobVerdict::CANCELLED);
+        const auto result = results.find(getJob(run.m_task));
+        const bool isInVain = result != results.end() && (result->second == JobResult::FAILED ||
+                                                          result->second == JobResult::CANCELLED);
         report.m_keptInVain += run.isKept() && isInVain ? run.m_coreSeconds : 0;
     }
 }
 
-void WasteTrace::addPreemptions(WasteReport& report, const Verdicts& verdicts) const {
+void WasteTrace::addPreemptions(WasteReport& report, const Results& results) const {
     for (const auto& [key, stop] : m_preemptions) {
         PreemptedRun preempted;
         preempted.m_task = stop.m_task;
         preempted.m_priority = stop.m_priority;
-        preempted.m_beneficiary = stop.m_beneficiary;
-        const auto verdict = verdicts.find(stop.m_beneficiary);
-        if (verdict != verdicts.end()) {
-            preempted.m_beneficiaryVerdict = verdict->second;
+        preempted.m_preemptor = stop.m_preemptor;
+        const auto result = results.find(stop.m_preemptor);
+        if (result != results.end()) {
+            preempted.m_preemptorResult = result->second;
         }
         const auto run = m_runs.find(key);
         if (run != m_runs.end()) {
@@ -154,7 +153,7 @@
         }
         UrgentJob job;
         job.m_id = timeline.m_id;
-        job.m_verdict = judge(timeline);
+        job.m_result = getResult(timeline);
         job.m_wasteCauses = causes[timeline.m_id];
         const auto found = m_jobs.find(timeline.m_id);
         if (found != m_jobs.end()) {
--- a/libs/trace/test/WasteTraceTest.cpp
+++ b/libs/trace/test/WasteTraceTest.cpp
@@ -45,9 +45,9 @@
         log(millis, "jobs placed task=" + task + " run=" + std::to_string(run) + " host=" + host +
                             " waited_ms=" + std::to_string(waited));
     }
-    void preempt(int millis, const std::string& task, int run, const std::string& beneficiary) {
+    void preempt(int millis, const std::string& task, int run, const std::string& preemptor) {
         log(millis, "jobs stopped task=" + task + " run=" + std::to_string(run) +
-                            " priority=2 why=\"gave way to job " + beneficiary + "\"");
+                            " priority=2 why=\"gave way to job " + preemptor + "\"");
     }
     void end(int millis, const std::string& task, int run, const std::string& rest) {
         log(millis, "jobs run-ended task=" + task + " run=" + std::to_string(run) + " " + rest);
@@ -118,7 +118,7 @@
     ASSERT_EQ(report.m_preemptions.size(), 2U);
     EXPECT_EQ(report.m_preemptions[0].m_task, "a.0.0.0");
     EXPECT_EQ(report.m_preemptions[0].m_priority, "2");
-    EXPECT_EQ(report.m_preemptions[0].m_beneficiary, "b");
+    EXPECT_EQ(report.m_preemptions[0].m_preemptor, "b");
     EXPECT_TRUE(report.m_preemptions[0].m_isKept);
     EXPECT_FALSE(report.m_preemptions[1].m_isKept);
     EXPECT_DOUBLE_EQ(report.m_preemptions[1].m_coreSeconds, 20);
@@ -126,16 +126,16 @@
 
 TEST_F(AWasteTraceOfPreemptions, JudgesTheJobThatGainedByItsObjective) {
     finish(2100, "b");
-    EXPECT_EQ(tell().m_preemptions[0].m_beneficiaryVerdict, JobVerdict::LATE);
+    EXPECT_EQ(tell().m_preemptions[0].m_preemptorResult, JobResult::LATE);
 }
 
 TEST_F(AWasteTraceOfPreemptions, FindsTheJobThatGainedInTime) {
     finish(1900, "b");
-    EXPECT_EQ(tell().m_preemptions[0].m_beneficiaryVerdict, JobVerdict::IN_TIME);
+    EXPECT_EQ(tell().m_preemptions[0].m_preemptorResult, JobResult::IN_TIME);
 }
 
 TEST_F(AWasteTraceOfPreemptions, LeavesAJobWithoutAnEndOpen) {
-    EXPECT_EQ(tell().m_preemptions[0].m_beneficiaryVerdict, JobVerdict::OPEN);
+    EXPECT_EQ(tell().m_preemptions[0].m_preemptorResult, JobResult::OPEN);
 }
 
 TEST_F(AWasteTraceOfPreemptions, PrintsOneRowForEachKindAndAddsLogs) {
@@ -172,7 +172,7 @@
         finish(2100, "b");
         const WasteReport report = tell();
         EXPECT_EQ(report.m_urgentJobs.size(), 1U);
-        EXPECT_EQ(report.m_urgentJobs.at(0).m_verdict, JobVerdict::LATE);
+        EXPECT_EQ(report.m_urgentJobs.at(0).m_result, JobResult::LATE);
         return report.m_urgentJobs.at(0);
     }
 };
