Jobs without a run: the leader says why each waits, in logs and metrics

Of a job of priority 1 the logs had 'known' and then nothing until 'placed'. Each plan now names, for a bounded number of idle jobs, the first rule that keeps the unit off free capacity, how many members that capacity holds, and what is in use; IdleJobLog writes it once a job and when it changes, and the metrics sum it up by reason.

--- a/libs/base/include/pierbank/base/Metrics.h
+++ b/libs/base/include/pierbank/base/Metrics.h
@@ -46,6 +46,9 @@
     void addCounters(std::string_view name, std::string_view help,
                      const std::map<std::string, std::uint64_t>& values);
     void addGauge(std::string_view name, std::string_view help, double value);
+    /** Adds a gauge with labels, see addCounters(). */
+    void addGauges(std::string_view name, std::string_view help,
+                   const std::map<std::string, std::uint64_t>& values);
     /** Adds the median, the 99th percentile, the sum and the count of a summary. */
     void addSummary(std::string_view name, std::string_view help, const LatencySummary& summary);
 
@@ -54,6 +57,7 @@
 
 private:
     void addHeader(std::string_view name, std::string_view help, std::string_view type);
+    void addLabelled(std::string_view name, const std::map<std::string, std::uint64_t>& values);
 
     std::string m_text;
 };
--- a/libs/base/src/Metrics.cpp
+++ b/libs/base/src/Metrics.cpp
@@ -66,6 +66,17 @@
 void MetricsPage::addCounters(std::string_view name, std::string_view help,
                               const std::map<std::string, std::uint64_t>& values) {
     addHeader(name, help, "counter");
+    addLabelled(name, values);
+}
+
+void MetricsPage::addGauges(std::string_view name, std::string_view help,
+                            const std::map<std::string, std::uint64_t>& values) {
+    addHeader(name, help, "gauge");
+    addLabelled(name, values);
+}
+
+void MetricsPage::addLabelled(std::string_view name,
+                              const std::map<std::string, std::uint64_t>& values) {
     for (const auto& [labels, value] : values) {
         m_text.append(name).append("{").append(labels).append("} ");
         m_text.append(std::to_string(value)).append("\n");
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -16,6 +16,7 @@
 #include "pierbank/control/CommitResolver.h"
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EvacuationFeed.h"
+#include "pierbank/control/IdleJobLog.h"
 #include "pierbank/control/JobControllerSettings.h"
 #include "pierbank/control/JobStatistics.h"
 #include "pierbank/control/JobTable.h"
@@ -123,6 +124,8 @@
     std::uint64_t countProbes() const noexcept { return m_learned.health().countProbes(); }
     /** Returns the reservations of the last plan and the counters of reservations. */
     const ReservationLog& getReservationLog() const noexcept { return m_reservationLog; }
+    /** Returns the idle jobs of the last plan and how long jobs were idle, by reason. */
+    const IdleJobLog& getIdleJobLog() const noexcept { return m_idleJobLog; }
     /** Returns the fragmentation weight, 0 to 100, that plans use at present. */
     std::uint32_t getFragmentationWeight() const noexcept { return m_currentFragmentationWeight; }
     /** Returns an operator's decision about a worker; RELEASE if there is none. */
@@ -327,6 +330,7 @@
     Millis m_plannedAt{0};
     PlanThrottle m_planThrottle;
     ReservationLog m_reservationLog;
+    IdleJobLog m_idleJobLog;
     TimerId m_planTimer = TimerId::NONE;
     /** Cached; getWorkerSnapshots() refreshes the fields that may change at any time. */
     mutable std::vector<WorkerSnapshot> m_snapshots;
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -77,6 +77,7 @@
     m_waitingUnits = 0;
     m_waitingUrgentJobs.clear();
     m_reservationLog.clear();
+    m_idleJobLog.clear();
     m_earlyCancels.clear();
     m_learned.clear();
     m_handover.stop();
@@ -212,6 +213,7 @@
     recordPlanTime(m_plannedAt - startedAt, plan);
     logUrgentWaits(plan);
     m_reservationLog.update(plan, m_plannedAt);
+    m_idleJobLog.update(plan, m_plannedAt);
     place(plan.m_placements);
     for (const Placement& copy : plan.m_copies) {
         placeSpeculativeCopy(copy);
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "pierbank/job/IdleWait.h"
 #include "pierbank/job/JobRun.h"
 #include "pierbank/job/WorkOutcome.h"
 
@@ -289,6 +290,8 @@
     std::vector<PlanExplanation> m_explanations;
     /** Urgent jobs with waiting units; they refer to job ids of the input. */
     std::vector<UrgentWait> m_urgentWaits;
+    /** Idle jobs that have waited for a moment, a bounded number; ids as in m_urgentWaits. */
+    std::vector<IdleWait> m_idleWaits;
     /** Number of units left unplaced; later passes may place them because time has passed. */
     std::size_t m_waitingUnits = 0;
     /** Early reservations of units that wait; see ReservationPolicy. */
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -52,6 +52,8 @@
     }
     m_hasPlacements.resize(input.m_jobs.size());
     m_wasIdle.resize(input.m_jobs.size());
+    m_awaitsCapacity.resize(input.m_jobs.size());
+    m_hasIdleWait.resize(input.m_jobs.size());
     assignDomainIds();
     findGuaranteed();
     collectActiveRuns();
@@ -149,6 +151,7 @@
     for (WorkUnit& unit : units) {
         avoidSuspectRuns(unit);
         placeUnit(unit);
+        recordIdleWait(unit);
     }
 }
 
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -76,6 +76,11 @@
     /** Eligible workers, demand of a member, and minimum members on one worker. */
     using LargeDemand = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
                                    std::uint32_t, std::uint32_t>;
+    /** Shares of a service's capacity in use, 0 to 1. */
+    struct CapacityUse {
+        double m_accelerators = 0;
+        double m_cpu = 0;
+    };
     /** Smallest unit of its class that could not be placed; larger units are not tried. */
     struct FailedPlacement {
         std::size_t m_memberCount = 0;
@@ -101,7 +106,7 @@
     std::vector<WaitingStep> collectSteps();
     void collectStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step,
                      std::vector<WaitingStep>& steps);
-    void explainUnresolvedLosses(const JobRecord& record);
+    void explainUnresolvedLosses(const WaitingStep& step);
     static Millis getObjective(const JobRecord& record, std::uint32_t occurrence);
     std::uint32_t chooseBand(const WaitingStep& step, const OccurrenceRun& occurrence) const;
     WaitingStep makeStep(std::size_t job, const OccurrenceRun& occurrence, std::uint32_t step);
@@ -271,6 +276,16 @@
     bool mustMigrateOffEvacuated(const Occupant& occupant) const;
     WaitingStep makeStepFor(const Occupant& occupant);
 
+    // Idle jobs that wait (PlanningPassIdle.cpp).
+    void recordIdleWait(const WorkUnit& unit);
+    bool mayRecordIdleWait(const WaitingStep& step) const;
+    void addIdleWait(const WaitingStep& step, IdleWait wait);
+    IdleReason findIdleReason(const WorkUnit& unit, std::uint32_t fitting);
+    template <typename IsUsable>
+    std::uint32_t countPlaces(const WorkUnit& unit, IsUsable isUsable);
+    bool hasTwiceTheDemandFree(const WorkUnit& unit) const;
+    const CapacityUse& getUse(const std::string& service);
+
     // Explanations of waiting units (PlanningPassExplanations.cpp).
     void addWaitExplanation(const WorkUnit& unit);
     std::string explainWait(const WorkUnit& unit) const;
@@ -313,6 +328,11 @@
     std::vector<bool> m_hasPlacements;
     /** By job index: whether the job had no active run before the pass; computed on demand. */
     mutable std::vector<std::optional<bool>> m_wasIdle;
+    /** By job index: whether a unit was assigned capacity that is being freed. */
+    std::vector<bool> m_awaitsCapacity;
+    /** By job index: whether the plan says why the idle job waits. */
+    std::vector<bool> m_hasIdleWait;
+    std::map<std::string_view, CapacityUse> m_useByService;
     /** Eligible workers by service and required label. */
     std::map<std::pair<std::string_view, std::string_view>, EligibleWorkers> m_eligible;
     /** Speeds of eligible workers, computed on demand. */
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -60,26 +60,27 @@
         const TaskRun& task = run.m_tasks[index];
         return task.m_losses.mustAwaitResolution(task.m_lastRun);
     };
+    WaitingStep found = makeStep(job, occurrence, step);
     if (std::any_of(waiting.begin(), waiting.end(), mustAwaitResolution)) {
-        explainUnresolvedLosses(record);
-        if (isGang) {
+        explainUnresolvedLosses(found);
+        std::erase_if(waiting,
+                      [&](std::uint32_t index) { return isGang || mustAwaitResolution(index); });
+        if (waiting.empty()) {
+            if (mayRecordIdleWait(found)) {
+                addIdleWait(found, {{}, IdleReason::LOSSES, Millis(0), 0, 0, 0, 0});
+            }
             return;
         }
-        std::erase_if(waiting, mustAwaitResolution);
     }
-    if (waiting.empty()) {
-        return;
-    }
-    WaitingStep found = makeStep(job, occurrence, step);
     found.m_taskIndexes = std::move(waiting);
     found.m_weightedObjective = getWeightedObjective(found);
     steps.push_back(std::move(found));
 }
 
-void PlanningPass::explainUnresolvedLosses(const JobRecord& record) {
+void PlanningPass::explainUnresolvedLosses(const WaitingStep& step) {
     if (m_input.m_withExplanations) {
         m_plan.m_explanations.push_back(
-                {record.m_id, PlanExplanation::Kind::WAITS,
+                {step.m_record->m_id, PlanExplanation::Kind::WAITS,
                  "waits: so many workers of a task were lost that it is not "
                  "started before it is known whether it crashed them"});
     }
--- a/libs/job/src/PlanningPassPreemption.cpp
+++ b/libs/job/src/PlanningPassPreemption.cpp
@@ -327,6 +327,7 @@
 
 /** Allocates capacity to a unit, free capacity first, the rest from capacity about to be freed. */
 void PlanningPass::allocateReleasing(const WorkUnit& unit, const Assignment& assignment) {
+    m_awaitsCapacity[unit.m_waitingStep->m_jobIndex] = true;
     for (const WorkerSlot slot : assignment) {
         WorkerState& state = m_workerStates[slot];
         const Resources need = unit.getSpec().getCapacityDemand();
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -316,6 +316,7 @@
                     m_callers.m_refused);
     page.addSummary("pierbank_request_ms", "from a caller's request to its answer",
                     m_callers.m_latency);
+    addIdleJobs(page);
     addWork(page);
     addStoreCalls(page);
     page.addGauge("pierbank_configuration_revision", "revision of the configuration in force",
@@ -323,6 +324,24 @@
     return page.getText();
 }
 
+void JobBackend::addIdleJobs(MetricsPage& page) const {
+    constexpr std::int64_t MILLIS_PER_SECOND = 1000;
+    const IdleJobLog& log = m_core.getJobs().getIdleJobLog();
+    std::map<std::string, std::uint64_t> counts;
+    std::map<std::string, std::uint64_t> seconds;
+    for (std::size_t i = 0; i < IDLE_REASON_COUNT; ++i) {
+        const std::string label =
+                "reason=\"" + std::string(toText(static_cast<IdleReason>(i))) + "\"";
+        counts[label] = log.getCounts().at(i);
+        seconds[label] =
+                static_cast<std::uint64_t>(log.getTimes().at(i).count() / MILLIS_PER_SECOND);
+    }
+    page.addGauges("pierbank_jobs_idle", "jobs that wait without a run, by what they wait for",
+                   counts);
+    page.addCounters("pierbank_jobs_idle_seconds_total",
+                     "time that jobs waited without a run, by what they waited for", seconds);
+}
+
 void JobBackend::addWork(MetricsPage& page) const {
     const WorkAccount& work = m_core.getJobs().getStatistics().m_work;
     page.addCounter("pierbank_work_kept_core_seconds_total",
