Tests that fail: an idle job stays without a run for 3 s beside hosts with twice its room

Eight of ten rules that keep a job off free capacity outlast the platform's 3 s: the rack of its data (full, or without hosts), one rack for a gang, a reservation for a starved gang, hosts on which it failed, suspect and tested hosts, and hosts with suspect runs. Only the headroom and early reservations know the rule, each by an exception of its own.

--- /dev/null
+++ b/libs/job/test/IdleJobTest.cpp
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+// Jobs without an active run beside free capacity.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "BusyRegion.h"
+
+namespace pierbank {
+namespace {
+
+/** The platform's contract: no job may be without a run for so long while there is capacity. */
+constexpr Millis MAX_IDLE_TIME{3000};
+
+/** Two racks of two hosts, hardly used. Runs that are there outlast every test. */
+class IdleJobBesideFreeCapacity : public BusyRegion {
+protected:
+    static constexpr Millis RUN_TIME{8500};
+    static constexpr Millis LONG{60'000};
+
+    void SetUp() override {
+        addHosts(4, 2);
+        for (WorkerSnapshot& worker : m_workers) {
+            worker.m_slowness = 1.0;
+            worker.m_isProven = true;
+        }
+    }
+    void addHostInRackOfItsOwn(const std::string& name) {
+        WorkerSnapshot worker = m_workers.front();
+        worker.m_id.m_host = name;
+        worker.m_rack = "rack of " + name;
+        m_workers.push_back(worker);
+    }
+    /** Occupies accelerators of a host until after the end of the test. */
+    void occupy(std::size_t host, std::uint32_t accelerators) {
+        TestJob& entry = submit(1, 1, accelerators, LONG);
+        applyPlacement(entry.m_run, {entry.m_record.m_id, 0, 0, 0}, 1, m_workers[host].m_id, m_now);
+    }
+    void submitGangOverAllHosts() {
+        TestJob& gang = submitGang(1, 4, ACCELERATORS, Millis(1000));
+        gang.m_record.m_spec.m_steps[0].m_adjacency = Adjacency::REGION;
+    }
+    TestJob& submitJob(std::uint32_t tasks = 1, std::uint32_t accelerators = 2) {
+        return submit(1, tasks, accelerators, RUN_TIME);
+    }
+    StepSpec& getSpec(TestJob& entry) { return entry.m_record.m_spec.m_steps[0]; }
+    TaskRun& getTask(TestJob& entry) { return entry.m_run.m_occurrences[0].m_steps[0].m_tasks[0]; }
+    /** Fails a run of the job on a host; the job may fail once more. */
+    void fail(TestJob& entry, std::size_t host) {
+        const TaskKey key{entry.m_record.m_id, 0, 0, 0};
+        const std::uint32_t run = getNextRunNumber(entry.m_record, entry.m_run, key);
+        applyPlacement(entry.m_run, key, run, m_workers[host].m_id, m_now - RUN_TIME);
+        applyEnd(entry.m_record, entry.m_run, key, run, RunEnd::FAILED, "", m_now);
+    }
+    bool isIdle(const std::string& id) const {
+        return std::any_of(m_jobs.begin(), m_jobs.end(), [&](const TestJob& entry) {
+            return entry.m_record.m_id == id && entry.m_run.isIdle();
+        });
+    }
+    void expectStart(const std::string& id) {
+        const Millis from = m_now;
+        while (m_now - from < MAX_IDLE_TIME && isIdle(id)) {
+            pass();
+        }
+        EXPECT_FALSE(isIdle(id)) << "no run within 3 s";
+    }
+};
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughTheRackOfItsDataIsFull) {
+    occupy(0, 8);
+    occupy(1, 8);
+    TestJob& job = submitJob();
+    getSpec(job).m_dataRack = "r0";
+    expectStart(job.m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughTheRackOfItsDataDoesNotExist) {
+    TestJob& job = submitJob();
+    getSpec(job).m_dataRack = "r9";
+    expectStart(job.m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughItsGangFitsOnlyOverSeveralRacks) {
+    occupy(0, 4);
+    occupy(2, 4);
+    TestJob& gang = submitGang(1, 2, 8, RUN_TIME);
+    gang.m_record.m_spec.m_steps[0].m_need = {20'000, 40'000, 5};
+    gang.m_record.m_spec.m_steps[0].m_allowsRemote = true;
+    addHostInRackOfItsOwn("h4");
+    addHostInRackOfItsOwn("h5");
+    expectStart(gang.m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughHostsAreReservedForAStarvedGang) {
+    for (std::size_t host = 0; host < m_workers.size(); ++host) {
+        occupy(host, 1);
+    }
+    m_now -= LONG;
+    submitGangOverAllHosts();
+    m_now += LONG;
+    TestJob& job = submit(1, 1, 2, 2 * LONG);
+    expectStart(job.m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughHostsAreReservedForALargeGang) {
+    for (std::size_t host = 0; host < m_workers.size(); ++host) {
+        occupy(host, 1);
+    }
+    submitGangOverAllHosts();
+    TestJob& job = submit(2, 1, 2, 2 * LONG);
+    expectStart(job.m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughTheFreeHostIsKeptForUrgentWork) {
+    occupy(1, 8);
+    m_settings.m_urgentHeadroom["s"] = ACCELERATORS;
+    TestJob& job = submitJob();
+    m_workers[0].m_labels = {"wanted"};
+    getSpec(job).m_requiredLabel = "wanted";
+    expectStart(job.m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughItFailedOnTheHostsThatAreFree) {
+    occupy(1, 8);
+    TestJob& job = submitJob();
+    for (std::size_t host : {0U, 1U}) {
+        m_workers[host].m_labels = {"wanted"};
+    }
+    getSpec(job).m_requiredLabel = "wanted";
+    fail(job, 0);
+    expectStart(job.m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughTheFreeHostsAreSuspect) {
+    occupy(2, 8);
+    occupy(0, 1);
+    occupy(1, 1);
+    occupy(3, 1);
+    for (std::size_t host : {0U, 1U, 3U}) {
+        m_workers[host].m_isSuspect = true;
+    }
+    expectStart(submitJob().m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughTheFreeHostsAreTested) {
+    occupy(2, 8);
+    for (std::size_t host : {0U, 1U, 3U}) {
+        occupy(host, 1);
+        m_workers[host].m_isSuspect = true;
+        m_workers[host].m_maxTasksPerJob = 1;
+    }
+    expectStart(submitJob(20).m_record.m_id);
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsThoughSuspectTasksRunOnTheFreeHosts) {
+    occupy(2, 8);
+    for (std::size_t host : {0U, 1U, 3U}) {
+        occupy(host, 1);
+        getTask(m_jobs.back())
+                .m_losses.record({m_workers[host].m_id, 0, LossCategory::SUSPECT, MAX_IDLE_TIME});
+    }
+    TestJob& gang = submitGang(1, 2, 2, RUN_TIME);
+    gang.m_record.m_spec.m_steps[0].m_adjacency = Adjacency::REGION;
+    expectStart(gang.m_record.m_id);
+}
+
+}  // namespace
+}  // namespace pierbank
