An idle job starts wherever there is room, before the platform's 3 s are over

Cause: the promise about all waiting jobs was kept by an exception in each rule that keeps work off free capacity, and only two of nine rules had one (headroom, early reservations). The rack of its data and one rack for a gang kept a job out for twice its declared time (17 s for 8.5 s); hosts on which it failed, suspect and tested hosts and hosts with suspect runs for as long as others run. Class: a bound on all jobs that lives in single rules, so that each new rule has to remember it.

Mend: placeOverdue() is the one place that knows the bound. The first unit of a job that has been idle for 1.8 s is placed by what makes a run impossible alone (capacity, label, advice, limit per worker, hosts that take no work): while the use of some resource is low, or if it fits twice beside early reservations, which is new at high use. The two exceptions are gone. Idle time counts from the end of the last run if the leader saw it, no longer always from the acceptance: a job that was just preempted does not claim headroom at once. RandomRegion draws hosts, runs, jobs and rules at random: with the bound out of reach it is falsified after 15 tests, with the mend it holds in 3,000.

--- a/libs/control/include/pierbank/control/JobTable.h
+++ b/libs/control/include/pierbank/control/JobTable.h
@@ -34,6 +34,10 @@
     /** Whether a pending transaction contains this job. */
     bool m_isCommitting = false;
     bool m_isCancelRequested = false;
+    /** Wall time at which its last active run ended; empty while one is, or if none was seen. */
+    std::optional<Millis> m_idleSince;
+    /** Whether a run was active while this gateway has led. */
+    bool m_wasActive = false;
     /** Whether the job's record and cancel are still in the store. */
     bool m_hasInput = true;
     /** Why the urgent job waited in the last plan, for the log; empty if it did not wait. */
@@ -51,6 +55,8 @@
     std::vector<PendingMessage> m_committingMessages;
     std::vector<std::pair<WorkerId, std::uint64_t>> m_committingEnds;
 
+    /** Takes over whether a run is active now. */
+    void updateIdleTime(Millis wallNow);
     /** Returns whether a start or a stop of this run waits for a commit. */
     bool hasPendingMessage(const std::string& task, std::uint32_t run) const;
 };
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -205,6 +205,9 @@
     requestTickets();
     std::vector<AdvisedWorkers> advisedWorkers;
     const Millis startedAt = m_loop.now();
+    for (auto& [id, entry] : m_jobs) {
+        entry.updateIdleTime(m_loop.wallNow());
+    }
     const TaskPlan plan = makePlan(listJobs(advisedWorkers), false);
     m_isPlanStale = false;
     m_waitingUnits = plan.m_waitingUnits;
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -115,7 +115,7 @@
         if (!entry.m_hasInput) {
             continue;
         }
-        PlannedJob job{&entry.m_record, &entry.m_run, nullptr};
+        PlannedJob job{&entry.m_record, &entry.m_run, nullptr, entry.m_idleSince};
         if (entry.m_record.m_policy.m_advice.has_value()) {
             advisedWorkers.push_back(m_ticketCache.getAdvisedWorkers(id));
             job.m_advised = &advisedWorkers.back();
@@ -194,7 +194,7 @@
     std::vector<AdvisedWorkers> advisedWorkers;
     std::vector<PlannedJob> jobs = listJobs(advisedWorkers);
     const JobRun run = makeJobRun(record);
-    jobs.push_back({&record, &run, nullptr});
+    jobs.push_back({&record, &run, nullptr, std::nullopt});
     return makePlan(jobs, true);
 }
 
--- a/libs/control/src/JobTable.cpp
+++ b/libs/control/src/JobTable.cpp
@@ -18,6 +18,15 @@
 
 }  // namespace
 
+void JobEntry::updateIdleTime(Millis wallNow) {
+    if (!m_run.isIdle()) {
+        m_wasActive = true;
+        m_idleSince.reset();
+    } else if (m_wasActive && !m_idleSince.has_value()) {
+        m_idleSince = wallNow;
+    }
+}
+
 bool JobEntry::hasPendingMessage(const std::string& task, std::uint32_t run) const {
     const auto matches = [&](const PendingMessage& message) {
         return refersTo(message, task, run);
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -65,6 +65,8 @@
     const JobRun* m_run = nullptr;
     /** Advised workers so far, for a queue with placement advice; null if there are none. */
     const AdvisedWorkers* m_advised = nullptr;
+    /** Wall time at which the last active run ended; empty if there was none, or if unknown. */
+    std::optional<Millis> m_idleSince = std::nullopt;
 };
 
 /** Weights and limits of the planner's decisions. */
@@ -113,12 +115,14 @@
     std::map<std::string, std::uint32_t> m_urgentHeadroom;
     double m_maxHeadroomShare = 0.25;
     /**
-     * While the utilization of a service's workers is below `m_lowUtilization` for some resource,
-     * the headroom may also be used by units that have waited this long and whose job has no active
-     * run. The platform's contract does not allow a job to be without a run for 3 s while capacity
-     * is idle.
+     * The first unit of a job that has been idle for this long is placed wherever workers have
+     * capacity, whatever else keeps work off them: while the utilization of the service is below
+     * `m_lowUtilization` for some resource, or if the unit fits twice beside early reservations.
+     * Reservations of starved units are kept.
+     * The platform's contract does not allow a job to be without a run for 3 s while there is
+     * twice the capacity that it needs. The rest of the 3 s is for the plan, its commit and orders.
      */
-    Millis m_headroomReleaseWait{1800};
+    Millis m_maxIdleTime{1800};
     double m_lowUtilization = 0.55;
     /**
      * Weight of a worker's slowness against free capacity in the choice of a worker: a worker that
@@ -265,7 +269,10 @@
      * units wait.
      */
     bool m_withExplanations = true;
-    /** Allows preemption. False while workers that may have free capacity are not known yet. */
+    /**
+     * Allows preemption, and capacity for idle jobs against the planner's preferences. False while
+     * workers that may have free capacity are not known yet.
+     */
     bool m_mayPreempt = true;
 };
 
--- a/libs/job/src/EarlyReservations.h
+++ b/libs/job/src/EarlyReservations.h
@@ -22,8 +22,6 @@
     /** Work of a higher priority ignores the reservation. */
     std::uint32_t m_priority = 0;
     std::uint32_t m_accelerators = 0;
-    /** Whether the utilization of the service was low when the reservation was made. */
-    bool m_isUnderutilized = false;
     /** Demand of one member. */
     Resources m_need;
     ReservedHosts m_hosts;
--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -61,6 +61,7 @@
     addGangCosts();
     sortOccupants();
     setAsideHeadroom();
+    measureUse();
 }
 
 TaskPlan PlanningPass::run() {
@@ -160,6 +161,10 @@
  * are skipped after a failed placement in this class.
  */
 void PlanningPass::placeUnit(const WorkUnit& unit) {
+    if (placeOverdue(unit)) {
+        releaseEarlyReservation(unit);
+        return;
+    }
     const bool isCacheable = !unit.isUrgent() && !unit.m_waitingStep->m_needsAdvice &&
                              unit.getSpec().m_maxPerWorker == 0 && !isStarved(unit) &&
                              findEarlyReservation(unit) == nullptr;
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -2,6 +2,7 @@
 #ifndef PIERBANK_JOB_PLANNINGPASS_H
 #define PIERBANK_JOB_PLANNINGPASS_H
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -72,14 +73,17 @@
     /** Properties on which the placement of a unit depends, apart from the number of members. */
     using UnitClass =
             std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t, std::uint32_t, bool,
-                       bool, DomainId, int, bool, bool, Millis, std::size_t, std::size_t, bool>;
+                       bool, DomainId, int, bool, bool, Millis, std::size_t, std::size_t>;
     /** Eligible workers, demand of a member, and minimum members on one worker. */
     using LargeDemand = std::tuple<const EligibleWorkers*, std::uint32_t, std::uint32_t,
                                    std::uint32_t, std::uint32_t>;
-    /** Shares of a service's capacity in use, 0 to 1. */
+    /** Shares of a service's capacity in use, 0 to 1; 1 for what the service has none of. */
     struct CapacityUse {
-        double m_accelerators = 0;
-        double m_cpu = 0;
+        double m_accelerators = 1.0;
+        double m_cpu = 1.0;
+        double m_memory = 1.0;
+
+        double getLowest() const { return std::min({m_accelerators, m_cpu, m_memory}); }
     };
     /** Smallest unit of its class that could not be placed; larger units are not tried. */
     struct FailedPlacement {
@@ -133,9 +137,7 @@
     // Headroom for urgent work, and workers that a unit avoids (PlanningPassHosts.cpp).
     void setAsideHeadroom();
     void setAsideHeadroom(const std::string& service, std::uint32_t accelerators);
-    bool isUnderutilized(const std::string& service) const;
     bool mayUseHeadroom(const WorkUnit& unit) const;
-    bool isJobIdle(const WaitingStep& step) const;
     void excludeHosts(WorkUnit& unit);
     void avoidSuspectRuns(WorkUnit& unit);
     bool isLastAttempt(const WorkUnit& unit) const;
@@ -249,7 +251,6 @@
     std::vector<ReservableHost> listReservableHosts(const WorkUnit& unit);
     void collectExpectedReleases();
     bool ignoresEarlyReservation(const WorkUnit& unit, WorkerSlot slot) const;
-    bool mayUseIdleReserved(const WorkUnit& unit) const;
     Resources limitToUnreserved(const WorkUnit& unit, WorkerSlot slot, const Resources& free) const;
     const EarlyReservation* findEarlyReservation(const WorkUnit& unit) const;
     void releaseEarlyReservation(const WorkUnit& unit);
@@ -277,6 +278,10 @@
     WaitingStep makeStepFor(const Occupant& occupant);
 
     // Idle jobs that wait (PlanningPassIdle.cpp).
+    bool isJobIdle(const WaitingStep& step) const;
+    Millis getIdleTime(const WaitingStep& step) const;
+    bool placeOverdue(const WorkUnit& unit);
+    double getOverduePenalty(const WorkUnit& unit, WorkerSlot slot) const;
     void recordIdleWait(const WorkUnit& unit);
     bool mayRecordIdleWait(const WaitingStep& step) const;
     void addIdleWait(const WaitingStep& step, IdleWait wait);
@@ -284,7 +289,7 @@
     template <typename IsUsable>
     std::uint32_t countPlaces(const WorkUnit& unit, IsUsable isUsable);
     bool hasTwiceTheDemandFree(const WorkUnit& unit) const;
-    const CapacityUse& getUse(const std::string& service);
+    void measureUse();
 
     // Explanations of waiting units (PlanningPassExplanations.cpp).
     void addWaitExplanation(const WorkUnit& unit);
@@ -318,8 +323,6 @@
     std::uint32_t m_maxWorkerAccelerators = 1;
     /** Starved units with reservations in this pass. */
     std::size_t m_reservationCount = 0;
-    /** Services with headroom for which some resource is in low use, see isUnderutilized(). */
-    std::set<std::string> m_underutilizedServices;
     /** Whether capacity of some worker is, or was in this pass, about to be freed. */
     bool m_hasReleasing = false;
     /** Whether some worker has a run of a suspect task. */
@@ -332,6 +335,7 @@
     std::vector<bool> m_awaitsCapacity;
     /** By job index: whether the plan says why the idle job waits. */
     std::vector<bool> m_hasIdleWait;
+    /** As it was at the start of the pass. */
     std::map<std::string_view, CapacityUse> m_useByService;
     /** Eligible workers by service and required label. */
     std::map<std::pair<std::string_view, std::string_view>, EligibleWorkers> m_eligible;
--- a/libs/job/src/PlanningPassCapacity.cpp
+++ b/libs/job/src/PlanningPassCapacity.cpp
@@ -33,6 +33,9 @@
 }
 
 bool PlanningPass::isExcluded(const WorkUnit& unit, WorkerSlot slot) const {
+    if (unit.m_isOverdue) {
+        return false;
+    }
     return (unit.m_avoidsSuspectRuns && m_workerStates[slot].m_hasSuspectRun) ||
            (unit.m_avoidedSlots != nullptr && (*unit.m_avoidedSlots)[slot]) ||
            isAtTaskLimit(unit, slot) ||
@@ -59,11 +62,12 @@
            (!spec.m_isLongRunning && spec.m_estimate < *state.m_reservationStartsIn);
 }
 
-/** Allows remote work once the unit has waited for more than the additional run time. */
+/** Allows remote work once the unit has waited for more than the additional run time, or longer
+ * than its job may be idle. */
 bool PlanningPass::allowsRemote(const WorkUnit& unit) const {
     const auto estimate = static_cast<double>(unit.getSpec().m_estimate.count());
     const auto waited = static_cast<double>((m_wallNow - unit.m_waitingStep->m_dueAt).count());
-    return waited > (m_settings.m_remoteFactor - 1.0) * estimate;
+    return unit.m_isOverdue || waited > (m_settings.m_remoteFactor - 1.0) * estimate;
 }
 
 DomainId PlanningPass::getTopologyDomain(const WorkUnit& unit, WorkerSlot slot) const {
@@ -264,7 +268,7 @@
                                              : speedWeight * (worker.m_slowness - 1.0) +
                                                        left.m_accelerators + cpuShare;
     return (hasFailedHere ? FAILED_HERE_PENALTY : 0.0) + riskPenalty +
-           (usesHeadroom ? HEADROOM_PENALTY : 0.0) +
+           (usesHeadroom ? HEADROOM_PENALTY : 0.0) + getOverduePenalty(unit, slot) +
            getSpreadPenalty(unit, index, worker.m_id.m_host) + fitPenalty;
 }
 
--- a/libs/job/src/PlanningPassEarlyReservations.cpp
+++ b/libs/job/src/PlanningPassEarlyReservations.cpp
@@ -110,8 +110,8 @@
             limits.push_back(scale(hosts->m_startsIn, 1.0 / slowness));
         }
         m_early.add({&unit.getStep(), unit.m_taskIndexes.front(), unit.getRecord().m_id, service,
-                     unit.getRecord().m_policy.m_priority, unit.countAccelerators(),
-                     isUnderutilized(service), need, std::move(*hosts), std::move(limits)},
+                     unit.getRecord().m_policy.m_priority, unit.countAccelerators(), need,
+                     std::move(*hosts), std::move(limits)},
                     m_workerStates.size());
         measureWholeRacks();
     }
@@ -216,22 +216,12 @@
     const EarlyReservation* const reservation = m_early.findAt(slot);
     if (reservation == nullptr || unit.isUrgent() ||
         unit.getRecord().m_policy.m_priority < reservation->m_priority ||
-        reservation == findEarlyReservation(unit) ||
-        (reservation->m_isUnderutilized && mayUseIdleReserved(unit))) {
+        reservation == findEarlyReservation(unit)) {
         return true;
     }
     return m_early.endsBefore(slot, getHighRunTime(*unit.m_waitingStep));
 }
 
-/**
- * Whether the unit is the first of a job without a run that has waited for long. The platform's
- * contract does not allow such a wait while capacity is idle, see `m_headroomReleaseWait`.
- */
-bool PlanningPass::mayUseIdleReserved(const WorkUnit& unit) const {
-    return m_wallNow - unit.m_waitingStep->m_dueAt >= m_settings.m_headroomReleaseWait &&
-           isJobIdle(*unit.m_waitingStep);
-}
-
 /** Limits the free capacity of a worker to what the unit may use beside an early reservation. */
 Resources PlanningPass::limitToUnreserved(const WorkUnit& unit, WorkerSlot slot,
                                           const Resources& free) const {
--- a/libs/job/src/PlanningPassHosts.cpp
+++ b/libs/job/src/PlanningPassHosts.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Headroom for urgent work, and workers that a unit avoids.
 #include <algorithm>
-#include <array>
 
 #include "PlanningPass.h"
 
@@ -10,55 +9,12 @@
 void PlanningPass::setAsideHeadroom() {
     for (const auto& [service, accelerators] : m_settings.m_urgentHeadroom) {
         setAsideHeadroom(service, accelerators);
-        if (isUnderutilized(service)) {
-            m_underutilizedServices.insert(service);
-        }
-    }
-}
-
-/** Whether the utilization of some resource of a service is below `m_lowUtilization`. */
-bool PlanningPass::isUnderutilized(const std::string& service) const {
-    std::array<double, 3> free{};
-    std::array<double, 3> total{};
-    const auto add = [](std::array<double, 3>& sums, const Resources& resources) {
-        sums[0] += resources.m_cpuMillis;
-        sums[1] += resources.m_memoryMb;
-        sums[2] += resources.m_accelerators;
-    };
-    for (const WorkerState& state : m_workerStates) {
-        if (state.m_snapshot->m_service == service) {
-            add(free, state.m_free);
-            add(total, state.m_snapshot->m_capacity);
-        }
-    }
-    for (std::size_t i = 0; i < total.size(); ++i) {
-        if (total.at(i) > 0 && 1.0 - free.at(i) / total.at(i) < m_settings.m_lowUtilization) {
-            return true;
-        }
     }
-    return false;
 }
 
-/**
- * Urgent and starved units may use the headroom. Other units may use it after
- * `m_headroomReleaseWait`, if their job has no active run and the workers of the service are
- * underutilized.
- */
+/** Urgent and starved units may use the headroom. */
 bool PlanningPass::mayUseHeadroom(const WorkUnit& unit) const {
-    if (unit.isUrgent() || isStarved(unit)) {
-        return true;
-    }
-    return m_wallNow - unit.m_waitingStep->m_dueAt >= m_settings.m_headroomReleaseWait &&
-           m_underutilizedServices.count(unit.getRecord().m_policy.m_service) != 0 &&
-           isJobIdle(*unit.m_waitingStep);
-}
-
-bool PlanningPass::isJobIdle(const WaitingStep& step) const {
-    auto& wasIdle = m_wasIdle[step.m_jobIndex];
-    if (!wasIdle.has_value()) {
-        wasIdle = step.m_run->isIdle();
-    }
-    return *wasIdle && !m_hasPlacements[step.m_jobIndex];
+    return unit.isUrgent() || isStarved(unit);
 }
 
 /**
--- a/libs/job/src/PlanningPassIdle.cpp
+++ b/libs/job/src/PlanningPassIdle.cpp
@@ -1,11 +1,82 @@
 // SPDX-License-Identifier: Apache-2.0
 // Jobs without an active run that a plan leaves waiting, and why.
 #include <algorithm>
+#include <array>
 
 #include "PlanningPass.h"
 
 namespace pierbank {
 
+/** Whether no run of the job was active before the pass and none has been placed by it. */
+bool PlanningPass::isJobIdle(const WaitingStep& step) const {
+    auto& wasIdle = m_wasIdle[step.m_jobIndex];
+    if (!wasIdle.has_value()) {
+        wasIdle = step.m_run->isIdle();
+    }
+    return *wasIdle && !m_hasPlacements[step.m_jobIndex];
+}
+
+/** Returns how long an idle job has had no active run since one of its tasks could start. */
+Millis PlanningPass::getIdleTime(const WaitingStep& step) const {
+    return m_wallNow - std::max(step.m_dueAt, step.m_idleSince.value_or(step.m_dueAt));
+}
+
+/**
+ * Places the first unit of a job that has been idle for long wherever workers have capacity. This
+ * is the only place that knows the bound on idle time: it does not ask the rules that keep work off
+ * free capacity, so that a new rule cannot outlast the bound. Only what makes a run impossible
+ * counts: the capacity, the required label, placement advice, the limit per worker, and workers
+ * that take no work. The exception are reservations of starved units.
+ */
+bool PlanningPass::placeOverdue(const WorkUnit& unit) {
+    const WaitingStep& step = *unit.m_waitingStep;
+    if (step.m_hasTriedOverdue || !m_input.m_mayPreempt ||
+        getIdleTime(step) < m_settings.m_maxIdleTime || !isJobIdle(step)) {
+        return false;
+    }
+    step.m_hasTriedOverdue = true;
+    const CapacityUse& use = m_useByService[unit.getRecord().m_policy.m_service];
+    const bool isLowForSome = use.getLowest() < m_settings.m_lowUtilization;
+    const auto isUsable = [&](WorkerSlot slot) {
+        // A starved unit would never start if idle jobs took its workers as these become free.
+        return !m_workerStates[slot].m_reservationStartsIn.has_value() &&
+               (isLowForSome || m_early.findAt(slot) == nullptr);
+    };
+    const auto members = static_cast<std::uint32_t>(unit.m_taskIndexes.size());
+    if (countPlaces(unit, isUsable) < (isLowForSome ? members : 2 * members)) {
+        return false;
+    }
+    auto assignment = findPlace(unit, false);
+    if (!assignment.has_value()) {
+        WorkUnit overdue = unit;
+        overdue.m_isOverdue = true;
+        std::vector<Resources> capacities(m_workerStates.size());
+        for (const WorkerSlot slot : step.m_eligible->m_slots) {
+            capacities[slot] = isUsable(slot) ? m_workerStates[slot].m_free : Resources();
+        }
+        assignment = assign(overdue, capacities);
+    }
+    if (!assignment.has_value()) {
+        return false;
+    }
+    commit(unit, *assignment);
+    return true;
+}
+
+/** An overdue unit goes to workers that others reserve, or that may fail it, only as a last resort.
+ */
+double PlanningPass::getOverduePenalty(const WorkUnit& unit, WorkerSlot slot) const {
+    constexpr double RESERVED_PENALTY = 200.0;
+    constexpr double RISK_PENALTY = 300.0;
+    if (!unit.m_isOverdue) {
+        return 0.0;
+    }
+    const WorkerState& state = m_workerStates[slot];
+    const bool isReserved = m_early.findAt(slot) != nullptr && !ignoresEarlyReservation(unit, slot);
+    const bool isRisky = state.m_snapshot->m_isSuspect || state.m_snapshot->m_maxTasksPerJob > 0;
+    return (isReserved ? RESERVED_PENALTY : 0.0) + (isRisky ? RISK_PENALTY : 0.0);
+}
+
 /** Records why an idle job waits, by the first of its units that found no place. */
 void PlanningPass::recordIdleWait(const WorkUnit& unit) {
     const WaitingStep& step = *unit.m_waitingStep;
@@ -28,7 +99,7 @@
 }
 
 void PlanningPass::addIdleWait(const WaitingStep& step, IdleWait wait) {
-    const CapacityUse& use = getUse(step.m_record->m_policy.m_service);
+    const CapacityUse& use = m_useByService[step.m_record->m_policy.m_service];
     wait.m_job = step.m_record->m_id;
     wait.m_waited = m_wallNow - step.m_dueAt;
     wait.m_acceleratorUse = use.m_accelerators;
@@ -122,27 +193,30 @@
            accelerators >= members * need.m_accelerators;
 }
 
-/** Returns what is in use of a service, as it was when this was first asked in the pass. */
-const PlanningPass::CapacityUse& PlanningPass::getUse(const std::string& service) {
-    const auto [place, isNew] = m_useByService.try_emplace(service);
-    if (!isNew) {
-        return place->second;
-    }
-    double free = 0;
-    double total = 0;
-    double freeCpu = 0;
-    double totalCpu = 0;
+/** Measures what is in use of each service; capacity that is being freed counts as in use. */
+void PlanningPass::measureUse() {
+    constexpr std::size_t SHARES = 3;
+    struct Sums {
+        std::array<double, SHARES> m_free{};
+        std::array<double, SHARES> m_total{};
+    };
+    const auto add = [](std::array<double, SHARES>& sums, const Resources& resources) {
+        sums[0] += resources.m_accelerators;
+        sums[1] += resources.m_cpuMillis;
+        sums[2] += resources.m_memoryMb;
+    };
+    std::map<std::string_view, Sums> byService;
     for (const WorkerState& state : m_workerStates) {
-        if (state.m_snapshot->m_service == service) {
-            free += state.m_free.m_accelerators;
-            total += state.m_snapshot->m_capacity.m_accelerators;
-            freeCpu += state.m_free.m_cpuMillis;
-            totalCpu += state.m_snapshot->m_capacity.m_cpuMillis;
-        }
+        Sums& sums = byService[state.m_snapshot->m_service];
+        add(sums.m_free, state.m_free);
+        add(sums.m_total, state.m_snapshot->m_capacity);
+    }
+    for (const auto& [service, sums] : byService) {
+        const auto getShare = [&sums = sums](std::size_t i) {
+            return sums.m_total.at(i) > 0 ? 1.0 - sums.m_free.at(i) / sums.m_total.at(i) : 1.0;
+        };
+        m_useByService[service] = {getShare(0), getShare(1), getShare(2)};
     }
-    place->second = {total > 0 ? 1.0 - free / total : 0.0,
-                     totalCpu > 0 ? 1.0 - freeCpu / totalCpu : 0.0};
-    return place->second;
 }
 
 }  // namespace pierbank
--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -109,6 +109,7 @@
         made.m_eligible = findAdvised(*made.m_eligible, made.m_advised);
     }
     made.m_dueAt = getDueTime(record, occurrence.m_number);
+    made.m_idleSince = planned.m_idleSince;
     made.m_objective = getObjective(record, occurrence.m_number);
     made.m_band = chooseBand(made, occurrence);
     return made;
@@ -176,8 +177,7 @@
             mayUseHeadroom(unit),
             m_reservationCount > 0 ? spec.m_estimate : Millis(0),
             hasTaskLimit(unit) ? unit.m_waitingStep->m_jobIndex + 1 : 0,
-            m_early.isEmpty() ? 0 : m_early.countEndingBefore(getHighRunTime(*unit.m_waitingStep)),
-            !m_early.isEmpty() && mayUseIdleReserved(unit)};
+            m_early.isEmpty() ? 0 : m_early.countEndingBefore(getHighRunTime(*unit.m_waitingStep))};
 }
 
 const EligibleWorkers* PlanningPass::findEligible(const std::string& service,
--- a/libs/job/src/WorkUnit.h
+++ b/libs/job/src/WorkUnit.h
@@ -54,6 +54,10 @@
     std::uint32_t m_band = 0;
     /** Run time that few tasks exceed on a normal host; computed on demand. */
     mutable std::optional<Millis> m_highRunTime;
+    /** Whether a unit was tried as overdue in this pass; the others would fare like it. */
+    mutable bool m_hasTriedOverdue = false;
+    /** Wall time at which the job's last run ended; empty if there was none, or if unknown. */
+    std::optional<Millis> m_idleSince;
 };
 
 /** Smallest amount of work that is placed at once: a whole gang, or a single task. */
@@ -69,6 +73,8 @@
     bool m_avoidsSuspectRuns = false;
     /** By slot: workers that may make the unit late, which it avoids at present; null for none. */
     const std::vector<bool>* m_avoidedSlots = nullptr;
+    /** Whether the unit is tried wherever workers have capacity, see placeOverdue(). */
+    bool m_isOverdue = false;
     /** Whether the unit is placed by its forecast completion. */
     bool m_usesForecast = false;
     /** Forecast of the unit's end on the workers that are tried for it. */
--- a/libs/job/test/EarlyReservationTest.cpp
+++ b/libs/job/test/EarlyReservationTest.cpp
@@ -165,7 +165,7 @@
         worker.m_capacity.m_memoryMb *= 2;
     }
     EXPECT_EQ(countStarted(2, Millis(9000)), 0U);
-    m_jobs.back().m_record.m_acceptedAt = m_now - m_settings.m_headroomReleaseWait;
+    m_jobs.back().m_record.m_acceptedAt = m_now - m_settings.m_maxIdleTime;
     EXPECT_EQ(plan().m_placements.size(), 1U) << "the first run of the job";
 }
 
--- a/libs/job/test/IdleJobTest.cpp
+++ b/libs/job/test/IdleJobTest.cpp
@@ -1,10 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 // Jobs without an active run beside free capacity.
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 #include "BusyRegion.h"
+#include "pierbank/job/ReservationPolicy.h"
+#include "RegionSimulation.h"
 
 namespace pierbank {
 namespace {
@@ -43,8 +49,13 @@
     TestJob& submitJob(std::uint32_t tasks = 1, std::uint32_t accelerators = 2) {
         return submit(1, tasks, accelerators, RUN_TIME);
     }
-    StepSpec& getSpec(TestJob& entry) { return entry.m_record.m_spec.m_steps[0]; }
-    TaskRun& getTask(TestJob& entry) { return entry.m_run.m_occurrences[0].m_steps[0].m_tasks[0]; }
+    static StepSpec& getSpec(TestJob& entry) { return entry.m_record.m_spec.m_steps[0]; }
+    static const StepSpec& getSpec(const TestJob& entry) {
+        return entry.m_record.m_spec.m_steps[0];
+    }
+    static TaskRun& getTask(TestJob& entry) {
+        return entry.m_run.m_occurrences[0].m_steps[0].m_tasks[0];
+    }
     /** Fails a run of the job on a host; the job may fail once more. */
     void fail(TestJob& entry, std::size_t host) {
         const TaskKey key{entry.m_record.m_id, 0, 0, 0};
@@ -164,5 +175,113 @@
     expectStart(gang.m_record.m_id);
 }
 
+/** Hosts, runs, jobs and everything that may keep a job off a host, drawn at random. */
+class RandomRegion : public IdleJobBesideFreeCapacity {
+protected:
+    static bool isTrueFor(int percent) { return drawInt(1, 100) <= percent; }
+
+    void draw() {
+        m_workers.clear();
+        m_jobs.clear();
+        addHosts(static_cast<std::size_t>(drawInt(4, 12)), static_cast<std::size_t>(drawInt(1, 4)));
+        for (std::size_t host = 0; host < m_workers.size(); ++host) {
+            drawHost(host);
+        }
+        m_settings.m_urgentHeadroom["s"] = static_cast<std::uint32_t>(drawInt(0, 40));
+        m_settings.m_maxHeadroomShare = 0.01 * drawInt(0, 100);
+        const int jobs = drawInt(1, 12);
+        for (int i = 0; i < jobs; ++i) {
+            drawJob();
+        }
+    }
+
+    /** Returns an idle job that the plan leaves waiting though its unit would fit twice. */
+    std::optional<std::string> findForgottenJob() const {
+        const TaskPlan made = plan();
+        std::map<std::string, Resources> free;
+        for (const WorkerSnapshot& worker : m_workers) {
+            free[worker.m_id.m_host] = worker.m_capacity;
+        }
+        std::set<std::string> hasRun;
+        for (const TestJob& entry : m_jobs) {
+            for (const ActiveRun& run : listActiveRuns(entry.m_record.m_id, entry.m_run)) {
+                free[run.m_worker.m_host] -= getSpec(entry).m_need;
+                hasRun.insert(entry.m_record.m_id);
+            }
+        }
+        for (const Placement& placement : made.m_placements) {
+            free[placement.m_worker.m_host] -= getSpec(find(placement.m_task.m_job)).m_need;
+            hasRun.insert(placement.m_task.m_job);
+        }
+        for (const TestJob& entry : m_jobs) {
+            const std::uint32_t members = getSpec(entry).m_isGang ? getSpec(entry).m_tasks : 1;
+            if (hasRun.count(entry.m_record.m_id) == 0 && countPlaces(entry, free) >= 2 * members) {
+                return entry.m_record.m_id;
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    void drawHost(std::size_t host) {
+        WorkerSnapshot& worker = m_workers[host];
+        worker.m_labels = {isTrueFor(50) ? "a" : "b"};
+        worker.m_isSuspect = isTrueFor(30);
+        worker.m_isProven = isTrueFor(50);
+        worker.m_maxTasksPerJob = isTrueFor(30) ? 1 : 0;
+        worker.m_acceptsWork = !isTrueFor(10);
+        if (isTrueFor(50)) {
+            occupy(host, static_cast<std::uint32_t>(drawInt(1, 4)));
+        }
+        if (isTrueFor(10)) {
+            TaskRun& task = getTask(m_jobs.back());
+            task.m_losses.record({{"h0", "before"}, 0, LossCategory::SUSPECT, LONG});
+        }
+    }
+    void drawJob() {
+        const bool isGang = isTrueFor(40);
+        TestJob& entry = submit(static_cast<std::uint32_t>(drawInt(1, 2)),
+                                static_cast<std::uint32_t>(drawInt(1, 6)),
+                                static_cast<std::uint32_t>(drawInt(1, 8)), RUN_TIME);
+        entry.m_record.m_acceptedAt -= MAX_IDLE_TIME;
+        StepSpec& spec = getSpec(entry);
+        spec.m_isGang = isGang;
+        spec.m_adjacency = isTrueFor(50) ? Adjacency::RACK : Adjacency::REGION;
+        spec.m_allowsRemote = true;
+        spec.m_dataRack = isTrueFor(40) ? "r" + std::to_string(drawInt(0, 4)) : "";
+        spec.m_requiredLabel = isTrueFor(20) ? "a" : "";
+        spec.m_maxPerWorker = isTrueFor(20) ? 1 : 0;
+        entry.m_run = makeJobRun(entry.m_record);
+        if (isTrueFor(30)) {
+            getTask(entry).m_failures = 1;
+            getTask(entry).m_failedHosts.add("h" + std::to_string(drawInt(0, 11)));
+        }
+    }
+    const TestJob& find(const std::string& id) const {
+        return *std::find_if(m_jobs.begin(), m_jobs.end(),
+                             [&](const TestJob& entry) { return entry.m_record.m_id == id; });
+    }
+    std::uint32_t countPlaces(const TestJob& entry, std::map<std::string, Resources>& free) const {
+        const StepSpec& spec = getSpec(entry);
+        std::uint32_t places = 0;
+        for (const WorkerSnapshot& worker : m_workers) {
+            const bool isAllowed =
+                    worker.m_acceptsWork && (spec.m_requiredLabel.empty() ||
+                                             worker.m_labels.count(spec.m_requiredLabel) != 0);
+            const std::uint32_t limit = spec.m_maxPerWorker > 0 ? spec.m_maxPerWorker : 100;
+            places += isAllowed ? ReservationPolicy::countFitting(spec.m_need,
+                                                                  free[worker.m_id.m_host], limit)
+                                : 0;
+        }
+        return places;
+    }
+};
+
+RC_GTEST_FIXTURE_PROP(RandomRegion, LeavesNoIdleJobWithoutARunBesideTwiceItsRoom, ()) {
+    draw();
+    const auto forgotten = findForgottenJob();
+    RC_ASSERT(!forgotten.has_value());
+}
+
 }  // namespace
 }  // namespace pierbank
