A rack that can't take a job is not waited for

What callers saw: a gang that prefers one rack and is larger than any rack waited for twice its declared time before it was tried over several (17 s for 8.5 s), without a reservation meanwhile; so did a task whose data lies in a rack that has no host, or whose hosts leave or are evacuated.

Cause: the wait weighs the longer run elsewhere against the wait for the rack, and was taken also where the wait can't end. Class: a preference is waited for without asking whether it can be met.

Evidence: four tests failed before (StartsAtOnceIfTheRackOfItsDataDoesNotExist, ...IsEvacuated, ...IfNoRackCanHoldItsGang, GetsAReservationOverRacksIfNoRackCanHoldIt). Mend: a unit whose preferred domains could not hold it if they were idle has no preference: it is placed and gets reservations over all hosts. Hosts that are only not linked, paused or avoided still count, so that a short outage sends no work away.

--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -173,6 +173,9 @@
     bool isAllowed(const WorkUnit& unit, WorkerSlot slot) const;
     bool isUnreservedFor(const WorkUnit& unit, WorkerSlot slot) const;
     bool allowsRemote(const WorkUnit& unit) const;
+    bool prefersDomain(const WorkUnit& unit) const;
+    bool canPreferredDomainHold(const WorkUnit& unit) const;
+    bool canEverUse(const WorkUnit& unit, WorkerSlot slot) const;
     const TasksPerWorker& countTasksPerWorker(const WorkUnit& unit);
     /** Returns the worker's topology domain at the level that must contain the whole unit. */
     DomainId getTopologyDomain(const WorkUnit& unit, WorkerSlot slot) const;
--- a/libs/job/src/PlanningPassCapacity.cpp
+++ b/libs/job/src/PlanningPassCapacity.cpp
@@ -62,12 +62,57 @@
            (!spec.m_isLongRunning && spec.m_estimate < *state.m_reservationStartsIn);
 }
 
-/** Allows remote work once the unit has waited for more than the additional run time, or longer
- * than its job may be idle. */
+/**
+ * Allows remote work once the unit has waited for more than the additional run time, or longer than
+ * its job may be idle; and at once if there is nothing to wait for.
+ */
 bool PlanningPass::allowsRemote(const WorkUnit& unit) const {
     const auto estimate = static_cast<double>(unit.getSpec().m_estimate.count());
     const auto waited = static_cast<double>((m_wallNow - unit.m_waitingStep->m_dueAt).count());
-    return unit.m_isOverdue || waited > (m_settings.m_remoteFactor - 1.0) * estimate;
+    return unit.m_isOverdue || waited > (m_settings.m_remoteFactor - 1.0) * estimate ||
+           (prefersDomain(unit) && !canPreferredDomainHold(unit));
+}
+
+/** Whether the unit takes longer outside the rack of its data, or over several domains. */
+bool PlanningPass::prefersDomain(const WorkUnit& unit) const {
+    const StepSpec& spec = unit.getSpec();
+    return !spec.m_dataRack.empty() || (spec.m_allowsRemote && needsSingleDomain(unit));
+}
+
+/** Whether one of the domains that the unit prefers could hold it if all workers there were idle.
+ */
+bool PlanningPass::canPreferredDomainHold(const WorkUnit& unit) const {
+    auto& canHold = unit.m_waitingStep->m_canPreferredDomainHold;
+    if (canHold.has_value()) {
+        return *canHold;
+    }
+    const StepSpec& spec = unit.getSpec();
+    const auto members = static_cast<std::uint32_t>(unit.m_taskIndexes.size());
+    const std::uint32_t perHost = spec.m_maxPerWorker == 0 ? members : spec.m_maxPerWorker;
+    const auto dataRack = m_racks.find(spec.m_dataRack);
+    std::map<DomainId, std::uint32_t> places;
+    canHold = false;
+    for (WorkerSlot slot = 0; slot < m_workerStates.size() && !*canHold; ++slot) {
+        const DomainId domain = getTopologyDomain(unit, slot);
+        const bool isPreferred = spec.m_dataRack.empty() ||
+                                 (dataRack != m_racks.end() && domain == dataRack->second);
+        if (isPreferred && canEverUse(unit, slot)) {
+            const Resources& capacity = m_workerStates[slot].m_snapshot->m_capacity;
+            places[domain] +=
+                    ReservationPolicy::countFitting(spec.getCapacityDemand(), capacity, perHost);
+            canHold = places[domain] >= members;
+        }
+    }
+    return *canHold;
+}
+
+/** Whether the worker may run the unit now or once it is linked or trusted again. */
+bool PlanningPass::canEverUse(const WorkUnit& unit, WorkerSlot slot) const {
+    const WorkerSnapshot& worker = *m_workerStates[slot].m_snapshot;
+    const std::string& label = unit.getSpec().m_requiredLabel;
+    return worker.m_service == unit.getRecord().m_policy.m_service &&
+           !worker.m_leavesIn.has_value() && !worker.m_isEvacuated &&
+           (label.empty() || worker.m_labels.count(label) != 0);
 }
 
 DomainId PlanningPass::getTopologyDomain(const WorkUnit& unit, WorkerSlot slot) const {
@@ -96,6 +141,9 @@
 /** Returns the topology domains to try for the whole unit, in ascending order. */
 std::vector<DomainId> PlanningPass::listTopologyDomains(const WorkUnit& unit) const {
     const StepSpec& spec = unit.getSpec();
+    if (prefersDomain(unit) && !canPreferredDomainHold(unit)) {
+        return {ANY_DOMAIN};
+    }
     if (!spec.m_dataRack.empty()) {
         const auto rack = m_racks.find(spec.m_dataRack);
         return {rack == m_racks.end() ? UNKNOWN_DOMAIN : rack->second};
--- a/libs/job/src/WorkUnit.h
+++ b/libs/job/src/WorkUnit.h
@@ -54,6 +54,8 @@
     std::uint32_t m_band = 0;
     /** Run time that few tasks exceed on a normal host; computed on demand. */
     mutable std::optional<Millis> m_highRunTime;
+    /** Whether a preferred topology domain could hold a unit; computed on demand. */
+    mutable std::optional<bool> m_canPreferredDomainHold;
     /** Whether a unit was tried as overdue in this pass; the others would fare like it. */
     mutable bool m_hasTriedOverdue = false;
     /** Wall time at which the job's last run ended; empty if there was none, or if unknown. */
--- a/libs/job/test/BusyRegion.h
+++ b/libs/job/test/BusyRegion.h
@@ -22,6 +22,7 @@
     struct TestJob {
         JobRecord m_record;
         JobRun m_run;
+        std::optional<Millis> m_idleSince;
     };
 
     void addHosts(std::size_t count, std::size_t perRack) {
@@ -87,7 +88,7 @@
     TaskPlan plan() const {
         std::vector<PlannedJob> jobs;
         for (const TestJob& entry : m_jobs) {
-            jobs.push_back({&entry.m_record, &entry.m_run});
+            jobs.push_back({&entry.m_record, &entry.m_run, nullptr, entry.m_idleSince});
         }
         return TaskPlanner(m_settings).plan({m_workers, jobs, *this, m_guarantees, m_now});
     }
--- a/libs/job/test/EarlyReservationTest.cpp
+++ b/libs/job/test/EarlyReservationTest.cpp
@@ -183,6 +183,16 @@
     EXPECT_EQ(made.m_reservations[0].m_job, packed);
 }
 
+// A gang that prefers one rack and is larger than any waited for three times its run time before it
+// was tried over several racks, and had no reservation meanwhile.
+TEST_F(GangOfARack, GetsAReservationOverRacksIfNoRackCanHoldIt) {
+    StepSpec& spec = m_jobs.back().m_record.m_spec.m_steps[0];
+    spec.m_tasks = 3;
+    spec.m_allowsRemote = true;
+    m_jobs.back().m_run = makeJobRun(m_jobs.back().m_record);
+    EXPECT_EQ(listReserved(), (Hosts{"h0", "h1", "h2"}));
+}
+
 /** A host that can't run the gang any more gives its reservation back. */
 class GangThatLosesAHost : public GangOfARack {
 protected:
--- a/libs/job/test/IdleJobTest.cpp
+++ b/libs/job/test/IdleJobTest.cpp
@@ -175,6 +175,54 @@
     expectStart(gang.m_record.m_id);
 }
 
+TEST_F(IdleJobBesideFreeCapacity, WaitsForTheRackOfItsDataWhenItsLastRunHasJustEnded) {
+    occupy(0, 8);
+    occupy(1, 8);
+    TestJob& job = submitJob();
+    getSpec(job).m_dataRack = "r0";
+    m_now += RUN_TIME;
+    job.m_idleSince = m_now;
+    pass();
+    EXPECT_TRUE(isIdle(job.m_record.m_id)) << "its own rack takes a third of the time";
+    expectStart(job.m_record.m_id);
+}
+
+// Work waited for twice its declared time for a rack that could not take it in any case.
+TEST_F(IdleJobBesideFreeCapacity, StartsAtOnceIfTheRackOfItsDataDoesNotExist) {
+    TestJob& job = submitJob();
+    getSpec(job).m_dataRack = "r9";
+    pass();
+    EXPECT_FALSE(isIdle(job.m_record.m_id));
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsAtOnceIfTheRackOfItsDataIsEvacuated) {
+    for (std::size_t host : {0U, 1U}) {
+        m_workers[host].m_acceptsWork = false;
+        m_workers[host].m_isEvacuated = true;
+    }
+    TestJob& job = submitJob();
+    getSpec(job).m_dataRack = "r0";
+    pass();
+    EXPECT_FALSE(isIdle(job.m_record.m_id));
+}
+
+TEST_F(IdleJobBesideFreeCapacity, StartsAtOnceIfNoRackCanHoldItsGang) {
+    TestJob& gang = submitGang(1, 3, ACCELERATORS, RUN_TIME);
+    getSpec(gang).m_allowsRemote = true;
+    pass();
+    EXPECT_FALSE(isIdle(gang.m_record.m_id));
+}
+
+TEST_F(IdleJobBesideFreeCapacity, WaitsForTheRackOfItsDataWhileItsHostsAreNotLinked) {
+    for (std::size_t host : {0U, 1U}) {
+        m_workers[host].m_acceptsWork = false;
+    }
+    TestJob& job = submitJob();
+    getSpec(job).m_dataRack = "r0";
+    pass();
+    EXPECT_TRUE(isIdle(job.m_record.m_id));
+}
+
 /** Hosts, runs, jobs and everything that may keep a job off a host, drawn at random. */
 class RandomRegion : public IdleJobBesideFreeCapacity {
 protected:
