The bound on idle time yields preferences only while the service is little used

Cause: it let racks and avoided hosts go whenever the use of some resource was low, also while nearly all accelerators were in use, and at any use if the unit fitted twice. A gang over several racks takes three times as long and holds its hosts as long.

Change: all preferences yield only while the use is low in sum, in cores, and twice the unit's demand is free: what the rule asks. Headroom and early reservations yield as they did before the incident, while some resource is little used.

Not kept by this: the rule's any fullness in a calm time, if that is meant of all jobs and not of lasting tasks alone.

--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -116,9 +116,10 @@
     double m_maxHeadroomShare = 0.25;
     /**
      * The first unit of a job that has been idle for this long is placed wherever workers have
-     * capacity, whatever else keeps work off them: while the utilization of the service is below
-     * `m_lowUtilization` for some resource, or if the unit fits twice beside early reservations.
-     * Reservations of starved units are kept.
+     * capacity, whatever else keeps work off them, while the utilization of the service is below
+     * `m_lowUtilization` in sum and twice the unit's demand is free. While it is below for some
+     * resource, the unit may use the headroom and workers with early reservations. Reservations of
+     * starved units are kept.
      * The platform's contract does not allow a job to be without a run for 3 s while there is
      * twice the capacity that it needs. The rest of the 3 s is for the plan, its commit and orders.
      */
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -82,6 +82,8 @@
         double m_accelerators = 1.0;
         double m_cpu = 1.0;
         double m_memory = 1.0;
+        /** All resources, in cores. */
+        double m_coreEquivalents = 1.0;
 
         double getLowest() const { return std::min({m_accelerators, m_cpu, m_memory}); }
     };
--- a/libs/job/src/PlanningPassIdle.cpp
+++ b/libs/job/src/PlanningPassIdle.cpp
@@ -26,7 +26,8 @@
  * is the only place that knows the bound on idle time: it does not ask the rules that keep work off
  * free capacity, so that a new rule cannot outlast the bound. Only what makes a run impossible
  * counts: the capacity, the required label, placement advice, the limit per worker, and workers
- * that take no work. The exception are reservations of starved units.
+ * that take no work. The exception are reservations of starved units. While the utilization is low
+ * for some resource only, just the headroom and early reservations yield.
  */
 bool PlanningPass::placeOverdue(const WorkUnit& unit) {
     const WaitingStep& step = *unit.m_waitingStep;
@@ -42,17 +43,19 @@
         return !m_workerStates[slot].m_reservationStartsIn.has_value() &&
                (isLowForSome || m_early.findAt(slot) == nullptr);
     };
-    const auto members = static_cast<std::uint32_t>(unit.m_taskIndexes.size());
-    if (countPlaces(unit, isUsable) < (isLowForSome ? members : 2 * members)) {
+    const bool waivesAll =
+            use.m_coreEquivalents < m_settings.m_lowUtilization && hasTwiceTheDemandFree(unit);
+    if ((!waivesAll && !isLowForSome) || countPlaces(unit, isUsable) < unit.m_taskIndexes.size()) {
         return false;
     }
     auto assignment = findPlace(unit, false);
     if (!assignment.has_value()) {
         WorkUnit overdue = unit;
-        overdue.m_isOverdue = true;
+        overdue.m_isOverdue = waivesAll;
         std::vector<Resources> capacities(m_workerStates.size());
         for (const WorkerSlot slot : step.m_eligible->m_slots) {
-            capacities[slot] = isUsable(slot) ? m_workerStates[slot].m_free : Resources();
+            const bool isWanted = isUsable(slot) && !isExcluded(overdue, slot);
+            capacities[slot] = isWanted ? m_workerStates[slot].m_free : Resources();
         }
         assignment = assign(overdue, capacities);
     }
@@ -195,7 +198,7 @@
 
 /** Measures what is in use of each service; capacity that is being freed counts as in use. */
 void PlanningPass::measureUse() {
-    constexpr std::size_t SHARES = 3;
+    constexpr std::size_t SHARES = 4;
     struct Sums {
         std::array<double, SHARES> m_free{};
         std::array<double, SHARES> m_total{};
@@ -204,6 +207,7 @@
         sums[0] += resources.m_accelerators;
         sums[1] += resources.m_cpuMillis;
         sums[2] += resources.m_memoryMb;
+        sums[3] += getCoreEquivalent(resources);
     };
     std::map<std::string_view, Sums> byService;
     for (const WorkerState& state : m_workerStates) {
@@ -215,7 +219,7 @@
         const auto getShare = [&sums = sums](std::size_t i) {
             return sums.m_total.at(i) > 0 ? 1.0 - sums.m_free.at(i) / sums.m_total.at(i) : 1.0;
         };
-        m_useByService[service] = {getShare(0), getShare(1), getShare(2)};
+        m_useByService[service] = {getShare(0), getShare(1), getShare(2), getShare(3)};
     }
 }
 
