RandomRegion: no run of an empty list is marked as suspect

The property ended with a segmentation fault in its own drawing (the last of no jobs), which my search of its output took for a pass.

--- a/libs/job/test/IdleJobTest.cpp
+++ b/libs/job/test/IdleJobTest.cpp
@@ -281,7 +281,7 @@
         if (isTrueFor(50)) {
             occupy(host, static_cast<std::uint32_t>(drawInt(1, 4)));
         }
-        if (isTrueFor(10)) {
+        if (!m_jobs.empty() && isTrueFor(10)) {
             TaskRun& task = getTask(m_jobs.back());
             task.m_losses.record({{"h0", "before"}, 0, LossCategory::SUSPECT, LONG});
         }
