--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,7 @@
-"""The store turns the leader away amid a wave; it and its successor begin upkeeps at one time.
-
-ANSWER=1 shows the same fault by another disruption: the answer to the first order is lost.
-"""
+"""A client leaves before its answer and cancels the job; a gateway that was frozen takes it later."""
 import asyncio
-import json
 import os
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -12,66 +9,85 @@
 sys.dont_write_bytecode = True
 import standins as s  # noqa: E402
 
-MACHINES = ["k-1", "k-2", "k-3", "k-4", "k-5"]
-CAP = 1
-AFTER_S = 1.7  # from the second upkeep to the disruption; the upkeep takes 2 s
-TURNED_AWAY_S = 7.0  # platform_down, how = "nodes leader silent", in the site file
-LOSES_ANSWER = os.environ.get("ANSWER") == "1"
+CANCEL_MS = 3000  # bound of ramfc-pierbank
+STOP_MS = 400  # bound of ramfc-pierbank
+FREEZE_S = 3.5  # node_freeze in the site file of ramfc-pierbank
+LEAVE_S = 0.125  # give_up: half of the objective of advance-quote, which is 250 ms
+TASK_MS = 2500  # advance-quote: work of 2.5 s
+
 
+def job():
+    return {"spec": str(TASK_MS),
+            "steps": [{"count": 1, "cpu": 15000, "mem_mb": 39000, "gpu": 1, "est_ms": TASK_MS}]}
 
-async def turn_leader_away(record, store, cloud, leader):
-    if not await s.until(lambda: len(cloud.begun) == 2, 20):
-        raise RuntimeError("the wave does not begin")
-    await asyncio.sleep(AFTER_S)
-    name = leader()
-    record("platform: the store gives %s no answers; it serves all others" % name)
-    store.turned_away.add(name)
-    await asyncio.sleep(TURNED_AWAY_S)
-    store.turned_away.clear()
-    record("platform: the store serves %s again" % name)
+
+async def client(record, gateway, method, path, body=None, timeout=3.0):
+    headers = dict(s.CLIENT)
+    headers["X-Pierbank-Deadline"] = "3000"
+    record("client: %s %s to %s" % (method, path, gateway[0]))
+    status, answer = await s.call(gateway[1], method, path, body, headers, timeout)
+    at = record("client: %s %s: %s %s" % (method, path, status or "no answer", answer or ""))
+    return status, answer, at
 
 
 async def case(record, deployments):
     store = await s.Store().listen()
     store.put("op/config", s.CONFIGURATION)
-    cloud = await s.Cloud(record, MACHINES).listen()
-    if s.TROUBLE and LOSES_ANSWER:
-        # The first order is carried out and its connection is reset before the answer.
-        cloud.fail = lambda machine: len(cloud.begun) == 1
-    deployment = s.Deployment(store, cloud)
+    deployment = s.Deployment(store)
     deployments.append(deployment)
-    for name in ("edge-1", "edge-2", "edge-3"):
-        deployment.add("gateway", name, store=await store.door(name))
-    minion = await s.Minion(record, "w1", "r1", "").start()
-    minion.control = deployment.add("sidecar", "side-1", minion.address)["control"]
-    minion.live()
-    if not await s.until(deployment.leader, 20):
-        raise RuntimeError("no gateway leads")
-    await asyncio.sleep(4)
+    gateways = [(n, deployment.add("gateway", n)["front"]) for n in ("edge-1", "edge-2", "edge-3")]
+    minions = []
+    for number in (1, 2):
+        minion = s.Minion(record, "w%d" % number, "r1", "")
+        await minion.start()
+        listen = deployment.add("sidecar", "side-%d" % number, minion.address)
+        minion.control = listen["control"]
+        minion.live()
+        minions.append(minion)
 
-    record("platform: the leader is %s" % deployment.leader())
-    record("operator: op/wave/1 asks for the upkeep of %s, %d at once" % (MACHINES, CAP))
-    store.put("op/wave/1", {"wave": 1, "machines": MACHINES, "duration_s": 60, "cap": CAP})
-    if s.TROUBLE and not LOSES_ANSWER:
-        await turn_leader_away(record, store, cloud, deployment.leader)
+    # A quiet beginning: a job is taken and runs.
+    first = "/quote/00000000000000a1"
 
-    def state():
-        value = store.read("status/wave/1")
-        return json.loads(value)["state"] if value else None
+    async def taken():
+        return (await client(record, gateways[0], "POST", first, job()))[0] == 200
+
+    async def done():
+        status, answer, _ = await client(record, gateways[1], "GET", first)
+        return status == 200 and answer == {"state": "succeeded"}
+
+    if not await s.until(taken, 20) or not await s.until(done, 20):
+        raise RuntimeError("the deployment does not serve")
+    await asyncio.sleep(4)
 
-    await s.until(lambda: state() == "succeeded", 60)
-    record("platform: status/wave/1 is %s; the leader is %s" % (state(), deployment.leader()))
+    leader = deployment.leader()
+    record("platform: the leader is %s" % leader)
+    followers = [g for g in gateways if g[0] != leader]
+    slow, other = followers[0], followers[1]
+    if s.TROUBLE:
+        deployment.signal(slow[0], signal.SIGSTOP)
+        record("platform: %s freezes" % slow[0])
+        thaw = asyncio.get_event_loop().time() + FREEZE_S
+    path = "/quote/00000000000000b2"
+    await client(record, slow, "POST", path, job(), LEAVE_S)
+    status, _, cancelled = await client(record, other, "DELETE", path)
+    if status not in (200, 410):
+        raise RuntimeError("the cancelling has no acknowledgement")
+    if s.TROUBLE:
+        await asyncio.sleep(max(0, thaw - asyncio.get_event_loop().time()))
+        deployment.signal(slow[0], signal.SIGCONT)
+        record("platform: %s wakes" % slow[0])
+    await asyncio.sleep(8)
+    await client(record, other, "GET", path)
 
     broken = False
-    for at, name, down in cloud.begun:
-        if len(down) >= CAP:
-            broken = True
-            record("LIMIT: at %.0f ms the upkeep of %s begins while %s is down for its own; cap is %d"
-                   % (at, name, ", ".join(down), CAP))
+    for minion in minions:
+        for at, task, run in minion.starts:
+            if task.startswith("00000000000000b2.") and at > cancelled + CANCEL_MS:
+                broken = True
+                record("UNASKED: task %s run %d starts %.0f ms after the cancelling was acknowledged;"
+                       " cancel_ms is %d" % (task, run, at - cancelled, CANCEL_MS))
     if deployment.ended():
         raise RuntimeError("ended by itself: %s" % deployment.ended())
-    if len(cloud.begun) < len(MACHINES):
-        raise RuntimeError("the wave was not carried out")
     return broken
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -182,6 +182,8 @@
         self.next_lease = 1
         self.changed = asyncio.Event()
         self.turned_away = set()  # names of the nodes that get no answer
+        self.answer_later_s = 0  # what a slow store takes longer to answer
+        self.on_transaction = lambda data: None  # called after a transaction that wrote
         self.server = Server(self.handle)
 
     async def listen(self):
@@ -242,7 +244,12 @@
         item = self.items.get(key)
         return base64.b64decode(item["value"]) if item else None
 
-    async def handle(self, method, path, query, headers, body):
+    async def handle(self, *call):
+        answer = await self.answer(*call)
+        await asyncio.sleep(self.answer_later_s)
+        return answer
+
+    async def answer(self, method, path, query, headers, body):
         data = json.loads(body) if body else {}
         await asyncio.sleep(self.ANSWER_S)
         if path == "/-/kv-key":
@@ -256,7 +263,10 @@
         if path == "/-/kv-watch":
             return await self.watch(query)
         if path == "/-/kv-txn":
-            return self.transact(data)
+            answer = self.transact(data)
+            if answer[0] == 200 and data.get("put"):
+                self.on_transaction(data)
+            return answer
         if path == "/-/kv-lease":
             lease, ttl = self.next_lease, max(1000, int(data["ttl_ms"]))
             self.next_lease += 1
@@ -318,7 +328,7 @@
         self.running, self.ended, self.highest = {}, [], {}
         self.capacity = {"cpu": 128000, "mem_mb": 262144, "gpu": 8}
         self.ended_event = asyncio.Event()
-        self.starts = []
+        self.starts, self.failed = [], []
         self.server = Server(self.handle)
 
     def clock(self):
@@ -357,6 +367,8 @@
         run = self.running.pop(key)
         self.ended.append([self.next_end, key, run["run"], how, ""])
         self.next_end += 1
+        if how == "failed":
+            self.failed.append(key)
         self.highest[key] = max(self.highest.get(key, 0), run["run"])
         self.record("minion %s: task %s run %d ends %s" % (self.name, key, run["run"], how))
         self.ended_event.set()
