--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,7 @@
 EST_MS = 800  # est_off of advance-quote is 0.9: a guess may be a tenth of the truth
 SLOW = os.environ.get("SLOW") == "1"
 SLOW_S = 0.24  # platform_slow, x = 60 in the site file: 60 times 4 ms
-GAP_S = 0.15 if SLOW else 0.002  # between the two failures
+GAP_S = float(os.environ.get("GAP", 0.15 if SLOW else 0.002))  # between the two failures
 KILL_S = 0.1 if SLOW else 0.0  # from the leader's write to its end
 SIGNAL = signal.SIGTERM if os.environ.get("STOP") == "1" else signal.SIGKILL
 JOB = "00000000000000c3"
