--- a/review/standins.py
+++ b/review/standins.py
@@ -410,7 +410,8 @@
             return self.answer(409, reason="late")
         if len(self.running) >= 8:
             return self.answer(409, reason="room")
-        self.running[key] = {"run": run, "ends": self.clock() + int(data["spec"])}
+        begins, time_ms = self.clock(), max(1, int(data["spec"]))
+        self.running[key] = {"run": run, "begins": begins, "ends": begins + time_ms}
         at = self.record("minion %s: task %s run %d starts" % (self.name, key, run))
         self.starts.append((at, key, run))
         return self.answer(200)
@@ -423,11 +424,9 @@
             except asyncio.TimeoutError:
                 pass
         now = self.clock()
-        running = [[key, run["run"], "", 100 * max(0, int(data.get("x", 0))), 0]
+        running = [[key, run["run"], "",
+                    min(99, 100 * (now - run["begins"]) // (run["ends"] - run["begins"])), 0]
                    for key, run in self.running.items()]
-        for row in running:
-            run = self.running[row[0]]
-            row[3] = min(99, max(0, 100 - (run["ends"] - now) // 100))
         return self.answer(200, running=running, ended=self.ended[:500])
 
 
@@ -435,7 +434,7 @@
 
 
 class Cloud:
-    """Machines that are not on a `side` machine; upkeep takes `UPKEEP_S`."""
+    """Machines that are not on a `side` machine and bear no minion; upkeep takes `UPKEEP_S`."""
 
     UPKEEP_S = 2.0
     ANSWER_S = 0.004
@@ -460,7 +459,7 @@
         if path == "/-/machines":
             rows = [{"machine": n, "pool": "spare-pool", "zone": "hala-somes", "labels": ["a"],
                      "state": "upkeep" if self.is_down(n) else "up",
-                     "capacity": {"cpu": 128000, "mem_mb": 262144, "gpu": 8}, "id": "m-" + n}
+                     "capacity": {"cpu": 128000, "mem_mb": 262144, "gpu": 8}, "id": ""}
                     for n in self.machines]
             return 200, {"machines": rows}
         if path != "/-/machine-upkeep":
