--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -223,8 +223,8 @@
     // Accounts for the work of runs (JobControllerAccount.cpp).
     RunWork accountForRun(JobEntry& entry, const ActiveRun& run, RunEnd end,
                           std::string_view checkpoint);
-    static void logRunEnd(const WorkerId& worker, const EndedEntry& end, const JobRecord& record,
-                          const std::optional<RunWork>& work, bool isApplied);
+    static void logRunEnd(const WorkerId& worker, const EndedEntry& end, const JobEntry& entry,
+                          const std::optional<RunWork>& work, const EndEffect& effect);
     static WorkOutcome getOutcome(const JobEntry& entry, const ActiveRun& run, RunEnd end);
     void recordStop(JobEntry& entry, const ActiveRun& run, WorkOutcome cause, std::string_view why);
     void recordConsequentStops(JobEntry& entry, const std::vector<ActiveRun>& runs);
--- a/libs/control/include/pierbank/control/JobStatistics.h
+++ b/libs/control/include/pierbank/control/JobStatistics.h
@@ -19,6 +19,13 @@
     std::uint64_t m_stopped = 0;
     /** Runs lost with their workers. */
     std::uint64_t m_lost = 0;
+    /** Failed runs that were counted as attempts. */
+    std::uint64_t m_failedRuns = 0;
+    /**
+     * Reported ends that changed nothing. An end is reported again to the next leader if its worker
+     * was not told that the end is persisted.
+     */
+    std::uint64_t m_endsWithoutEffect = 0;
     /** Runs revoked because their failure domain is under evacuation. */
     std::uint64_t m_revoked = 0;
     /** Transactions with decisions that were sent to the store. */
--- a/libs/control/src/JobControllerAccount.cpp
+++ b/libs/control/src/JobControllerAccount.cpp
@@ -81,9 +81,9 @@
 }
 
 /** Logs a reported end; `work` is empty for a run that is not active any more. */
-void JobController::logRunEnd(const WorkerId& worker, const EndedEntry& end,
-                              const JobRecord& record, const std::optional<RunWork>& work,
-                              bool isApplied) {
+void JobController::logRunEnd(const WorkerId& worker, const EndedEntry& end, const JobEntry& entry,
+                              const std::optional<RunWork>& work, const EndEffect& effect) {
+    const JobRecord& record = entry.m_record;
     const auto key = TaskKey::parse(end.m_task);
     const auto& steps = record.m_spec.m_steps;
     const bool isGang = key->m_step < steps.size() && steps[key->m_step].m_isGang;
@@ -101,7 +101,9 @@
               {"outcome", work.has_value() ? std::string(toText(work->m_outcome)) : "-"},
               {"saved", work.has_value() && work->m_isSaved ? "yes" : "no"},
               {"core_s", work.has_value() ? std::to_string(std::lround(work->m_coreSeconds)) : "-"},
-              {"current", isApplied ? "yes" : "no"}});
+              {"current", effect.m_isApplied ? "yes" : "no"},
+              {"counted", effect.m_isCounted ? "yes" : "no"},
+              {"failures", std::to_string(countFailedRuns(record, entry.m_run, *key))}});
 }
 
 WorkOutcome JobController::getOutcome(const JobEntry& entry, const ActiveRun& run, RunEnd end) {
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -157,7 +157,9 @@
                                 end.m_checkpoint, m_loop.wallNow())
                      : applyLateEnd(entry.m_record, entry.m_run, {*key, end.m_run, worker}, endKind,
                                     m_loop.wallNow());
-    logRunEnd(worker, end, entry.m_record, work, effect.m_isApplied);
+    logRunEnd(worker, end, entry, work, effect);
+    m_statistics.m_failedRuns += effect.m_isCounted ? 1 : 0;
+    m_statistics.m_endsWithoutEffect += effect.m_isApplied ? 0 : 1;
     if (effect.m_isApplied) {
         entry.m_endsToPersist.emplace_back(worker, end.m_number);
         applyEffect(entry, effect);
--- a/libs/job/include/pierbank/job/JobRun.h
+++ b/libs/job/include/pierbank/job/JobRun.h
@@ -270,6 +270,8 @@
 struct EndEffect {
     /** The job's state was changed; false for a duplicate end or an unknown run. */
     bool m_isApplied = false;
+    /** The end was counted as a failed run. */
+    bool m_isCounted = false;
     /** The job finished by this end. */
     bool m_endsJob = false;
     /** Runs to stop: other members of the gang, copies, or all runs of a failed job. */
@@ -298,6 +300,9 @@
 EndEffect applyLateEnd(const JobRecord& record, JobRun& run, const LateEnd& late, RunEnd end,
                        Millis wallNow);
 
+/** Returns how many failed runs of a task were counted; for a gang, how many runs of the gang. */
+std::uint32_t countFailedRuns(const JobRecord& record, const JobRun& run, const TaskKey& key);
+
 /** Releases an active run that can no longer run: it never started and never will, or its worker is
  * known to be lost. */
 EndEffect applyNotRunning(const JobRecord& record, JobRun& run, const TaskKey& key,
--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -258,21 +258,29 @@
 
 namespace {
 
-/** Returns the task at which failed runs are counted; for a gang, its first member. */
-TaskRun& getFailureCounter(const JobRecord& record, JobRun& run, const TaskKey& key) {
-    StepRun& step = run.findOccurrence(key.m_occurrence)->m_steps[key.m_step];
-    const bool isGang = record.m_spec.m_steps[key.m_step].m_isGang;
-    return isGang ? step.m_tasks.front() : step.m_tasks[key.m_index];
+/** Returns the key of the task at which failed runs are counted; for a gang, its first member. */
+TaskKey getFailureCounter(const JobRecord& record, const TaskKey& key) {
+    TaskKey counter = key;
+    const auto& steps = record.m_spec.m_steps;
+    if (key.m_step < steps.size() && steps[key.m_step].m_isGang) {
+        counter.m_index = 0;
+    }
+    return counter;
 }
 
-/** Counts a failed run. @return whether the job failed because of it. */
-bool countFailure(const JobRecord& record, JobRun& run, const ActiveRun& failed, Millis wallNow) {
+/**
+ * Counts a failed run, and sets `m_isCounted` of the effect.
+ * @return whether the job failed because of it; `m_toStop` then contains all its runs.
+ */
+bool countFailure(const JobRecord& record, JobRun& run, const ActiveRun& failed, EndEffect& effect,
+                  Millis wallNow) {
     const TaskKey& key = failed.m_task;
-    TaskRun& counted = getFailureCounter(record, run, key);
+    TaskRun& counted = *run.findTask(getFailureCounter(record, key));
     run.findTask(key)->m_failedHosts.add(failed.m_worker.m_host);
     if (counted.m_failedRun != failed.m_run) {
         counted.m_failedRun = failed.m_run;
         ++counted.m_failures;
+        effect.m_isCounted = true;
     }
     if (counted.m_failures < record.m_policy.m_attempts || run.isFinished()) {
         return false;
@@ -281,6 +289,7 @@
            "task " + key.toText() + " failed " + std::to_string(counted.m_failures) +
                    " times, at last on " + failed.m_worker.m_host,
            wallNow);
+    effect.m_toStop = stopAll(key.m_job, run);
     return true;
 }
 
@@ -309,8 +318,7 @@
         return effect;
     }
     if (end == RunEnd::FAILED && !spec.m_isLongRunning &&
-        countFailure(record, run, *active, wallNow)) {
-        effect.m_toStop = stopAll(key.m_job, run);
+        countFailure(record, run, *active, effect, wallNow)) {
         return effect;
     }
     if (spec.m_isGang) {
@@ -344,7 +352,7 @@
     if (!isCounted) {
         return effect;
     }
-    const TaskRun& counter = getFailureCounter(record, run, key);
+    const TaskRun& counter = *run.findTask(getFailureCounter(record, key));
     if (late.m_run <= counter.m_failedRun) {
         // This failure was counted already, or a later run failed since; the record holds only the
         // number of the last failed run.
@@ -352,13 +360,15 @@
     }
     const ActiveRun failed{key, late.m_run, late.m_worker, Millis(0), false, false};
     effect.m_isApplied = true;
-    effect.m_endsJob = countFailure(record, run, failed, wallNow);
-    if (effect.m_endsJob) {
-        effect.m_toStop = stopAll(key.m_job, run);
-    }
+    effect.m_endsJob = countFailure(record, run, failed, effect, wallNow);
     return effect;
 }
 
+std::uint32_t countFailedRuns(const JobRecord& record, const JobRun& run, const TaskKey& key) {
+    const TaskRun* const counter = run.findTask(getFailureCounter(record, key));
+    return counter == nullptr ? 0 : counter->m_failures;
+}
+
 EndEffect applyNotRunning(const JobRecord& record, JobRun& run, const TaskKey& key,
                           std::uint32_t number, Millis wallNow) {
     return applyEnd(record, run, key, number, RunEnd::LAPSED, "", wallNow);
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -280,6 +280,10 @@
     page.addCounter("pierbank_runs_stopped_total", "runs stopped for others, or moved",
                     statistics.m_stopped);
     page.addCounter("pierbank_runs_lost_total", "runs lost with their worker", statistics.m_lost);
+    page.addCounter("pierbank_runs_failed_total", "failed runs counted as attempts",
+                    statistics.m_failedRuns);
+    page.addCounter("pierbank_ends_without_effect_total",
+                    "reported ends of runs that changed nothing", statistics.m_endsWithoutEffect);
     page.addCounter("pierbank_runs_withdrawn_total",
                     "runs taken back unbegun from failure domains under evacuation",
                     statistics.m_revoked);
