A run that never started doesn't make its job's record unreadable once its loss is discarded

Cause: the rare fields of a task leave out empty lists at the end, and the number of fields tells the reader which lists are there. The losses were also left out where the list after them, of runs that never started, was not empty. That comes about when the loss is discarded because its worker turned out to be alive, while a later run had never started on a worker that crashed; and the task has a checkpoint, a failure or a failed host.

Evidence: JobCodecTest.DecodesRunsThatNeverStartedWithoutALoss failed before (no value is read).

Why this works: an empty list is now written before one that is not empty.

--- a/libs/job/src/JobCodec.cpp
+++ b/libs/job/src/JobCodec.cpp
@@ -89,11 +89,11 @@
     std::vector<std::uint32_t> m_neverStarted;
 };
 
-/** Leaves out empty lists at the end. */
+/** Leaves out empty lists at the end; an empty list before another one is written. */
 void describe(ArchiveWriter& archive, RareTaskFields& value) {
     archive(value.m_index, value.m_checkpoint, value.m_failures, value.m_failedRun,
             value.m_failedHosts);
-    if (!value.m_losses.empty()) {
+    if (!value.m_losses.empty() || !value.m_neverStarted.empty()) {
         archive(value.m_losses);
     }
     if (!value.m_neverStarted.empty()) {
@@ -109,7 +109,6 @@
     if (fields > FIELDS_WITHOUT_LOSSES) {
         archive(value.m_losses);
     }
-    // Runs that never started are recorded only for tasks with losses.
     if (fields > FIELDS_WITHOUT_LOSSES + 1) {
         archive(value.m_neverStarted);
     }
@@ -164,7 +163,8 @@
         columns.m_placedAtOffsets.push_back(task.m_placedAt - columns.m_firstPlacedAt);
         const bool hasRareFields = !task.m_checkpoint.empty() || task.m_failures != 0 ||
                                    task.m_failedRun != 0 || !task.m_failedHosts.isEmpty() ||
-                                   !task.m_losses.isEmpty();
+                                   !task.m_losses.isEmpty() ||
+                                   !task.m_losses.m_neverStarted.empty();
         if (hasRareFields) {
             columns.m_rare.push_back({i, task.m_checkpoint, task.m_failures, task.m_failedRun,
                                       task.m_failedHosts.m_text, task.m_losses.m_list,
--- a/libs/job/test/JobCodecTest.cpp
+++ b/libs/job/test/JobCodecTest.cpp
@@ -63,6 +63,21 @@
     }
 }
 
+/**
+ * Guards against a job that the next leader can't read and leaves out: the record of a run that
+ * never started outlives the loss that it belongs to.
+ */
+TEST_F(JobCodecTest, DecodesRunsThatNeverStartedWithoutALoss) {
+    auto& task = getTasks(m_run)[0];
+    task.m_checkpoint = "0bb8";
+    task.m_losses.record({{"h", "l"}, 1, LossCategory::UNRESOLVED, Millis(7)});
+    task.m_losses.recordNeverStarted(2);
+    task.m_losses.discardUnresolved({"h", "l"});
+    auto read = decodeJobRun(encodeJobRun(m_run));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_TRUE(areEqual(getTasks(*read)[0], task));
+}
+
 TEST_F(JobCodecTest, DecodesRowEncodingAndRejectsInconsistentColumns) {
     auto whole = parseCbor(encodeJobRun(m_run));
     constexpr std::size_t OCCURRENCES = 6;
