Each failed run of a task counts once, in whatever order and to whichever leader its end is reported

What callers saw: an accepted job is shown as failed after two of the three attempts of its queue. The leader was killed or stopped within milliseconds of its write, and a run and its copy had both failed.

Cause: a task's record held the number of its failures and one number, that of the run counted last (m_failedRun). Several runs of a task can be out at the same time (a copy; a lost run beside its successor), and the next leader gets all ends again that no worker was told are persisted. One number errs both ways. If run 2 was counted before run 1, the number is 1 again, and run 2 is counted a second time (the case). And if run 2 was counted before the failed end of the lost run 1 was reported, run 1 is passed over, and the task gets a run more than its queue allows. Turning the comparison round would move the fault from the one to the other.

Why this works: the record now holds which runs were counted (CountedRuns): all up to a bound, and single ones above it, at most 64. A run in it is never counted again, and any other one is counted whenever its failure is reported; a leader needs no memory for that. Serial failures and a single failure are told by the two numbers that are stored already; only others take a row of their own, so that a task without a failure costs nothing. A record of an earlier version that names only the last of several runs stands for all up to it: one attempt too many rather than a job that is failed too early.

--- a/libs/job/include/pierbank/job/JobRun.h
+++ b/libs/job/include/pierbank/job/JobRun.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pierbank/job/CountedRuns.h"
 #include "pierbank/job/JobSpec.h"
 #include "pierbank/job/RunLosses.h"
 #include "pierbank/job/TaskKey.h"
@@ -66,9 +67,9 @@
     std::string m_checkpoint;
     /** Number of failed runs; for a gang, counted only at its first member. */
     std::uint32_t m_failures = 0;
-    /** Number of the run that failed last, so that a failed run of a gang counts once, however many
-     * members report it. */
-    std::uint32_t m_failedRun = 0;
+    /** The runs behind `m_failures`. A failed run of a gang counts once, however many members
+     * report it. */
+    CountedRuns m_countedRuns;
     /** Hosts that the next run avoids if possible. */
     FailedHosts m_failedHosts;
     /** Runs that were lost with their workers. */
--- a/libs/job/src/JobCodec.cpp
+++ b/libs/job/src/JobCodec.cpp
@@ -58,11 +58,31 @@
     archive(value.m_host, value.m_incarnation);
 }
 
+namespace {
+
+/**
+ * Returns the counted runs according to a record that names only the last of them. If there are
+ * several, all runs up to that number are taken for counted: an attempt too many is better for the
+ * caller than a job that is failed too early.
+ */
+CountedRuns restoreCountedRuns(std::uint32_t failures, std::uint32_t lastRun) {
+    CountedRuns runs;
+    if (failures == 1) {
+        runs.add(lastRun);
+    } else if (failures > 1) {
+        runs.addAllUpTo(lastRun);
+    }
+    return runs;
+}
+
+}  // namespace
+
 /** Row encoding of one task, as written by leaders of earlier versions. */
-template <typename Archive>
-void describe(Archive& archive, TaskRun& value) {
+void describe(ArchiveReader& archive, TaskRun& value) {
+    std::uint32_t lastFailedRun = 0;
     archive(value.m_state, value.m_run, value.m_lastRun, value.m_worker, value.m_placedAt,
-            value.m_checkpoint, value.m_failures, value.m_failedRun, value.m_failedHosts.m_text);
+            value.m_checkpoint, value.m_failures, lastFailedRun, value.m_failedHosts.m_text);
+    value.m_countedRuns = restoreCountedRuns(value.m_failures, lastFailedRun);
 }
 
 template <typename Archive>
@@ -78,12 +98,17 @@
 /**
  * Fields that are empty for most tasks of a step; stored only for the tasks that have any such
  * field.
+ *
+ * If `m_failures` and `m_lastFailedRun` don't tell which runs were counted, a row before that of
+ * the task holds them, see makeCountedRunsRow(). Earlier versions accept no further field, and use
+ * the last row of a task only.
  */
 struct RareTaskFields {
     std::uint32_t m_index = 0;
     std::string m_checkpoint;
     std::uint32_t m_failures = 0;
-    std::uint32_t m_failedRun = 0;
+    /** Highest number of the counted runs; in records of earlier versions, the last one counted. */
+    std::uint32_t m_lastFailedRun = 0;
     std::string m_failedHosts;
     std::vector<RunLoss> m_losses;
     std::vector<std::uint32_t> m_neverStarted;
@@ -91,7 +116,7 @@
 
 /** Leaves out empty lists at the end; an empty list before another one is written. */
 void describe(ArchiveWriter& archive, RareTaskFields& value) {
-    archive(value.m_index, value.m_checkpoint, value.m_failures, value.m_failedRun,
+    archive(value.m_index, value.m_checkpoint, value.m_failures, value.m_lastFailedRun,
             value.m_failedHosts);
     if (!value.m_losses.empty() || !value.m_neverStarted.empty()) {
         archive(value.m_losses);
@@ -104,7 +129,7 @@
 void describe(ArchiveReader& archive, RareTaskFields& value) {
     constexpr std::size_t FIELDS_WITHOUT_LOSSES = 5;
     const std::size_t fields = archive.getSize();
-    archive(value.m_index, value.m_checkpoint, value.m_failures, value.m_failedRun,
+    archive(value.m_index, value.m_checkpoint, value.m_failures, value.m_lastFailedRun,
             value.m_failedHosts);
     if (fields > FIELDS_WITHOUT_LOSSES) {
         archive(value.m_losses);
@@ -141,6 +166,67 @@
 
 namespace {
 
+/** Returns a row whose list of numbers is the bound and the listed numbers of the counted runs. */
+RareTaskFields makeCountedRunsRow(std::uint32_t index, const CountedRuns& runs) {
+    RareTaskFields row;
+    row.m_index = index;
+    row.m_neverStarted.push_back(runs.m_bound);
+    row.m_neverStarted.insert(row.m_neverStarted.end(), runs.m_listed.begin(), runs.m_listed.end());
+    return row;
+}
+
+/** Reads what makeCountedRunsRow() returns. */
+CountedRuns readCountedRunsRow(const RareTaskFields& row) {
+    CountedRuns runs;
+    if (row.m_neverStarted.empty()) {
+        return runs;
+    }
+    runs.addAllUpTo(row.m_neverStarted.front());
+    for (auto listed = row.m_neverStarted.begin() + 1; listed != row.m_neverStarted.end();
+         ++listed) {
+        runs.add(*listed);
+    }
+    return runs;
+}
+
+/** Appends the rows of a task that has any rare field. */
+void appendRareFields(std::uint32_t index, const TaskRun& task, std::vector<RareTaskFields>& rows) {
+    const bool hasRareFields = !task.m_checkpoint.empty() || task.m_failures != 0 ||
+                               !task.m_failedHosts.isEmpty() || !task.m_losses.isEmpty() ||
+                               !task.m_losses.m_neverStarted.empty();
+    if (!hasRareFields) {
+        return;
+    }
+    const std::uint32_t highest = task.m_countedRuns.getHighest();
+    if (restoreCountedRuns(task.m_failures, highest) != task.m_countedRuns) {
+        rows.push_back(makeCountedRunsRow(index, task.m_countedRuns));
+    }
+    rows.push_back({index, task.m_checkpoint, task.m_failures, highest, task.m_failedHosts.m_text,
+                    task.m_losses.m_list, task.m_losses.m_neverStarted});
+}
+
+/** Restores the rare fields of all tasks. @return false if the rows are inconsistent. */
+bool restoreRareFields(const std::vector<RareTaskFields>& rows, std::vector<TaskRun>& tasks) {
+    const RareTaskFields* previous = nullptr;
+    for (const RareTaskFields& row : rows) {
+        if (row.m_index >= tasks.size()) {
+            return false;
+        }
+        const bool hasCountedRunsRow = previous != nullptr && previous->m_index == row.m_index;
+        TaskRun& task = tasks[row.m_index];
+        task.m_checkpoint = row.m_checkpoint;
+        task.m_failures = row.m_failures;
+        task.m_countedRuns = hasCountedRunsRow
+                                     ? readCountedRunsRow(*previous)
+                                     : restoreCountedRuns(row.m_failures, row.m_lastFailedRun);
+        task.m_failedHosts.m_text = row.m_failedHosts;
+        task.m_losses.m_list = row.m_losses;
+        task.m_losses.m_neverStarted = row.m_neverStarted;
+        previous = &row;
+    }
+    return true;
+}
+
 TaskColumns toColumns(const std::vector<TaskRun>& tasks) {
     TaskColumns columns;
     std::map<WorkerId, std::uint32_t> workerIndexes;
@@ -161,15 +247,7 @@
         }
         columns.m_workerIndexes.push_back(workerIndex);
         columns.m_placedAtOffsets.push_back(task.m_placedAt - columns.m_firstPlacedAt);
-        const bool hasRareFields = !task.m_checkpoint.empty() || task.m_failures != 0 ||
-                                   task.m_failedRun != 0 || !task.m_failedHosts.isEmpty() ||
-                                   !task.m_losses.isEmpty() ||
-                                   !task.m_losses.m_neverStarted.empty();
-        if (hasRareFields) {
-            columns.m_rare.push_back({i, task.m_checkpoint, task.m_failures, task.m_failedRun,
-                                      task.m_failedHosts.m_text, task.m_losses.m_list,
-                                      task.m_losses.m_neverStarted});
-        }
+        appendRareFields(i, task, columns.m_rare);
     }
     return columns;
 }
@@ -196,19 +274,7 @@
         task.m_worker = workerIndex == 0 ? WorkerId() : columns.m_workers[workerIndex - 1];
         task.m_placedAt = columns.m_firstPlacedAt + columns.m_placedAtOffsets[i];
     }
-    for (const RareTaskFields& rare : columns.m_rare) {
-        if (rare.m_index >= count) {
-            return false;
-        }
-        TaskRun& task = tasks[rare.m_index];
-        task.m_checkpoint = rare.m_checkpoint;
-        task.m_failures = rare.m_failures;
-        task.m_failedRun = rare.m_failedRun;
-        task.m_failedHosts.m_text = rare.m_failedHosts;
-        task.m_losses.m_list = rare.m_losses;
-        task.m_losses.m_neverStarted = rare.m_neverStarted;
-    }
-    return true;
+    return restoreRareFields(columns.m_rare, tasks);
 }
 
 }  // namespace
--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -277,8 +277,7 @@
     const TaskKey& key = failed.m_task;
     TaskRun& counted = *run.findTask(getFailureCounter(record, key));
     run.findTask(key)->m_failedHosts.add(failed.m_worker.m_host);
-    if (counted.m_failedRun != failed.m_run) {
-        counted.m_failedRun = failed.m_run;
+    if (counted.m_countedRuns.add(failed.m_run)) {
         ++counted.m_failures;
         effect.m_isCounted = true;
     }
@@ -352,10 +351,7 @@
     if (!isCounted) {
         return effect;
     }
-    const TaskRun& counter = *run.findTask(getFailureCounter(record, key));
-    if (late.m_run <= counter.m_failedRun) {
-        // This failure was counted already, or a later run failed since; the record holds only the
-        // number of the last failed run.
+    if (run.findTask(getFailureCounter(record, key))->m_countedRuns.contains(late.m_run)) {
         return effect;
     }
     const ActiveRun failed{key, late.m_run, late.m_worker, Millis(0), false, false};
--- a/libs/job/test/JobCodecTest.cpp
+++ b/libs/job/test/JobCodecTest.cpp
@@ -30,7 +30,8 @@
         return a.m_state == b.m_state && a.m_run == b.m_run && a.m_lastRun == b.m_lastRun &&
                a.m_worker == b.m_worker && a.m_placedAt == b.m_placedAt &&
                a.m_checkpoint == b.m_checkpoint && a.m_failures == b.m_failures &&
-               a.m_failedRun == b.m_failedRun && a.m_failedHosts.m_text == b.m_failedHosts.m_text &&
+               a.m_countedRuns == b.m_countedRuns &&
+               a.m_failedHosts.m_text == b.m_failedHosts.m_text &&
                a.m_losses.m_list == b.m_losses.m_list &&
                a.m_losses.m_neverStarted == b.m_losses.m_neverStarted;
     }
@@ -45,7 +46,8 @@
     auto& tasks = getTasks(m_run);
     tasks[1].m_checkpoint = "0bb8";
     tasks[2].m_failures = 2;
-    tasks[2].m_failedRun = 7;
+    tasks[2].m_countedRuns.add(7);
+    tasks[2].m_countedRuns.add(4);
     tasks[2].m_failedHosts.add("h1");
     tasks[3].m_state = TaskState::DONE;
     tasks[4].m_losses.record({{"h", "l"}, 3, LossCategory::SUSPECT, Millis(12)});
@@ -104,6 +106,76 @@
     EXPECT_EQ(getTasks(*read)[0].m_failedHosts.m_text, "h0");
 }
 
+/** Provides the rows of the first task of a job, which failed in several runs. */
+class CountedRunsCodecTest : public JobCodecTest {
+protected:
+    void countRuns(const std::vector<std::uint32_t>& runs) {
+        TaskRun& task = getTasks(m_run)[0];
+        for (const std::uint32_t run : runs) {
+            task.m_countedRuns.add(run);
+            ++task.m_failures;
+        }
+        m_encoded = parseCbor(encodeJobRun(m_run));
+    }
+
+    nlohmann::json& getRows() {
+        constexpr std::size_t OCCURRENCES = 6;
+        constexpr std::size_t RARE_FIELDS = 7;
+        return m_encoded[OCCURRENCES][0][1][0][0][RARE_FIELDS];
+    }
+
+    /** Decodes the changed encoding. */
+    CountedRuns decode() {
+        std::string bytes;
+        nlohmann::json::to_cbor(m_encoded, bytes);
+        auto read = decodeJobRun(bytes);
+        return read.has_value() ? getTasks(*read)[0].m_countedRuns : CountedRuns();
+    }
+
+    nlohmann::json m_encoded;
+};
+
+TEST_F(CountedRunsCodecTest, RunsThatFailedOneAfterTheOtherNeedNoRowOfTheirOwn) {
+    countRuns({1, 2, 3});
+    EXPECT_EQ(getRows().size(), 1U);
+    EXPECT_EQ(decode(), getTasks(m_run)[0].m_countedRuns);
+}
+
+TEST_F(CountedRunsCodecTest, RunsWithGapsAreAllRestored) {
+    countRuns({5, 2, 1, 9});
+    EXPECT_EQ(decode(), getTasks(m_run)[0].m_countedRuns);
+}
+
+/** Earlier versions use the last row of a task, which may have five to seven fields. */
+TEST_F(CountedRunsCodecTest, EarlierVersionsReadTheNumberOfFailuresAndTheHighestRun) {
+    constexpr std::size_t FAILURES = 2;
+    constexpr std::size_t LAST_FAILED_RUN = 3;
+    countRuns({5, 2});
+    ASSERT_EQ(getRows().size(), 2U);
+    for (const nlohmann::json& row : getRows()) {
+        EXPECT_EQ(row[0], 0);
+        EXPECT_GE(row.size(), 5U);
+        EXPECT_LE(row.size(), 7U);
+    }
+    EXPECT_EQ(getRows()[1][FAILURES], 2);
+    EXPECT_EQ(getRows()[1][LAST_FAILED_RUN], 5);
+}
+
+TEST_F(CountedRunsCodecTest, ARecordThatNamesOnlyTheLastOfSeveralRunsStandsForAllUpToIt) {
+    countRuns({5, 2});
+    getRows().erase(0);
+    const CountedRuns runs = decode();
+    EXPECT_TRUE(runs.contains(1) && runs.contains(2) && runs.contains(5));
+    EXPECT_FALSE(runs.contains(6));
+}
+
+TEST_F(CountedRunsCodecTest, ARecordThatNamesTheOnlyRunStandsForThatRunAlone) {
+    countRuns({5});
+    EXPECT_EQ(getRows().size(), 1U);
+    EXPECT_EQ(decode(), getTasks(m_run)[0].m_countedRuns);
+    EXPECT_FALSE(decode().contains(4));
+}
+
 /** Provides a job with many tasks, half of which are placed. */
 class WideJobCodecTest : public JobCodecTest {
 protected:
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -64,6 +64,8 @@
     /** Restarts, and refuses connections until m_restartDelay has passed. */
     void crash();
     Millis m_restartDelay{3000};
+    /** Lets the run of a task fail now; there must be one. */
+    void fail(const TaskKey& task) { endRun(task, RunEnd::FAILED); }
     /** Suspends the machine: no run progresses and the worker's steady clock stops. */
     void suspend();
     /** Resumes the machine. The clock continues where it stopped. */
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -15,8 +15,6 @@
 
 JobFleet::JobFleet(std::size_t gateways, std::size_t workers, std::int64_t taskCost)
         : m_taskCostMicros(taskCost) {
-    // Equals the number of attempts that configure() sets for the queues.
-    m_witness.m_attempts = 2;
     configure();
     m_gateways.resize(gateways);
     m_sidecars.resize(workers);
@@ -39,9 +37,10 @@
 
 void JobFleet::configure(const std::vector<std::string>& keys) {
     ++m_version;
-    const auto route = [](const char* name, const char* prefix, int priority) {
+    m_witness.m_attempts = m_attempts;
+    const auto route = [this](const char* name, const char* prefix, int priority) {
         return nlohmann::json{{"name", name},   {"host", HOST},         {"path_prefix", prefix},
-                              {"service", "s"}, {"priority", priority}, {"attempts", 2},
+                              {"service", "s"}, {"priority", priority}, {"attempts", m_attempts},
                               {"stretch", 3.0}, {"slo_ms", 1000}};
     };
     nlohmann::json batch = route("batch", "/batch/", 1);
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -66,6 +66,8 @@
     void configure(const std::vector<std::string>& keys = {KEY});
     /** Whether the queue `/batch/` uses placement advice, from the next configure() on. */
     bool m_hasAdvice = false;
+    /** Attempts of the queues, from the next configure() on. */
+    std::uint32_t m_attempts = 2;
 
     /** Bandwidth setting of gateways that are started from now on, in Mbit/s. */
     double m_linkMbps = 1000.0;
