A job whose record can't be read doesn't end the leader when its run ends

If the record of a job with a run can't be decoded (for example by a leader of an earlier version), the leader ends with a segmentation fault as soon as that run ends, and so does each of its successors.

Cause: such a job was reported as unreadable and then added all the same, with an empty record, when its run was loaded. The account of the run's work reads a step that the empty record doesn't have.

Why this works: a job of which either part is unreadable is left out as a whole, as it was already for an unreadable run; so is an unfinished run without any record. The stored values stay as they are, for a leader that can read them.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -309,8 +309,8 @@
     StoreRevision m_epoch = 0;
     StoreRevision m_watchedTo = 0;
     JobTable m_jobs;
-    /** Ids of jobs whose run in the store can't be decoded. */
-    std::set<std::string> m_unreadableRuns;
+    /** Ids of jobs that are left out, since their record or their run can't be decoded. */
+    std::set<std::string, std::less<>> m_unreadableJobs;
     /** Ids of jobs whose cancel was read before the job itself. */
     std::set<std::string> m_earlyCancels;
     PersistedEnds m_persistedEnds;
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -85,7 +85,7 @@
     m_progress.clear();
     m_ticketCache.clear();
     m_adminStates.clear();
-    m_unreadableRuns.clear();
+    m_unreadableJobs.clear();
     m_classifiedIncarnations.clear();
     m_hostsWithUnresolvedLosses.clear();
     m_leavingWorkers.clear();
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -194,15 +194,16 @@
     return hosts;
 }
 
-/** Adds a job from its record in the store, unless it is known or its run can't be decoded. */
+/** Adds a job from its record in the store, unless it is known or can't be decoded. */
 void JobController::addJob(const StoreItem& item) {
     const std::string id = item.m_key.substr(JOB_PREFIX.size());
-    if (m_jobs.count(id) != 0 || m_unreadableRuns.count(id) != 0) {
+    if (m_jobs.count(id) != 0 || m_unreadableJobs.count(id) != 0) {
         return;
     }
     auto record = decodeJobRecord(item.m_value);
     if (!record.has_value()) {
         reportUnreadable("jobs", "unreadable-job", {{"job", id}});
+        m_unreadableJobs.insert(id);
         return;
     }
     JobEntry entry;
@@ -224,17 +225,21 @@
 
 /**
  * Loads the committed run of a job. A run without a record belongs to a finished job whose input
- * has been removed; an unfinished run without a record is reported as an error.
+ * has been removed. The job is left out of scheduling, and the stored run stays unchanged, if the
+ * run can't be decoded, or if it is unfinished and has no record.
  */
 void JobController::addRun(const StoreItem& item) {
     const std::string id = item.m_key.substr(RUN_PREFIX.size());
     auto run = decodeJobRun(item.m_value);
     if (!run.has_value()) {
-        // The job may be running or finished. It is left out of scheduling, and the stored run
-        // stays unchanged.
         reportUnreadable("jobs", "unreadable-run", {{"job", id}});
         m_jobs.erase(id);
-        m_unreadableRuns.insert(id);
+        m_unreadableJobs.insert(id);
+        return;
+    }
+    if (m_jobs.count(id) == 0 && !run->isFinished()) {
+        logEvent(Severity::ERROR, "jobs", "run-without-job", {{"job", id}});
+        m_unreadableJobs.insert(id);
         return;
     }
     const auto [position, isNew] = m_jobs.try_emplace(id);
@@ -243,9 +248,6 @@
         entry.m_record.m_id = id;
         entry.m_hasInput = false;
     }
-    if (isNew && !run->isFinished()) {
-        logEvent(Severity::ERROR, "jobs", "run-without-job", {{"job", id}});
-    }
     entry.m_run = std::move(*run);
     entry.m_runRevision = item.m_revision;
     // The transaction that persisted the job's end should also have removed its input.
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -66,6 +66,8 @@
     Millis m_restartDelay{3000};
     /** Lets the run of a task fail now; there must be one. */
     void fail(const TaskKey& task) { endRun(task, RunEnd::FAILED); }
+    /** Lets the run of a task succeed now; there must be one. */
+    void finish(const TaskKey& task) { endRun(task, RunEnd::DONE); }
     /** Suspends the machine: no run progresses and the worker's steady clock stops. */
     void suspend();
     /** Resumes the machine. The clock continues where it stopped. */
