The end of a run whose job can't be read stays with its worker until a leader can read the job

Cause: an end of a job that the leader doesn't know was marked as persisted at once. That is right for a job that was removed, but an unreadable one is known to the store: the worker forgot the end, the next leader missed the run and started the task anew.

Why this works: such an end is not marked as persisted, so the worker lists it until a leader has applied and written it.

--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -130,12 +130,18 @@
     return activeRun;
 }
 
-/** Applies a reported end of a run to its job. An end that changes nothing counts as persisted. */
+/**
+ * Applies a reported end of a run to its job. An end that changes nothing counts as persisted. The
+ * end of a run whose job can't be read never does, so that it is reported to a leader that can read
+ * the job.
+ */
 void JobController::applyRunEnd(const WorkerId& worker, const EndedEntry& end) {
     const auto key = TaskKey::parse(end.m_task);
     const auto found = key.has_value() ? m_jobs.find(key->m_job) : m_jobs.end();
     if (found == m_jobs.end()) {
-        m_persistedEnds.markPersisted(worker, end.m_number);
+        if (!key.has_value() || m_unreadableJobs.count(key->m_job) == 0) {
+            m_persistedEnds.markPersisted(worker, end.m_number);
+        }
         return;
     }
     JobEntry& entry = found->second;
