A wave counts machines as down that may be in upkeep, whoever began it and whatever was answered

What callers saw: operators ask for an upkeep of one machine at once, and two are down. Either the store turns the leader away amid a wave: it begins an upkeep that it can't record, and its successor begins another. Or an order is carried out and its answer is lost: the same leader begins the next 0.5 s later.

Cause: the limit was counted from what this leader knows that it or a recorded leader began. A machine that the platform lists as in upkeep, but whose beginning isn't recorded, was put among those that wait, passed over as not up, and not counted. And after an order without an answer nothing was remembered.

'waves upkeep-refused status=4' before a second 'upkeep-begun' tells the second kind in the logs.

Why this works: what counts is the platform's own list, and beside it each machine whose order is under way or got no answer. An order without an answer is repeated before another machine is taken down; the platform answers 200 if the upkeep was begun already, which records it.

Left: a leader orders until its own lease is over. An order that the platform carries out later than that, after the next leader has read the list, still counts for nobody until the next reading.

--- a/libs/control/include/pierbank/control/WaveController.h
+++ b/libs/control/include/pierbank/control/WaveController.h
@@ -87,6 +87,8 @@
         Millis m_retryDelay{0};
         /** Whether an order is pending. */
         bool m_isOrdered = false;
+        /** Whether the last order got no answer, so that the upkeep may have started. */
+        bool m_mayHaveStarted = false;
     };
     /** An upkeep wave and its progress. */
     struct Wave {
@@ -110,6 +112,7 @@
     void pollMachines();
     void pollLater();
     void advance(Wave& wave, const std::map<std::string, Machine>& machines);
+    static bool mayBeDown(const Wave& wave, const Machine& machine);
     void advanceMachine(Wave& wave, const Machine& machine);
     void handleOrdered(std::uint64_t number, const std::string& machine, MachineOrderStatus status);
     Millis getMaxDrainTime(const Wave& wave) const;
--- a/libs/control/src/WaveController.cpp
+++ b/libs/control/src/WaveController.cpp
@@ -195,9 +195,24 @@
     });
 }
 
+/**
+ * Returns whether a machine counts towards the limit of machines that are down for the wave. The
+ * list of machines decides, since a former leader may have started an upkeep that it could not
+ * record; beside it counts what may have started since the list was made.
+ */
+bool WaveController::mayBeDown(const Wave& wave, const Machine& machine) {
+    const auto progress = wave.m_progress.find(machine.m_name);
+    const bool isStarting = progress != wave.m_progress.end() &&
+                            (progress->second.m_isOrdered || progress->second.m_mayHaveStarted);
+    const bool hasStarted = wave.m_startedMachines.count(machine.m_name) != 0;
+    return isStarting || machine.m_state == MachineState::UPKEEP ||
+           (hasStarted && machine.m_state != MachineState::UP);
+}
+
 /**
  * Advances the machines of a wave up to its limit of machines that are down at once, or finishes
- * the wave if the upkeep of all its machines has started.
+ * the wave if the upkeep of all its machines has started. An order without an answer is repeated
+ * before any other machine is taken down.
  */
 void WaveController::advance(Wave& wave, const std::map<std::string, Machine>& machines) {
     std::size_t downCount = 0;
@@ -209,15 +224,16 @@
             // The machine no longer exists, so there is nothing left to maintain.
             continue;
         }
-        const bool isUp = found->second.m_state == MachineState::UP;
+        const Machine& machine = found->second;
         const bool hasStarted = wave.m_startedMachines.count(name) != 0;
-        const bool isOrdered = wave.m_progress[name].m_isOrdered;
-        if (hasStarted || isOrdered) {
-            downCount += isUp && !isOrdered ? 0 : 1;
-        } else {
-            waitingMachines.push_back(&found->second);
-        }
+        const bool isDown = mayBeDown(wave, machine);
+        downCount += isDown ? 1 : 0;
         unfinishedCount += hasStarted ? 0 : 1;
+        if (!hasStarted && !isDown) {
+            waitingMachines.push_back(&machine);
+        } else if (!hasStarted && !wave.m_progress[name].m_isOrdered) {
+            advanceMachine(wave, machine);
+        }
     }
     if (unfinishedCount == 0) {
         wave.m_isDone = true;
@@ -296,6 +312,7 @@
     Wave& wave = m_waves[number];
     MachineProgress& machineProgress = wave.m_progress[machine];
     machineProgress.m_isOrdered = false;
+    machineProgress.m_mayHaveStarted = status == MachineOrderStatus::UNKNOWN;
     const bool hasStarted = status == MachineOrderStatus::DONE;
     logEvent(hasStarted ? Severity::INFO : Severity::WARNING, "waves",
              hasStarted ? "upkeep-begun" : "upkeep-refused",
--- a/test/failures/StepFeaturesTest.cpp
+++ b/test/failures/StepFeaturesTest.cpp
@@ -341,6 +341,29 @@
     }
 }
 
+/** Guards against more machines down than the wave permits: the lost answer hid the upkeep. */
+TEST_F(UpkeepTest, AMachineWhoseOrderGotNoAnswerCountsTowardsTheLimit) {
+    m_fleet.m_machineFleet.m_answersToLose = 1;
+    requestUpkeep();
+    ASSERT_TRUE(waitForEnd());
+    EXPECT_EQ(m_fleet.m_machineFleet.m_maxConcurrentUpkeeps, 1U);
+}
+
+/**
+ * Guards against more machines down than the wave permits: a leader that the store turns away
+ * can't record the upkeep that it begins last, and the next leader begins another one.
+ */
+TEST_F(UpkeepTest, AMachineWhoseUpkeepWasNotRecordedCountsTowardsTheLimit) {
+    requestUpkeep();
+    ASSERT_TRUE(waitUntil(Millis(15'000),
+                          [&] { return m_fleet.m_machineFleet.m_upkeeps.size() == 2; }));
+    m_fleet.m_loop.advance(Millis(1700));
+    m_fleet.m_storeState.m_cutOff.insert(m_fleet.m_gateways[getLeader()].m_name);
+    ASSERT_TRUE(waitForEnd());
+    EXPECT_EQ(m_fleet.m_machineFleet.m_maxConcurrentUpkeeps, 1U);
+    EXPECT_EQ(m_fleet.m_machineFleet.m_upkeeps.size(), 4U);
+}
+
 TEST_F(UpkeepTest, AMachineThatCannotBeTakenDownStaysUsable) {
     m_fleet.m_machineFleet.m_isBusy = true;
     requestUpkeep();
