A job that is cancelled before its submission arrives doesn't start when it does

What callers saw: a job whose cancelling was answered with 410 starts 3.4 s later and runs to its end. Its submission had lain in the socket of a suspended gateway; the client had left and cancelled at another.

Cause: a gateway that found neither record nor run of a job answered 410 and left nothing in the store that a submission on its way would meet.

Why this works: the 410 is given once input/early-cancel/ID is in the store, on the condition that neither record nor run is. The leader, and each later one, reads it as input and cancels the job when it is accepted. It counts for the caller's own organisation only.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -171,6 +171,8 @@
     void restoreStalledHosts();
     std::set<std::string, std::less<>> listHostsWithRuns() const;
     void requestCancel(const std::string& id);
+    void requestEarlyCancel(const std::string& id, const std::string& organisation);
+    bool isCancelledEarly(const JobRecord& record) const;
     void updateWeight(std::string_view text);
     void updateAdminState(const std::string& host, std::string_view word);
     void updateDomain(const std::string& domain, std::string_view word);
@@ -280,6 +282,7 @@
     void handleCommitted(const std::vector<std::string>& ids, const StoreCommit& commit);
     void sendEndsPersisted(const WorkerId& worker);
     void removeFinishedJobs();
+    void removeOldEarlyCancels();
     void tick();
     void abandonLeadership(std::string_view reason);
     /** Wraps a task so that it does nothing once the current term has ended. */
@@ -313,6 +316,15 @@
     std::set<std::string, std::less<>> m_unreadableJobs;
     /** Ids of jobs whose cancel was read before the job itself. */
     std::set<std::string> m_earlyCancels;
+    /** Request to cancel a job that was not accepted yet. */
+    struct EarlyCancel {
+        /** Organisation of the caller; the request applies to its jobs only. */
+        std::string m_organisation;
+        /** When this leader read the request. */
+        Millis m_readAt{0};
+    };
+    /** Such requests in the store, by the job's id. */
+    std::map<std::string, EarlyCancel> m_storedEarlyCancels;
     PersistedEnds m_persistedEnds;
     /** The last report of a host and when it was received. */
     struct HostReport {
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -155,6 +155,7 @@
     void cancel(const CallPtr& call);
     void cancelRecord(const CallPtr& call, bool hasRun);
     void putCancel(const CallPtr& call, const StoreItem& record);
+    void putEarlyCancel(const CallPtr& call);
     void answerRead(const CallPtr& call, std::string body, std::string_view reason);
     bool isStillAllowed(const Call& call) const;
     void countPending(const CallPtr& call);
--- a/libs/control/include/pierbank/control/StoreKeys.h
+++ b/libs/control/include/pierbank/control/StoreKeys.h
@@ -22,6 +22,11 @@
 inline constexpr std::string_view JOB_PREFIX = "input/job/";
 /** Requests to cancel a job, by the job's id. */
 inline constexpr std::string_view CANCEL_PREFIX = "input/cancel/";
+/**
+ * Requests to cancel a job that was not accepted yet, by the job's id; the value is the
+ * organisation of the caller. Its submission may still be on its way.
+ */
+inline constexpr std::string_view EARLY_CANCEL_PREFIX = "input/early-cancel/";
 /** Registered sidecars by address. */
 inline constexpr std::string_view HOST_PREFIX = "input/host/";
 /** Registered gateways by the address on which they accept the leader's link. */
@@ -67,6 +72,10 @@
     return std::string(CANCEL_PREFIX).append(id);
 }
 
+inline std::string getEarlyCancelKey(std::string_view id) {
+    return std::string(EARLY_CANCEL_PREFIX).append(id);
+}
+
 inline std::string getHostKey(std::string_view address) {
     return std::string(HOST_PREFIX).append(address);
 }
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -79,6 +79,7 @@
     m_reservationLog.clear();
     m_idleJobLog.clear();
     m_earlyCancels.clear();
+    m_storedEarlyCancels.clear();
     m_learned.clear();
     m_handover.stop();
     m_capacityRefusals.clear();
@@ -333,6 +334,7 @@
 /** Performs the periodic work; the scheduled step also adds the due occurrences. */
 void JobController::tick() {
     removeFinishedJobs();
+    removeOldEarlyCancels();
     resendLostOrders();
     m_handover.tick();
     scheduleStep();
--- a/libs/control/src/JobControllerCommits.cpp
+++ b/libs/control/src/JobControllerCommits.cpp
@@ -150,6 +150,30 @@
     m_store.commit(transaction, COMMIT_TIMEOUT, [](const StoreCommit&) {});
 }
 
+/**
+ * Removes requests to cancel jobs that were not accepted, once no submission can be on its way any
+ * more; at most one transaction of them per call.
+ */
+void JobController::removeOldEarlyCancels() {
+    StoreTransaction transaction;
+    transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
+    std::erase_if(m_storedEarlyCancels, [&](const auto& request) {
+        const bool isRemoved =
+                m_loop.now() - request.second.m_readAt > m_settings.m_finishedJobRetention &&
+                transaction.countEntries() + 1 <= RecordStore::MAX_ENTRIES;
+        if (isRemoved) {
+            transaction.m_removals.push_back(getEarlyCancelKey(request.first));
+        }
+        return isRemoved;
+    });
+    if (transaction.m_removals.empty()) {
+        return;
+    }
+    // The result is not needed: if the commit fails, the next leader repeats the removal.
+    constexpr Millis COMMIT_TIMEOUT{1000};
+    m_store.commit(transaction, COMMIT_TIMEOUT, [](const StoreCommit&) {});
+}
+
 /** Discards the state of a host that has been unreachable for too long, and its registration. */
 void JobController::handleHostExpired(const std::string& host) {
     m_reports.erase(host);
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -132,6 +132,8 @@
         addJob(item);
     } else if (key.starts_with(CANCEL_PREFIX)) {
         requestCancel(std::string(key.substr(CANCEL_PREFIX.size())));
+    } else if (key.starts_with(EARLY_CANCEL_PREFIX)) {
+        requestEarlyCancel(std::string(key.substr(EARLY_CANCEL_PREFIX.size())), item.m_value);
     } else if (key.starts_with(HOST_PREFIX)) {
         m_workers.addHost(std::string(key.substr(HOST_PREFIX.size())));
     } else if (key.starts_with(GATEWAY_PREFIX)) {
@@ -209,7 +211,7 @@
     JobEntry entry;
     entry.m_run = makeJobRun(*record);
     entry.m_record = std::move(*record);
-    entry.m_isCancelRequested = m_earlyCancels.erase(id) != 0;
+    entry.m_isCancelRequested = m_earlyCancels.erase(id) != 0 || isCancelledEarly(entry.m_record);
     logEvent(
             Severity::INFO, "jobs", "known",
             {{"job", id},
@@ -264,4 +266,18 @@
     }
 }
 
+void JobController::requestEarlyCancel(const std::string& id, const std::string& organisation) {
+    m_storedEarlyCancels.try_emplace(id, EarlyCancel{organisation, m_loop.now()});
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && isCancelledEarly(found->second.m_record)) {
+        found->second.m_isCancelRequested = true;
+    }
+}
+
+bool JobController::isCancelledEarly(const JobRecord& record) const {
+    const auto found = m_storedEarlyCancels.find(record.m_id);
+    return found != m_storedEarlyCancels.end() &&
+           found->second.m_organisation == record.m_organisation;
+}
+
 }  // namespace pierbank
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -105,11 +105,38 @@
                          // then.
                          answer(call, HTTP_OK, "", "the job has finished");
                      } else {
-                         answer(call, HTTP_GONE, "", "there is no such job");
+                         putEarlyCancel(call);
                      }
                  });
 }
 
+/**
+ * Records that a job is cancelled of which nothing is known. Its submission may still be on its way
+ * to another gateway or to the store; the leader cancels the job when it is accepted after all.
+ */
+void JobIntake::putEarlyCancel(const CallPtr& call) {
+    StoreTransaction transaction;
+    transaction.m_conditions = {{getJobKey(call->m_id), 0}, {getRunKey(call->m_id), 0}};
+    transaction.m_puts = {{getEarlyCancelKey(call->m_id), call->m_organisation, 0}};
+    CommitRetryPolicy retryPolicy;
+    retryPolicy.m_timeLimit = std::max(getTimeLeft(*call), Millis(1));
+    CommitResolver::run(m_store, m_loop, std::move(transaction), retryPolicy, m_isAlive,
+                        [this, call](const StoreCommit& commit) {
+                            if (commit.m_status == StoreStatus::OK) {
+                                m_onWritten(getEarlyCancelKey(call->m_id), call->m_organisation);
+                                answer(call, HTTP_GONE, "", "there is no such job");
+                            } else if (commit.m_status == StoreStatus::CONFLICT) {
+                                // The job was accepted meanwhile.
+                                cancel(call);
+                            } else if (commit.m_status == StoreStatus::UNKNOWN) {
+                                relayOr(call, HTTP_TIMEOUT,
+                                        "the store did not confirm the cancellation");
+                            } else {
+                                answerUnavailable(call, "the store refused: " + commit.m_reason);
+                            }
+                        });
+}
+
 void JobIntake::putCancel(const CallPtr& call, const StoreItem& record) {
     StoreTransaction transaction;
     transaction.m_conditions = {{record.m_key, record.m_revision}};
--- /dev/null
+++ b/test/failures/CancelledInAdvanceTest.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+/*
+ * Failure: a job starts seconds after its cancelling was acknowledged, and runs to its end.
+ *
+ * Cause: the submission was still on its way when the job was cancelled, for example in the socket
+ * of a suspended gateway. The gateway that cancelled found no job, answered 410 and left nothing in
+ * the store that the late submission would meet.
+ *
+ * In the logs: `intake answered method=DELETE status=410`, and later `method=POST status=200` for
+ * the same job, at another gateway.
+ */
+#include "JobFleetTest.h"
+#include "pierbank/control/StoreKeys.h"
+
+namespace pierbank::testing {
+
+namespace {
+
+constexpr const char* ID = "00000000000000a1";
+constexpr const char* SMALL = R"({"count":1,"cpu":1000,"mem_mb":100,"gpu":1,"est_ms":1000})";
+
+/** A job whose submission arrives after the answer to its cancelling. */
+class JobCancelledInAdvance : public JobFleetTest {
+protected:
+    std::uint32_t cancel(const std::string& key = JobFleet::KEY) {
+        return m_fleet.sendRequest(getFollower(), "DELETE", PATH, "", key).m_status;
+    }
+
+    /** Submits the job at the leader, so that no other gateway has to notify it. */
+    std::uint32_t submit() {
+        return m_fleet.submit(ID, SMALL, "300", "/batch/", getLeader()).m_status;
+    }
+
+    std::size_t countStarts() const { return m_fleet.m_witness.countStarts(taskOf(ID)); }
+
+    const std::string PATH = std::string("/batch/") + ID;
+};
+
+}  // namespace
+
+TEST_F(JobCancelledInAdvance, DoesNotStartWhenItsSubmissionArrives) {
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(Millis(3500));
+    EXPECT_EQ(submit(), 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(2000)));
+    m_fleet.m_loop.advance(Millis(2000));
+    EXPECT_EQ(countStarts(), 0U);
+}
+
+TEST_F(JobCancelledInAdvance, DoesNotStartUnderTheNextLeader) {
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.killGateway(getLeader());
+    ASSERT_TRUE(m_fleet.waitForLeader());
+    EXPECT_EQ(submit(), 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(2000), "/batch/", getLeader()));
+    EXPECT_EQ(countStarts(), 0U);
+}
+
+/** The submission and the cancelling overlap; whichever is first, the job does not run on. */
+TEST_F(JobCancelledInAdvance, DoesNotRunOnIfItsSubmissionArrivesAtTheSameTime) {
+    constexpr std::int64_t MAX_DELAY_MS = 12;
+    for (std::int64_t delay = 0; delay <= MAX_DELAY_MS; ++delay) {
+        SCOPED_TRACE(delay);
+        JobFleet fleet(3, 4);
+        ASSERT_TRUE(fleet.waitForLeader());
+        fleet.m_loop.advance(Millis(500));
+        fleet.m_loop.callLater(Millis(delay), [&fleet] {
+            IntakeRequest request;
+            request.m_method = "POST";
+            request.m_host = JobFleet::HOST;
+            request.m_path = std::string("/batch/") + ID;
+            request.m_key = JobFleet::KEY;
+            request.m_body = std::string(R"({"spec":"60000","steps":[)") + SMALL + "]}";
+            fleet.m_gateways[1].m_core->getIntake().handle(request, [](const IntakeAnswer&) {});
+        });
+        const std::uint32_t status = fleet.sendRequest(2, "DELETE", PATH).m_status;
+        EXPECT_TRUE(status == 200U || status == 410U) << status;
+        fleet.m_loop.advance(Millis(3000));
+        EXPECT_FALSE(fleet.m_witness.isRunning(taskOf(ID)));
+    }
+}
+
+/** Guards against callers who cancel the jobs of another organisation before they are submitted. */
+TEST_F(JobCancelledInAdvance, RunsIfAnotherOrganisationCancelledIt) {
+    m_fleet.configure({JobFleet::KEY}, {"key-b"});
+    m_fleet.m_loop.advance(Millis(500));
+    EXPECT_EQ(cancel("key-b"), 410U);
+    EXPECT_EQ(submit(), 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(3000)));
+}
+
+/** Guards against a store that fills with cancellings of jobs that never come. */
+TEST_F(JobCancelledInAdvance, IsForgottenAfterTheRetention) {
+    EXPECT_EQ(cancel(), 410U);
+    EXPECT_EQ(m_fleet.m_storeState.list(EARLY_CANCEL_PREFIX).size(), 1U);
+    m_fleet.m_loop.advance(JobControllerSettings().m_finishedJobRetention + Millis(5000));
+    EXPECT_TRUE(m_fleet.m_storeState.list(EARLY_CANCEL_PREFIX).empty());
+    EXPECT_EQ(submit(), 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(3000)));
+}
+
+/** The store carries the write of the cancelling out but gives no answer. */
+TEST_F(JobCancelledInAdvance, DoesNotStartIfTheAnswerOfTheStoreWasLost) {
+    m_fleet.m_storeState.m_answersToLose = 1;
+    EXPECT_EQ(cancel(), 410U);
+    EXPECT_EQ(submit(), 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(2000)));
+    EXPECT_EQ(countStarts(), 0U);
+}
+
+}  // namespace pierbank::testing
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -35,7 +35,8 @@
     keepSendingHeartbeats();
 }
 
-void JobFleet::configure(const std::vector<std::string>& keys) {
+void JobFleet::configure(const std::vector<std::string>& keys,
+                         const std::vector<std::string>& keysOfSecond) {
     ++m_version;
     m_witness.m_attempts = m_attempts;
     const auto route = [this](const char* name, const char* prefix, int priority) {
@@ -47,12 +48,14 @@
     if (m_hasAdvice) {
         batch["advice"] = {{"decide_ms", 50}, {"each_ms", 1}, {"valid_ms", 3000}};
     }
-    const nlohmann::json configuration = {
-            {"version", m_version},
-            {"routes", {batch, route("urgent", "/urgent/", 0)}},
-            {"tenants",
-             nlohmann::json::array(
-                     {{{"name", "a"}, {"api_keys", keys}, {"guaranteed", {{"gpu", 8}}}}})}};
+    nlohmann::json tenants = nlohmann::json::array(
+            {{{"name", "a"}, {"api_keys", keys}, {"guaranteed", {{"gpu", 8}}}}});
+    if (!keysOfSecond.empty()) {
+        tenants.push_back({{"name", "b"}, {"api_keys", keysOfSecond}});
+    }
+    const nlohmann::json configuration = {{"version", m_version},
+                                          {"routes", {batch, route("urgent", "/urgent/", 0)}},
+                                          {"tenants", tenants}};
     m_storeState.put(std::string(CONFIGURATION_KEY), configuration.dump());
 }
 
--- a/test/support/JobFleet.h
+++ b/test/support/JobFleet.h
@@ -62,8 +62,12 @@
     /** @param taskCost processor time of each task on a gateway's loop, in microseconds. */
     JobFleet(std::size_t gateways, std::size_t workers, std::int64_t taskCost = 0);
 
-    /** Writes the next version of the operators' configuration, with these API keys. */
-    void configure(const std::vector<std::string>& keys = {KEY});
+    /**
+     * Writes the next version of the operators' configuration, with these API keys of organisation
+     * `a`, and of a second organisation `b` if there are any.
+     */
+    void configure(const std::vector<std::string>& keys = {KEY},
+                   const std::vector<std::string>& keysOfSecond = {});
     /** Whether the queue `/batch/` uses placement advice, from the next configure() on. */
     bool m_hasAdvice = false;
     /** Attempts of the queues, from the next configure() on. */
