A cancelling in advance counts from its last request on, and of the organisation that made it last

Of two organisations, the leader and its successor kept different ones.

Cause: the leader kept what it had read first; the store has what was written last.

Evidence: JobCancelledInAdvance.IsRememberedSinceItsLastCancelling failed before ('succeeded').

Why this works: the later request replaces the earlier one in memory as in the store.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -320,7 +320,7 @@
     struct EarlyCancel {
         /** Organisation of the caller; the request applies to its jobs only. */
         std::string m_organisation;
-        /** When this leader read the request. */
+        /** When this leader last read the request. */
         Millis m_readAt{0};
     };
     /** Such requests in the store, by the job's id. */
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -267,7 +267,7 @@
 }
 
 void JobController::requestEarlyCancel(const std::string& id, const std::string& organisation) {
-    m_storedEarlyCancels.try_emplace(id, EarlyCancel{organisation, m_loop.now()});
+    m_storedEarlyCancels.insert_or_assign(id, EarlyCancel{organisation, m_loop.now()});
     const auto found = m_jobs.find(id);
     if (found != m_jobs.end() && isCancelledEarly(found->second.m_record)) {
         found->second.m_isCancelRequested = true;
--- a/test/failures/CancelledInAdvanceTest.cpp
+++ b/test/failures/CancelledInAdvanceTest.cpp
@@ -99,6 +99,16 @@
     EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(3000)));
 }
 
+TEST_F(JobCancelledInAdvance, IsRememberedSinceItsLastCancelling) {
+    const Millis retention = JobControllerSettings().m_finishedJobRetention;
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(retention - Millis(10'000));
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(retention - Millis(10'000));
+    EXPECT_EQ(submit(), 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(2000)));
+}
+
 /** The store carries the write of the cancelling out but gives no answer. */
 TEST_F(JobCancelledInAdvance, DoesNotStartIfTheAnswerOfTheStoreWasLost) {
     m_fleet.m_storeState.m_answersToLose = 1;
