A failed run counts once against its host, though its end was not committed before a change of leader

A host may be avoided for some seconds after one quick failure, as if there had been two.

Cause: the record that a sidecar keeps for the next leader was sent whatever became of the end behind it. If the leader goes before it commits the end, the next one has the failure in the record, gets the end again, and counts both.

That a host is avoided by it was not shown.

Why this works: a host's record is sent only while none of its ends waits for a commit; it stays due until then.

--- a/libs/control/include/pierbank/control/LearnedHandover.h
+++ b/libs/control/include/pierbank/control/LearnedHandover.h
@@ -7,6 +7,7 @@
 
 #include "pierbank/base/EventLoop.h"
 #include "pierbank/control/LearnedState.h"
+#include "pierbank/control/PersistedEnds.h"
 #include "pierbank/control/RecordScheduler.h"
 #include "pierbank/control/WorkerPool.h"
 
@@ -25,9 +26,19 @@
  */
 class LearnedHandover {
 public:
-    /** The references must outlive the object. @param isEnabled see switch `keeps-learned`. */
-    LearnedHandover(EventLoop& loop, WorkerPool& workers, LearnedState& learned, bool isEnabled)
-            : m_loop(loop), m_workers(workers), m_learned(learned), m_isEnabled(isEnabled) {}
+    /**
+     * The references must outlive the object.
+     * @param ends the reported ends. The record of a host is sent only while none of its ends waits
+     * for a commit: the next leader gets such an end again, and must not find it in the record too.
+     * @param isEnabled see switch `keeps-learned`.
+     */
+    LearnedHandover(EventLoop& loop, WorkerPool& workers, LearnedState& learned,
+                    const PersistedEnds& ends, bool isEnabled)
+            : m_loop(loop),
+              m_workers(workers),
+              m_learned(learned),
+              m_ends(ends),
+              m_isEnabled(isEnabled) {}
 
     /** Begins a term. @param epoch epoch of the leader. */
     void start(std::uint64_t epoch);
@@ -62,6 +73,7 @@
     EventLoop& m_loop;
     WorkerPool& m_workers;
     LearnedState& m_learned;
+    const PersistedEnds& m_ends;
     const bool m_isEnabled;
     std::uint64_t m_epoch = 0;
     RecordScheduler m_scheduler;
--- a/libs/control/include/pierbank/control/PersistedEnds.h
+++ b/libs/control/include/pierbank/control/PersistedEnds.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string_view>
 
 #include "pierbank/job/JobRun.h"
 
@@ -21,6 +22,8 @@
     bool recordReported(const WorkerId& worker, std::uint64_t number);
     /** Marks an end as persisted, or as one that need not be persisted. */
     void markPersisted(const WorkerId& worker, std::uint64_t number);
+    /** Returns whether any end that a host's worker reported is not persisted yet. */
+    bool hasPending(std::string_view host) const;
     /** Returns the highest number up to which all ends are persisted; zero for none. */
     std::uint64_t getPersisted(const WorkerId& worker) const;
     /** Removes the ends of one incarnation of a worker. */
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -28,7 +28,7 @@
           m_settings(settings),
           m_workers(transport, loop, *this, std::move(workers)),
           m_learned(m_settings.m_learned),
-          m_handover(loop, m_workers, m_learned, m_settings.m_keepsLearned),
+          m_handover(loop, m_workers, m_learned, m_persistedEnds, m_settings.m_keepsLearned),
           m_ticketCache(loop, advisor),
           m_evacuations(store, loop, m_settings.m_evacuations),
           m_currentFragmentationWeight(m_settings.m_planner.m_fragmentationWeight) {
--- a/libs/control/src/LearnedHandover.cpp
+++ b/libs/control/src/LearnedHandover.cpp
@@ -22,7 +22,11 @@
 
 void LearnedHandover::tick() {
     for (const std::string& address : m_scheduler.takeDue(m_loop.now())) {
-        sendRecord(address);
+        if (m_ends.hasPending(address)) {
+            m_scheduler.recordChange(address, m_loop.now());
+        } else {
+            sendRecord(address);
+        }
     }
     logRestored();
 }
--- a/libs/control/src/PersistedEnds.cpp
+++ b/libs/control/src/PersistedEnds.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pierbank/control/PersistedEnds.h"
 
+#include <string>
+
 namespace pierbank {
 
 bool PersistedEnds::recordReported(const WorkerId& worker, std::uint64_t number) {
@@ -20,6 +22,17 @@
     }
 }
 
+bool PersistedEnds::hasPending(std::string_view host) const {
+    auto entry = m_incarnations.lower_bound({std::string(host), ""});
+    while (entry != m_incarnations.end() && entry->first.m_host == host) {
+        if (!entry->second.m_pending.empty()) {
+            return true;
+        }
+        ++entry;
+    }
+    return false;
+}
+
 std::uint64_t PersistedEnds::getPersisted(const WorkerId& worker) const {
     const auto found = m_incarnations.find(worker);
     if (found == m_incarnations.end()) {
--- a/test/failures/LearnedStateTest.cpp
+++ b/test/failures/LearnedStateTest.cpp
@@ -283,4 +283,38 @@
     EXPECT_EQ(placeUrgentJob(), FIRST);
 }
 
+/**
+ * Guards against a failure that counts twice against its host: the sidecar keeps a record that
+ * includes it, and the next leader gets the end, which was not committed, as well.
+ */
+class FailureThatIsNotCommitted : public LearnedStateFleet {
+protected:
+    void SetUp() override {
+        LearnedStateFleet::SetUp();
+        m_fleet.m_network.setTap([this](const auto&, const auto&, const Frame& frame) {
+            const auto* const record = std::get_if<LearnedRecord>(&frame);
+            m_sentScore = std::max(m_sentScore,
+                                   record == nullptr ? 0.0 : record->m_health.m_failureScore);
+            return true;
+        });
+        m_fleet.submit(idOf(1), WHOLE, "60000", "/batch/", getLeader());
+        ASSERT_TRUE(waitUntil(Millis(1000), [&] { return findWorker(taskOf(idOf(1))) == FIRST; }));
+        m_fleet.m_storeState.m_isDown = true;
+        getSidecar(FIRST).m_worker->fail(taskOf(idOf(1)));
+        m_fleet.m_loop.advance(Millis(700));
+    }
+
+    double m_sentScore = 0;
+};
+
+TEST_F(FailureThatIsNotCommitted, IsNotInTheRecordThatTheSidecarKeeps) {
+    EXPECT_EQ(m_sentScore, 0);
+}
+
+TEST_F(FailureThatIsNotCommitted, IsInTheRecordOnceItIsCommitted) {
+    m_fleet.m_storeState.m_isDown = false;
+    m_fleet.m_loop.advance(Millis(3000));
+    EXPECT_GT(m_sentScore, 0);
+}
+
 }  // namespace pierbank::testing
