A job that was cancelled in advance is accepted together with its cancel, so that it doesn't start before the leader hears of it

A cancelling is answered with 410; the job's submission arrives 3.5 s later at another gateway, and the job runs to its end if the leader has not heard of the cancelling: its watch is silent, and the link of the gateway that cancelled is cut. The same holds in a roll, as long as the leader is of a version that knows no cancelling in advance.

Cause: the request to cancel in advance and the submission met only in the leader's memory. The leader is told of the job at once by the gateway that accepted it, and starts it; of the cancelling it may learn later.

Evidence: JobCancelledInAdvanceUnknownToTheLeader.DoesNotStartWhenItsSubmissionArrives and .DoesNotStartIfTheAnswerToItsSubmissionWasLost failed before (one start, 'succeeded'); the third test of the fixture, for another organisation, held before and guards against a refusal.

Why this works: the transaction that accepts a job expects that no request to cancel it is in the store. If there is one of the same organisation, the job is written together with `input/cancel/ID`, in one transaction, which each leader of any version obeys. It costs a condition in a transaction that is made anyway, and a second call only for a job that was cancelled. The leader's own check stays, for submissions at gateways of earlier versions.

--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -103,7 +103,9 @@
  * Handles callers' requests at any gateway, leader or not. Runs on the event loop.
  *
  * A job is accepted once its record is known to be in the store. The transaction that writes the
- * record is conditional on the revision of the configuration under which the job was accepted.
+ * record is conditional on the revision of the configuration under which the job was accepted, and
+ * on the absence of a request to cancel the job in advance. A job that was cancelled in advance is
+ * accepted together with its cancel, so that it never starts, whatever the leader knows.
  * States of jobs are read from the store. A request that the local copy of the configuration would
  * refuse is refused only after a read sent after the request's arrival has confirmed that copy.
  *
@@ -149,6 +151,8 @@
     void dispatch(const CallPtr& call);
 
     void submit(const CallPtr& call);
+    void commitSubmission(const CallPtr& call);
+    StoreTransaction makeSubmission(const Call& call) const;
     void handleSubmitted(const CallPtr& call, const StoreCommit& commit);
     void readState(const CallPtr& call);
     void readRecord(const CallPtr& call, bool isRecordAbsent);
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -198,17 +198,8 @@
     record.m_policy = call->m_policy;
     record.m_acceptedAt = m_loop.wallNow();
     record.m_spec = std::move(*spec);
-    StoreTransaction transaction;
-    transaction.m_conditions = {{std::string(CONFIGURATION_KEY), call->m_configurationRevision},
-                                {getJobKey(call->m_id), 0},
-                                {getRunKey(call->m_id), 0}};
     call->m_encodedRecord = encodeJobRecord(record);
-    transaction.m_puts = {{getJobKey(call->m_id), call->m_encodedRecord, 0}};
-    call->m_submittedAt = m_loop.now();
-    CommitRetryPolicy retryPolicy;
-    retryPolicy.m_timeLimit = std::clamp(getTimeLeft(*call), Millis(1), m_settings.m_commitTimeout);
-    CommitResolver::run(m_store, m_loop, std::move(transaction), retryPolicy, m_isAlive,
-                        [this, call](const StoreCommit& commit) { handleSubmitted(call, commit); });
+    commitSubmission(call);
     const Millis hedgeDelay = std::min(m_settings.m_hedgeDelay, getTimeLeft(*call) / 2);
     m_loop.callLater(hedgeDelay, [this, call, alive = std::weak_ptr(m_isAlive)] {
         const bool isOpen = !alive.expired() && !call->m_isAnswered;
@@ -218,9 +209,39 @@
     });
 }
 
+void JobIntake::commitSubmission(const CallPtr& call) {
+    const auto request = decodeEarlyCancel(call->m_earlyCancel.m_value);
+    call->m_isCancelledInAdvance = call->m_earlyCancel.m_revision != 0 && request.has_value() &&
+                                   request->m_organisation == call->m_organisation;
+    call->m_submittedAt = m_loop.now();
+    CommitRetryPolicy retryPolicy;
+    retryPolicy.m_timeLimit = std::clamp(getTimeLeft(*call), Millis(1), m_settings.m_commitTimeout);
+    CommitResolver::run(m_store, m_loop, makeSubmission(*call), retryPolicy, m_isAlive,
+                        [this, call](const StoreCommit& commit) { handleSubmitted(call, commit); });
+}
+
+StoreTransaction JobIntake::makeSubmission(const Call& call) const {
+    StoreTransaction transaction;
+    transaction.m_conditions = {{std::string(CONFIGURATION_KEY), call.m_configurationRevision},
+                                {getJobKey(call.m_id), 0},
+                                {getRunKey(call.m_id), 0},
+                                {getEarlyCancelKey(call.m_id), call.m_earlyCancel.m_revision}};
+    transaction.m_puts = {{getJobKey(call.m_id), call.m_encodedRecord, 0}};
+    if (call.m_isCancelledInAdvance) {
+        // CommitResolver recognises a write without an answer by the conditions on its keys.
+        transaction.m_conditions.push_back({getCancelKey(call.m_id), 0});
+        transaction.m_puts.push_back({getCancelKey(call.m_id), call.m_organisation, 0});
+    }
+    return transaction;
+}
+
 void JobIntake::handleSubmitted(const CallPtr& call, const StoreCommit& commit) {
     switch (commit.m_status) {
         case StoreStatus::OK:
+            if (call->m_isCancelledInAdvance) {
+                logEvent(Severity::INFO, "intake", "accepted-as-cancelled", {{"job", call->m_id}});
+                m_onWritten(getCancelKey(call->m_id), "");
+            }
             m_onWritten(getJobKey(call->m_id), call->m_encodedRecord);
             answer(call, HTTP_OK, "", "accepted at revision " + std::to_string(commit.m_revision));
             return;
@@ -241,9 +262,15 @@
         return;
     }
     if (++call->m_tries >= MAX_SUBMIT_TRIES || getTimeLeft(*call) <= Millis(0)) {
-        answerUnavailable(call, "the configuration keeps changing");
+        answerUnavailable(call, "the configuration or the cancelling of the job keeps changing");
         return;
     }
+    const StoreItem* const earlyCancel = findItem(commit.m_items, getEarlyCancelKey(call->m_id));
+    const bool isCancelChanged =
+            earlyCancel != nullptr && earlyCancel->m_revision != call->m_earlyCancel.m_revision;
+    if (isCancelChanged) {
+        call->m_earlyCancel = *earlyCancel;
+    }
     // The answer of the store contains the new configuration. Reading the configuration again would
     // take seconds over a narrow link.
     const StoreItem* const configuration = findItem(commit.m_items, CONFIGURATION_KEY);
@@ -255,6 +282,10 @@
             return;
         }
     }
+    if (isCancelChanged) {
+        commitSubmission(call);
+        return;
+    }
     confirmAndRoute(call);
 }
 
--- a/libs/control/src/JobIntakeCall.h
+++ b/libs/control/src/JobIntakeCall.h
@@ -30,7 +30,16 @@
     Millis m_submittedAt{0};
     /** Encoded job record, as written to the store. */
     std::string m_encodedRecord;
-    /** Number of writes that conflicted with a change of the configuration. */
+    /**
+     * Request to cancel the job in advance that the store has returned; revision 0 without one.
+     */
+    StoreItem m_earlyCancel;
+    /** Whether the job is written together with its cancel. */
+    bool m_isCancelledInAdvance = false;
+    /**
+     * Number of writes that conflicted with a change of the configuration or with a cancel in
+     * advance.
+     */
     std::uint32_t m_tries = 0;
     bool m_isAnswered = false;
 
--- a/test/failures/CancelledInAdvanceTest.cpp
+++ b/test/failures/CancelledInAdvanceTest.cpp
@@ -133,4 +133,50 @@
     EXPECT_EQ(countStarts(), 0U);
 }
 
+/** A leader that does not learn of the cancelling: its watch reports nothing, and a link is cut. */
+class JobCancelledInAdvanceUnknownToTheLeader : public JobCancelledInAdvance {
+protected:
+    void SetUp() override {
+        JobCancelledInAdvance::SetUp();
+        m_fleet.m_storeState.m_dropsWatchEvents = true;
+        m_fleet.m_network.cut(m_fleet.m_gateways[getFollower()].m_name,
+                              m_fleet.m_gateways[getLeader()].m_name);
+    }
+
+    /** Submits the job at the gateway whose link to the leader works. */
+    std::uint32_t submitAtTheOther() {
+        return m_fleet.submit(ID, SMALL, "300", "/batch/", (getFollower() + 1) % 3).m_status;
+    }
+};
+
+TEST_F(JobCancelledInAdvanceUnknownToTheLeader, DoesNotStartWhenItsSubmissionArrives) {
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(Millis(3500));
+    EXPECT_EQ(submitAtTheOther(), 200U);
+    m_fleet.m_loop.advance(Millis(3000));
+    EXPECT_EQ(countStarts(), 0U);
+    EXPECT_EQ(m_fleet.getState(ID), "canceled");
+}
+
+/** The write of the submission takes effect, but its answer is lost. */
+TEST_F(JobCancelledInAdvanceUnknownToTheLeader, DoesNotStartIfTheAnswerToItsSubmissionWasLost) {
+    EXPECT_EQ(cancel(), 410U);
+    // The first transaction is refused because of the cancelling; the second one takes effect.
+    m_fleet.m_storeState.m_answersToLose = 2;
+    EXPECT_EQ(submitAtTheOther(), 200U);
+    m_fleet.m_loop.advance(Millis(3000));
+    EXPECT_EQ(countStarts(), 0U);
+    EXPECT_EQ(m_fleet.getState(ID), "canceled");
+}
+
+/** Guards against a submission that is refused as long as its id is cancelled. */
+TEST_F(JobCancelledInAdvanceUnknownToTheLeader, RunsIfAnotherOrganisationCancelledIt) {
+    m_fleet.configure({JobFleet::KEY}, {"key-b"});
+    m_fleet.m_loop.advance(Millis(1500));
+    EXPECT_EQ(cancel("key-b"), 410U);
+    EXPECT_EQ(submitAtTheOther(), 200U);
+    m_fleet.m_loop.advance(Millis(3000));
+    EXPECT_EQ(m_fleet.getState(ID), "succeeded");
+}
+
 }  // namespace pierbank::testing
