A cancelling in advance stays though another organisation cancels the same id later

Organisation a cancels a job in advance and is told 410; organisation b, which has any key of the deployment, cancels the same id; a's submission arrives, and the job runs to its end.

Cause: the stored request held one organisation, and the later request replaced the earlier one.

Evidence: JobCancelledInAdvance.DoesNotStartThoughAnotherOrganisationCancelsItLater failed before (one start, 'succeeded'). The test of the other order held before and guards it.

Why this works: the stored value lists the last request of each organisation (EarlyCancels). A gateway writes it on the condition of the revision that it knows, and merges what it finds when that is refused; the leader merges too, so that the order of notices and watch events doesn't matter. A repeated cancelling of one id costs a second write. The decoder is fuzzed with the others.

--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -63,6 +63,7 @@
     }
     pierbank::decodeJobRecord(bytes);
     pierbank::decodeJobRun(bytes);
+    pierbank::decodeEarlyCancels(bytes);
     pierbank::TaskKey::parse(bytes);
     const pierbank::adapter::PlatformDocuments documents;
     pierbank::Findings findings;
--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -15,6 +15,7 @@
 #include "pierbank/control/CapacityRefusals.h"
 #include "pierbank/control/CommitResolver.h"
 #include "pierbank/control/ConfigurationFeed.h"
+#include "pierbank/control/EarlyCancelTable.h"
 #include "pierbank/control/EvacuationFeed.h"
 #include "pierbank/control/IdleJobLog.h"
 #include "pierbank/control/JobControllerSettings.h"
@@ -172,7 +173,6 @@
     std::set<std::string, std::less<>> listHostsWithRuns() const;
     void requestCancel(const std::string& id);
     void requestEarlyCancel(const std::string& id, std::string_view bytes);
-    bool isCancelledEarly(const JobRecord& record) const;
     void updateWeight(std::string_view text);
     void updateAdminState(const std::string& host, std::string_view word);
     void updateDomain(const std::string& domain, std::string_view word);
@@ -316,8 +316,7 @@
     std::set<std::string, std::less<>> m_unreadableJobs;
     /** Ids of jobs whose cancel was read before the job itself. */
     std::set<std::string> m_earlyCancels;
-    /** Requests in the store to cancel jobs that were not accepted yet, by the job's id. */
-    std::map<std::string, EarlyCancel> m_storedEarlyCancels;
+    EarlyCancelTable m_storedEarlyCancels;
     PersistedEnds m_persistedEnds;
     /** The last report of a host and when it was received. */
     struct HostReport {
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -160,6 +160,13 @@
     void cancelRecord(const CallPtr& call, bool hasRun);
     void putCancel(const CallPtr& call, const StoreItem& record);
     void putEarlyCancel(const CallPtr& call);
+    void handleEarlyCancelWritten(const CallPtr& call, const std::string& value,
+                                  const StoreCommit& commit);
+    /**
+     * Takes over the stored request to cancel the job in advance from a refused transaction.
+     * @return whether it differs from the known one.
+     */
+    static bool updateEarlyCancel(Call& call, const StoreCommit& commit);
     void answerRead(const CallPtr& call, std::string body, std::string_view reason);
     bool isStillAllowed(const Call& call) const;
     void countPending(const CallPtr& call);
--- a/libs/control/include/pierbank/control/StoreKeys.h
+++ b/libs/control/include/pierbank/control/StoreKeys.h
@@ -23,7 +23,7 @@
 /** Requests to cancel a job, by the job's id. */
 inline constexpr std::string_view CANCEL_PREFIX = "input/cancel/";
 /**
- * Requests to cancel a job that was not accepted yet (EarlyCancel), by the job's id. The job's
+ * Requests to cancel a job that was not accepted yet (EarlyCancels), by the job's id. The job's
  * submission may still be on its way.
  */
 inline constexpr std::string_view EARLY_CANCEL_PREFIX = "input/early-cancel/";
--- a/libs/control/src/JobControllerCommits.cpp
+++ b/libs/control/src/JobControllerCommits.cpp
@@ -157,15 +157,12 @@
 void JobController::removeOldEarlyCancels() {
     StoreTransaction transaction;
     transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
-    std::erase_if(m_storedEarlyCancels, [&](const auto& request) {
-        const bool isRemoved = m_loop.wallNow() - request.second.m_requestedAt >
-                                       m_settings.m_finishedJobRetention &&
-                               transaction.countEntries() + 1 <= RecordStore::MAX_ENTRIES;
-        if (isRemoved) {
-            transaction.m_removals.push_back(getEarlyCancelKey(request.first));
-        }
-        return isRemoved;
-    });
+    const Millis oldest = m_loop.wallNow() - m_settings.m_finishedJobRetention;
+    constexpr std::size_t MAX_REMOVALS = RecordStore::MAX_ENTRIES - 1;
+    for (const std::string& id : m_storedEarlyCancels.listBefore(oldest, MAX_REMOVALS)) {
+        transaction.m_removals.push_back(getEarlyCancelKey(id));
+        m_storedEarlyCancels.remove(id);
+    }
     if (transaction.m_removals.empty()) {
         return;
     }
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -211,7 +211,8 @@
     JobEntry entry;
     entry.m_run = makeJobRun(*record);
     entry.m_record = std::move(*record);
-    entry.m_isCancelRequested = m_earlyCancels.erase(id) != 0 || isCancelledEarly(entry.m_record);
+    entry.m_isCancelRequested = m_earlyCancels.erase(id) != 0 ||
+                                m_storedEarlyCancels.contains(id, entry.m_record.m_organisation);
     logEvent(
             Severity::INFO, "jobs", "known",
             {{"job", id},
@@ -267,22 +268,17 @@
 }
 
 void JobController::requestEarlyCancel(const std::string& id, std::string_view bytes) {
-    auto request = decodeEarlyCancel(bytes);
-    if (!request.has_value()) {
+    const auto requests = decodeEarlyCancels(bytes);
+    if (!requests.has_value()) {
         reportUnreadable("jobs", "unreadable-early-cancel", {{"job", id}});
         return;
     }
-    m_storedEarlyCancels.insert_or_assign(id, std::move(*request));
+    m_storedEarlyCancels.add(id, *requests);
     const auto found = m_jobs.find(id);
-    if (found != m_jobs.end() && isCancelledEarly(found->second.m_record)) {
+    if (found != m_jobs.end() &&
+        m_storedEarlyCancels.contains(id, found->second.m_record.m_organisation)) {
         found->second.m_isCancelRequested = true;
     }
 }
 
-bool JobController::isCancelledEarly(const JobRecord& record) const {
-    const auto found = m_storedEarlyCancels.find(record.m_id);
-    return found != m_storedEarlyCancels.end() &&
-           found->second.m_organisation == record.m_organisation;
-}
-
 }  // namespace pierbank
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -17,9 +17,6 @@
 
 /** Minimum time left for relaying a request: the leader needs two calls of the store. */
 constexpr Millis MIN_RELAY_TIME{30};
-/** Maximum number of attempts to submit a job while the configuration keeps changing. */
-constexpr std::uint32_t MAX_SUBMIT_TRIES = 5;
-
 bool isJobId(std::string_view text) {
     constexpr std::size_t DIGITS = 16;
     return text.size() == DIGITS &&
@@ -210,9 +207,9 @@
 }
 
 void JobIntake::commitSubmission(const CallPtr& call) {
-    const auto request = decodeEarlyCancel(call->m_earlyCancel.m_value);
-    call->m_isCancelledInAdvance = call->m_earlyCancel.m_revision != 0 && request.has_value() &&
-                                   request->m_organisation == call->m_organisation;
+    const auto requests = decodeEarlyCancels(call->m_earlyCancel.m_value);
+    call->m_isCancelledInAdvance =
+            requests.has_value() && requests->find(call->m_organisation) != nullptr;
     call->m_submittedAt = m_loop.now();
     CommitRetryPolicy retryPolicy;
     retryPolicy.m_timeLimit = std::clamp(getTimeLeft(*call), Millis(1), m_settings.m_commitTimeout);
@@ -261,16 +258,11 @@
         answer(call, HTTP_OK, "", "accepted earlier");
         return;
     }
-    if (++call->m_tries >= MAX_SUBMIT_TRIES || getTimeLeft(*call) <= Millis(0)) {
+    if (++call->m_tries >= MAX_TRIES || getTimeLeft(*call) <= Millis(0)) {
         answerUnavailable(call, "the configuration or the cancelling of the job keeps changing");
         return;
     }
-    const StoreItem* const earlyCancel = findItem(commit.m_items, getEarlyCancelKey(call->m_id));
-    const bool isCancelChanged =
-            earlyCancel != nullptr && earlyCancel->m_revision != call->m_earlyCancel.m_revision;
-    if (isCancelChanged) {
-        call->m_earlyCancel = *earlyCancel;
-    }
+    const bool isCancelChanged = updateEarlyCancel(*call, commit);
     // The answer of the store contains the new configuration. Reading the configuration again would
     // take seconds over a narrow link.
     const StoreItem* const configuration = findItem(commit.m_items, CONFIGURATION_KEY);
@@ -289,6 +281,15 @@
     confirmAndRoute(call);
 }
 
+bool JobIntake::updateEarlyCancel(Call& call, const StoreCommit& commit) {
+    const StoreItem* const item = findItem(commit.m_items, getEarlyCancelKey(call.m_id));
+    if (item == nullptr || item->m_revision == call.m_earlyCancel.m_revision) {
+        return false;
+    }
+    call.m_earlyCancel = *item;
+    return true;
+}
+
 void JobIntake::answerUnavailable(const CallPtr& call, std::string_view reason) {
     relayOr(call, HTTP_UNAVAILABLE, reason);
 }
--- a/libs/control/src/JobIntakeCall.h
+++ b/libs/control/src/JobIntakeCall.h
@@ -9,6 +9,9 @@
 
 namespace pierbank {
 
+/** Maximum number of a request's writes while other writes keep conflicting with them. */
+inline constexpr std::uint32_t MAX_TRIES = 5;
+
 /** State of one request until its answer. */
 struct JobIntake::Call {
     IntakeRequest m_request;
@@ -34,7 +37,7 @@
      * Request to cancel the job in advance that the store has returned; revision 0 without one.
      */
     StoreItem m_earlyCancel;
-    /** Whether the job is written together with its cancel. */
+    /** Whether the job is written as cancelled, by the organisation that submits it. */
     bool m_isCancelledInAdvance = false;
     /**
      * Number of writes that conflicted with a change of the configuration or with a cancel in
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -112,32 +112,54 @@
 
 /**
  * Records that a job is cancelled of which nothing is known. Its submission may still be on its way
- * to another gateway or to the store; the leader cancels the job when it is accepted after all.
+ * to another gateway or to the store; the job is then accepted as a cancelled one. The transaction
+ * is conditional on the request that is already stored, if there is one, so that it replaces no
+ * request of another organisation.
  */
 void JobIntake::putEarlyCancel(const CallPtr& call) {
+    EarlyCancels requests =
+            decodeEarlyCancels(call->m_earlyCancel.m_value).value_or(EarlyCancels());
+    requests.add({call->m_organisation, m_loop.wallNow()});
+    const std::string value = encodeEarlyCancels(requests);
     StoreTransaction transaction;
-    transaction.m_conditions = {{getJobKey(call->m_id), 0}, {getRunKey(call->m_id), 0}};
-    const std::string value = encodeEarlyCancel({call->m_organisation, m_loop.wallNow()});
+    transaction.m_conditions = {{getJobKey(call->m_id), 0},
+                                {getRunKey(call->m_id), 0},
+                                {getEarlyCancelKey(call->m_id), call->m_earlyCancel.m_revision}};
     transaction.m_puts = {{getEarlyCancelKey(call->m_id), value, 0}};
     CommitRetryPolicy retryPolicy;
     retryPolicy.m_timeLimit = std::max(getTimeLeft(*call), Millis(1));
     CommitResolver::run(m_store, m_loop, std::move(transaction), retryPolicy, m_isAlive,
                         [this, call, value](const StoreCommit& commit) {
-                            if (commit.m_status == StoreStatus::OK) {
-                                m_onWritten(getEarlyCancelKey(call->m_id), value);
-                                answer(call, HTTP_GONE, "", "there is no such job");
-                            } else if (commit.m_status == StoreStatus::CONFLICT) {
-                                // The job was accepted meanwhile.
-                                cancel(call);
-                            } else if (commit.m_status == StoreStatus::UNKNOWN) {
-                                relayOr(call, HTTP_TIMEOUT,
-                                        "the store did not confirm the cancellation");
-                            } else {
-                                answerUnavailable(call, "the store refused: " + commit.m_reason);
-                            }
+                            handleEarlyCancelWritten(call, value, commit);
                         });
 }
 
+void JobIntake::handleEarlyCancelWritten(const CallPtr& call, const std::string& value,
+                                         const StoreCommit& commit) {
+    switch (commit.m_status) {
+        case StoreStatus::OK:
+            m_onWritten(getEarlyCancelKey(call->m_id), value);
+            answer(call, HTTP_GONE, "", "there is no such job");
+            return;
+        case StoreStatus::CONFLICT:
+            break;
+        case StoreStatus::UNKNOWN:
+            relayOr(call, HTTP_TIMEOUT, "the store did not confirm the cancellation");
+            return;
+        default:
+            answerUnavailable(call, "the store refused: " + commit.m_reason);
+            return;
+    }
+    if (++call->m_tries >= MAX_TRIES || getTimeLeft(*call) <= Millis(0)) {
+        answerUnavailable(call, "the cancelling of the job keeps changing");
+    } else if (updateEarlyCancel(*call, commit)) {
+        putEarlyCancel(call);
+    } else {
+        // The job was accepted meanwhile.
+        cancel(call);
+    }
+}
+
 void JobIntake::putCancel(const CallPtr& call, const StoreItem& record) {
     StoreTransaction transaction;
     transaction.m_conditions = {{record.m_key, record.m_revision}};
--- a/libs/job/include/pierbank/job/JobCodec.h
+++ b/libs/job/include/pierbank/job/JobCodec.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "pierbank/job/EarlyCancels.h"
 #include "pierbank/job/JobRun.h"
 #include "pierbank/job/JobSpec.h"
 
@@ -18,10 +19,10 @@
 /** Reads what encodeJobRecord() writes; empty for any other bytes. */
 std::optional<JobRecord> decodeJobRecord(std::string_view bytes);
 
-/** Returns the stored form of a request to cancel a job that was not accepted yet. */
-std::string encodeEarlyCancel(const EarlyCancel& request);
-/** Reads what encodeEarlyCancel() writes; empty for any other bytes. */
-std::optional<EarlyCancel> decodeEarlyCancel(std::string_view bytes);
+/** Returns the stored form of the requests to cancel one job that was not accepted yet. */
+std::string encodeEarlyCancels(const EarlyCancels& cancels);
+/** Reads what encodeEarlyCancels() writes for one or more requests; empty for any other bytes. */
+std::optional<EarlyCancels> decodeEarlyCancels(std::string_view bytes);
 
 /** Returns the stored form of a job's scheduling state. */
 std::string encodeJobRun(const JobRun& run);
--- a/libs/job/include/pierbank/job/JobSpec.h
+++ b/libs/job/include/pierbank/job/JobSpec.h
@@ -158,14 +158,6 @@
     JobSpec m_spec;
 };
 
-/** A caller's request to cancel a job that was not accepted yet. */
-struct EarlyCancel {
-    /** Organisation of the caller; the request applies to its jobs only. */
-    std::string m_organisation;
-    /** Wall time of the request. */
-    Millis m_requestedAt{0};
-};
-
 }  // namespace pierbank
 
 #endif  // PIERBANK_JOB_JOBSPEC_H
--- a/libs/job/src/JobCodec.cpp
+++ b/libs/job/src/JobCodec.cpp
@@ -58,6 +58,30 @@
     archive(value.m_organisation, value.m_requestedAt);
 }
 
+/**
+ * The requests of several organisations: the first one's fields, as earlier versions write the only
+ * one, and a list of the others.
+ */
+struct EarlyCancelFields {
+    EarlyCancel m_first;
+    std::vector<EarlyCancel> m_others;
+};
+
+void describe(ArchiveWriter& archive, EarlyCancelFields& value) {
+    describe(archive, value.m_first);
+    if (!value.m_others.empty()) {
+        archive(value.m_others);
+    }
+}
+
+void describe(ArchiveReader& archive, EarlyCancelFields& value) {
+    constexpr std::size_t FIELDS_OF_ONE = 2;
+    describe(archive, value.m_first);
+    if (archive.getSize() > FIELDS_OF_ONE) {
+        archive(value.m_others);
+    }
+}
+
 template <typename Archive>
 void describe(Archive& archive, WorkerId& value) {
     archive(value.m_host, value.m_incarnation);
@@ -328,12 +352,25 @@
     return fromCbor<JobRecord>(bytes);
 }
 
-std::string encodeEarlyCancel(const EarlyCancel& request) {
-    return toCbor(request);
+std::string encodeEarlyCancels(const EarlyCancels& cancels) {
+    const std::span<const EarlyCancel> requests = cancels.list();
+    if (requests.empty()) {
+        return {};
+    }
+    return toCbor(EarlyCancelFields{requests.front(), {requests.begin() + 1, requests.end()}});
 }
 
-std::optional<EarlyCancel> decodeEarlyCancel(std::string_view bytes) {
-    return fromCbor<EarlyCancel>(bytes);
+std::optional<EarlyCancels> decodeEarlyCancels(std::string_view bytes) {
+    const auto fields = fromCbor<EarlyCancelFields>(bytes);
+    if (!fields.has_value()) {
+        return std::nullopt;
+    }
+    EarlyCancels cancels;
+    cancels.add(fields->m_first);
+    for (const EarlyCancel& request : fields->m_others) {
+        cancels.add(request);
+    }
+    return cancels;
 }
 
 std::string encodeJobRun(const JobRun& run) {
--- a/test/failures/CancelledInAdvanceTest.cpp
+++ b/test/failures/CancelledInAdvanceTest.cpp
@@ -89,6 +89,27 @@
     EXPECT_TRUE(m_fleet.waitForState(ID, "succeeded", Millis(3000)));
 }
 
+/** Guards against callers who undo the acknowledged cancelling of another organisation. */
+TEST_F(JobCancelledInAdvance, DoesNotStartThoughAnotherOrganisationCancelsItLater) {
+    m_fleet.configure({JobFleet::KEY}, {"key-b"});
+    m_fleet.m_loop.advance(Millis(500));
+    EXPECT_EQ(cancel(), 410U);
+    EXPECT_EQ(cancel("key-b"), 410U);
+    EXPECT_EQ(submit(), 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(2000)));
+    EXPECT_EQ(countStarts(), 0U);
+}
+
+TEST_F(JobCancelledInAdvance, DoesNotStartThoughAnotherOrganisationCancelledItBefore) {
+    m_fleet.configure({JobFleet::KEY}, {"key-b"});
+    m_fleet.m_loop.advance(Millis(500));
+    EXPECT_EQ(cancel("key-b"), 410U);
+    EXPECT_EQ(cancel(), 410U);
+    EXPECT_EQ(submit(), 200U);
+    EXPECT_TRUE(m_fleet.waitForState(ID, "canceled", Millis(2000)));
+    EXPECT_EQ(countStarts(), 0U);
+}
+
 /** Guards against a store that fills with cancellings of jobs that never come. */
 TEST_F(JobCancelledInAdvance, IsForgottenAfterTheRetention) {
     EXPECT_EQ(cancel(), 410U);
