The leader doesn't remove a cancelling in advance that was just repeated

Cause: the leader removed the key without a condition on what it had read.

Evidence: JobCancelledInAdvanceUnknownToTheLeader.IsRememberedSinceItsLastCancelling failed before (one start). IsForgottenThoughTheAnswerToItsRemovalWasLost and IsForgottenThoughTheStoreRefusedItsRemoval held before and guard the new way of removing.

Why this works: the removal expects the revisions that the leader read. If that is refused, the answer holds what is stored now, and the leader goes on from there.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -172,7 +172,7 @@
     void restoreStalledHosts();
     std::set<std::string, std::less<>> listHostsWithRuns() const;
     void requestCancel(const std::string& id);
-    void requestEarlyCancel(const std::string& id, std::string_view bytes);
+    void requestEarlyCancel(const std::string& id, const StoreItem& item);
     void updateWeight(std::string_view text);
     void updateAdminState(const std::string& host, std::string_view word);
     void updateDomain(const std::string& domain, std::string_view word);
@@ -283,6 +283,8 @@
     void sendEndsPersisted(const WorkerId& worker);
     void removeFinishedJobs();
     void removeOldEarlyCancels();
+    void handleEarlyCancelsRemoved(const std::vector<EarlyCancelTable::Entry>& entries,
+                                   const StoreCommit& commit);
     void tick();
     void abandonLeadership(std::string_view reason);
     /** Wraps a task so that it does nothing once the current term has ended. */
@@ -317,6 +319,8 @@
     /** Ids of jobs whose cancel was read before the job itself. */
     std::set<std::string> m_earlyCancels;
     EarlyCancelTable m_storedEarlyCancels;
+    /** When old entries of m_storedEarlyCancels are next removed. */
+    Millis m_earlyCancelsRemovalDueAt{0};
     PersistedEnds m_persistedEnds;
     /** The last report of a host and when it was received. */
     struct HostReport {
--- a/libs/control/src/JobControllerCommits.cpp
+++ b/libs/control/src/JobControllerCommits.cpp
@@ -9,6 +9,13 @@
 
 namespace pierbank {
 
+namespace {
+
+/** Interval between removals of old requests to cancel jobs that were not accepted. */
+constexpr Millis EARLY_CANCELS_REMOVAL_INTERVAL{500};
+
+}  // namespace
+
 /**
  * Adds a job's run, and the removal of the input of a finished job, to a transaction.
  * @return false if the transaction has too little space left.
@@ -152,23 +159,58 @@
 
 /**
  * Removes requests to cancel jobs that were not accepted, once no submission can be on its way any
- * more; at most one transaction of them per call.
+ * more; at most one transaction of them per call. The transaction is conditional on their
+ * revisions, since a gateway may just have repeated one of the requests.
  */
 void JobController::removeOldEarlyCancels() {
+    if (m_loop.now() < m_earlyCancelsRemovalDueAt) {
+        return;
+    }
+    m_earlyCancelsRemovalDueAt = m_loop.now() + EARLY_CANCELS_REMOVAL_INTERVAL;
+    constexpr std::size_t ENTRIES_PER_REMOVAL = 2;
+    constexpr std::size_t MAX_REMOVALS = (RecordStore::MAX_ENTRIES - 1) / ENTRIES_PER_REMOVAL;
+    const auto entries = m_storedEarlyCancels.listBefore(
+            m_loop.wallNow() - m_settings.m_finishedJobRetention, MAX_REMOVALS);
+    if (entries.empty()) {
+        return;
+    }
     StoreTransaction transaction;
     transaction.m_conditions = {{std::string(LEADER_KEY), m_epoch}};
-    const Millis oldest = m_loop.wallNow() - m_settings.m_finishedJobRetention;
-    constexpr std::size_t MAX_REMOVALS = RecordStore::MAX_ENTRIES - 1;
-    for (const std::string& id : m_storedEarlyCancels.listBefore(oldest, MAX_REMOVALS)) {
-        transaction.m_removals.push_back(getEarlyCancelKey(id));
-        m_storedEarlyCancels.remove(id);
+    for (const EarlyCancelTable::Entry& entry : entries) {
+        transaction.m_conditions.push_back({getEarlyCancelKey(entry.m_id), entry.m_revision});
+        transaction.m_removals.push_back(getEarlyCancelKey(entry.m_id));
     }
-    if (transaction.m_removals.empty()) {
+    // Shorter than the interval, so that one removal ends before the next one begins.
+    constexpr Millis COMMIT_TIMEOUT = EARLY_CANCELS_REMOVAL_INTERVAL / 2;
+    m_store.commit(transaction, COMMIT_TIMEOUT,
+                   [this, entries, term = std::weak_ptr(m_term)](const StoreCommit& commit) {
+                       if (!term.expired()) {
+                           handleEarlyCancelsRemoved(entries, commit);
+                       }
+                   });
+}
+
+/** Forgets the removed requests. Those that are still stored are removed at a later call. */
+void JobController::handleEarlyCancelsRemoved(const std::vector<EarlyCancelTable::Entry>& entries,
+                                              const StoreCommit& commit) {
+    if (commit.m_status == StoreStatus::OK) {
+        for (const EarlyCancelTable::Entry& entry : entries) {
+            m_storedEarlyCancels.remove(entry.m_id);
+        }
         return;
     }
-    // The result is not needed: if the commit fails, the next leader repeats the removal.
-    constexpr Millis COMMIT_TIMEOUT{1000};
-    m_store.commit(transaction, COMMIT_TIMEOUT, [](const StoreCommit&) {});
+    // After a conflict the items tell which keys were removed before, or written anew.
+    for (const StoreItem& item : commit.m_items) {
+        if (!item.m_key.starts_with(EARLY_CANCEL_PREFIX)) {
+            continue;
+        }
+        const std::string id = item.m_key.substr(EARLY_CANCEL_PREFIX.size());
+        if (item.m_revision == 0) {
+            m_storedEarlyCancels.remove(id);
+        } else {
+            requestEarlyCancel(id, item);
+        }
+    }
 }
 
 /** Discards the state of a host that has been unreachable for too long, and its registration. */
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -133,7 +133,7 @@
     } else if (key.starts_with(CANCEL_PREFIX)) {
         requestCancel(std::string(key.substr(CANCEL_PREFIX.size())));
     } else if (key.starts_with(EARLY_CANCEL_PREFIX)) {
-        requestEarlyCancel(std::string(key.substr(EARLY_CANCEL_PREFIX.size())), item.m_value);
+        requestEarlyCancel(std::string(key.substr(EARLY_CANCEL_PREFIX.size())), item);
     } else if (key.starts_with(HOST_PREFIX)) {
         m_workers.addHost(std::string(key.substr(HOST_PREFIX.size())));
     } else if (key.starts_with(GATEWAY_PREFIX)) {
@@ -267,13 +267,13 @@
     }
 }
 
-void JobController::requestEarlyCancel(const std::string& id, std::string_view bytes) {
-    const auto requests = decodeEarlyCancels(bytes);
+void JobController::requestEarlyCancel(const std::string& id, const StoreItem& item) {
+    const auto requests = decodeEarlyCancels(item.m_value);
     if (!requests.has_value()) {
         reportUnreadable("jobs", "unreadable-early-cancel", {{"job", id}});
         return;
     }
-    m_storedEarlyCancels.add(id, *requests);
+    m_storedEarlyCancels.add(id, *requests, item.m_revision);
     const auto found = m_jobs.find(id);
     if (found != m_jobs.end() &&
         m_storedEarlyCancels.contains(id, found->second.m_record.m_organisation)) {
--- a/test/failures/CancelledInAdvanceTest.cpp
+++ b/test/failures/CancelledInAdvanceTest.cpp
@@ -190,6 +190,44 @@
     EXPECT_EQ(m_fleet.getState(ID), "canceled");
 }
 
+/**
+ * Guards against a leader that removes a cancelling after the retention although it was repeated
+ * shortly before.
+ */
+TEST_F(JobCancelledInAdvanceUnknownToTheLeader, IsRememberedSinceItsLastCancelling) {
+    const Millis retention = JobControllerSettings().m_finishedJobRetention;
+    m_fleet.m_storeState.m_dropsWatchEvents = false;
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(Millis(2000));
+    m_fleet.m_storeState.m_dropsWatchEvents = true;
+    m_fleet.m_loop.advance(retention - Millis(5000));
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(Millis(10'000));
+    EXPECT_EQ(submitAtTheOther(), 200U);
+    m_fleet.m_loop.advance(Millis(3000));
+    EXPECT_EQ(countStarts(), 0U);
+}
+
+/** Guards against keys that stay because the answer to their removal was lost. */
+TEST_F(JobCancelledInAdvance, IsForgottenThoughTheAnswerToItsRemovalWasLost) {
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(JobControllerSettings().m_finishedJobRetention - Millis(1000));
+    m_fleet.m_storeState.m_answersToLose = 1;
+    m_fleet.m_loop.advance(Millis(10'000));
+    EXPECT_TRUE(m_fleet.m_storeState.list(EARLY_CANCEL_PREFIX).empty());
+}
+
+/** Guards against keys that stay until the next leader because the store refused their removal. */
+TEST_F(JobCancelledInAdvance, IsForgottenThoughTheStoreRefusedItsRemoval) {
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(JobControllerSettings().m_finishedJobRetention - Millis(100));
+    m_fleet.m_storeState.m_isDown = true;
+    m_fleet.m_loop.advance(Millis(600));
+    m_fleet.m_storeState.m_isDown = false;
+    m_fleet.m_loop.advance(Millis(10'000));
+    EXPECT_TRUE(m_fleet.m_storeState.list(EARLY_CANCEL_PREFIX).empty());
+}
+
 /** Guards against a submission that is refused as long as its id is cancelled. */
 TEST_F(JobCancelledInAdvanceUnknownToTheLeader, RunsIfAnotherOrganisationCancelledIt) {
     m_fleet.configure({JobFleet::KEY}, {"key-b"});
