Requests to cancel unknown jobs are limited, for an organisation and in all, so that they don't use up the store's writes

What callers saw: 40 callers with one key cancel ids that don't exist. Another organisation's jobs are refused with 503, and its cancels too: each such request costs a write, and nothing limited them.

Cause: since a cancelling in advance is stored, a DELETE of an unknown id writes; before, it only read. The store's 400 writes a second are shared with the acceptance of jobs and the leader's decisions.

Why this works: a token bucket for an organisation and one for all at each gateway (EarlyCancelLimiter). What is over it gets 503 with Retry-After, which is true: nothing was acknowledged or written. The leader isn't asked in its place. Cancels of accepted jobs and cancels of others don't count. New metrics: pierbank_early_cancels_total, _refused_total, _stored, pierbank_accepted_as_cancelled_total.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -127,6 +127,8 @@
     const ReservationLog& getReservationLog() const noexcept { return m_reservationLog; }
     /** Returns the idle jobs of the last plan and how long jobs were idle, by reason. */
     const IdleJobLog& getIdleJobLog() const noexcept { return m_idleJobLog; }
+    /** Returns the stored requests to cancel jobs in advance; empty while this gateway follows. */
+    const EarlyCancelTable& getEarlyCancels() const noexcept { return m_storedEarlyCancels; }
     /** Returns the fragmentation weight, 0 to 100, that plans use at present. */
     std::uint32_t getFragmentationWeight() const noexcept { return m_currentFragmentationWeight; }
     /** Returns an operator's decision about a worker; RELEASE if there is none. */
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -55,6 +55,7 @@
 
     /** Returns the handler of requests about jobs. */
     JobIntake& getIntake() noexcept { return m_intake; }
+    const JobIntake& getIntake() const noexcept { return m_intake; }
     /** Returns the operators' configuration as it is known to this gateway at present. */
     const ConfigurationFeed& getConfiguration() const noexcept { return m_configuration; }
     /**
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -14,6 +14,7 @@
 #include "pierbank/base/EventLoop.h"
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/Documents.h"
+#include "pierbank/control/EarlyCancelLimiter.h"
 #include "pierbank/control/RetryAfterPolicy.h"
 #include "pierbank/store/RecordStore.h"
 
@@ -78,6 +79,17 @@
      * no longer relayed. The gateway that receives a relayed request reserves nothing.
      */
     Millis m_answerMargin{100};
+    EarlyCancelLimiterSettings m_earlyCancelLimits;
+};
+
+/** Counters of a gateway's requests to cancel jobs that were not accepted. */
+struct IntakeStatistics {
+    /** Requests that were written to the store and acknowledged. */
+    std::uint64_t m_earlyCancels = 0;
+    /** Requests that were refused because there were too many. */
+    std::uint64_t m_earlyCancelsRefused = 0;
+    /** Jobs that were accepted as cancelled. */
+    std::uint64_t m_acceptedAsCancelled = 0;
 };
 
 /** Numbers of accepted jobs that have not started, by queue; a missing queue has none. */
@@ -131,6 +143,9 @@
     /** Sets the relay to the leader; it must outlive the intake. */
     void setRelay(IntakeRelay& relay) { m_relay = &relay; }
 
+    /** Returns the counters since the start of the process. */
+    const IntakeStatistics& getStatistics() const noexcept { return m_statistics; }
+
     /** Records that the store has become unreachable for this gateway, or reachable again. */
     void recordReachability(bool isReached);
 
@@ -159,6 +174,7 @@
     void cancel(const CallPtr& call);
     void cancelRecord(const CallPtr& call, bool hasRun);
     void putCancel(const CallPtr& call, const StoreItem& record);
+    void cancelUnknown(const CallPtr& call);
     void putEarlyCancel(const CallPtr& call);
     void handleEarlyCancelWritten(const CallPtr& call, const std::string& value,
                                   const StoreCommit& commit);
@@ -196,6 +212,8 @@
     const IntakeSettings m_settings;
     IntakeRelay* m_relay = nullptr;
     RetryAfterPolicy m_retryAfterPolicy;
+    EarlyCancelLimiter m_earlyCancelLimiter;
+    IntakeStatistics m_statistics;
     std::function<void(std::string_view, std::string_view)> m_onWritten = [](std::string_view,
                                                                              std::string_view) {
     };
--- a/libs/control/src/JobIntake.cpp
+++ b/libs/control/src/JobIntake.cpp
@@ -44,7 +44,8 @@
           m_configuration(configuration),
           m_codec(codec),
           m_settings(settings),
-          m_retryAfterPolicy(settings.m_retryAfterPolicy) {}
+          m_retryAfterPolicy(settings.m_retryAfterPolicy),
+          m_earlyCancelLimiter(settings.m_earlyCancelLimits) {}
 
 JobIntake::~JobIntake() = default;
 
@@ -236,6 +237,7 @@
     switch (commit.m_status) {
         case StoreStatus::OK:
             if (call->m_isCancelledInAdvance) {
+                ++m_statistics.m_acceptedAsCancelled;
                 logEvent(Severity::INFO, "intake", "accepted-as-cancelled", {{"job", call->m_id}});
                 m_onWritten(getCancelKey(call->m_id), "");
             }
@@ -370,7 +372,8 @@
         // determine whether a caller is urgent.
         const bool isUrgent = !policy.m_queue.empty() && policy.m_priority == 0;
         const RefusedCaller caller{call->m_id, isUrgent, getTimeLeft(*call)};
-        answer.m_retryAfter = m_retryAfterPolicy.getRetryDelay(caller, m_loop.now());
+        answer.m_retryAfter = std::max(call->m_minRetryDelay,
+                                       m_retryAfterPolicy.getRetryDelay(caller, m_loop.now()));
     }
     answer.m_reason = reason;
     const auto age = m_configuration.getAge();
--- a/libs/control/src/JobIntakeCall.h
+++ b/libs/control/src/JobIntakeCall.h
@@ -44,6 +44,8 @@
      * advance.
      */
     std::uint32_t m_tries = 0;
+    /** Minimum delay that a refused caller is told. */
+    Millis m_minRetryDelay{0};
     bool m_isAnswered = false;
 
     /** Answer that this gateway gives unless the leader has a better answer. */
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -105,11 +105,24 @@
                          // then.
                          answer(call, HTTP_OK, "", "the job has finished");
                      } else {
-                         putEarlyCancel(call);
+                         cancelUnknown(call);
                      }
                  });
 }
 
+/** Cancels a job of which nothing is known, unless there were too many such requests. */
+void JobIntake::cancelUnknown(const CallPtr& call) {
+    const auto wait = m_earlyCancelLimiter.acquire(call->m_organisation, m_loop.now());
+    if (!wait.has_value()) {
+        putEarlyCancel(call);
+        return;
+    }
+    ++m_statistics.m_earlyCancelsRefused;
+    call->m_minRetryDelay = *wait;
+    // The leader is not asked: it would spend the same writes.
+    answer(call, HTTP_UNAVAILABLE, "", "too many requests to cancel unknown jobs");
+}
+
 /**
  * Records that a job is cancelled of which nothing is known. Its submission may still be on its way
  * to another gateway or to the store; the job is then accepted as a cancelled one. The transaction
@@ -138,6 +151,7 @@
                                          const StoreCommit& commit) {
     switch (commit.m_status) {
         case StoreStatus::OK:
+            ++m_statistics.m_earlyCancels;
             m_onWritten(getEarlyCancelKey(call->m_id), value);
             answer(call, HTTP_GONE, "", "there is no such job");
             return;
--- a/libs/operators/include/pierbank/operators/JobBackend.h
+++ b/libs/operators/include/pierbank/operators/JobBackend.h
@@ -74,6 +74,7 @@
     void setWeights(const StatementRequest& request, const SetWeights& weights,
                     StatementCallback done);
     /** Adds the work of ended runs, kept and thrown away. */
+    void addEarlyCancels(MetricsPage& page) const;
     void addIdleJobs(MetricsPage& page) const;
     void addWork(MetricsPage& page) const;
     void addStoreCalls(MetricsPage& page) const;
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -320,6 +320,7 @@
                     m_callers.m_refused);
     page.addSummary("pierbank_request_ms", "from a caller's request to its answer",
                     m_callers.m_latency);
+    addEarlyCancels(page);
     addIdleJobs(page);
     addWork(page);
     addStoreCalls(page);
@@ -328,6 +329,21 @@
     return page.getText();
 }
 
+void JobBackend::addEarlyCancels(MetricsPage& page) const {
+    const IntakeStatistics& statistics = m_core.getIntake().getStatistics();
+    page.addCounter("pierbank_early_cancels_total",
+                    "cancels of jobs that were not accepted, answered with 410",
+                    statistics.m_earlyCancels);
+    page.addCounter("pierbank_early_cancels_refused_total",
+                    "cancels of jobs that were not accepted, refused since there were too many",
+                    statistics.m_earlyCancelsRefused);
+    page.addCounter("pierbank_accepted_as_cancelled_total",
+                    "jobs that were cancelled before they were accepted",
+                    statistics.m_acceptedAsCancelled);
+    page.addGauge("pierbank_early_cancels_stored", "such cancels that this leader knows",
+                  static_cast<double>(m_core.getJobs().getEarlyCancels().size()));
+}
+
 void JobBackend::addIdleJobs(MetricsPage& page) const {
     constexpr std::int64_t MILLIS_PER_SECOND = 1000;
     const IdleJobLog& log = m_core.getJobs().getIdleJobLog();
