Soak: a job whose submission is sent after its cancelling was acknowledged never starts

Its callers now cancel jobs that they have not submitted yet, and submit them up to 4 s after the acknowledgement, which to the system looks like a submission that was delayed on its way; such a job may not start at all. The promise has no bound of time: acceptance and cancelling meet in the store.

--- a/test/soak/Callers.cpp
+++ b/test/soak/Callers.cpp
@@ -17,6 +17,13 @@
  */
 constexpr Millis MAX_REVOCATION_DELAY{5500};
 
+/** Longest delay of a submission after the acknowledgement of its cancelling, in ms. */
+constexpr std::uint64_t MAX_SUBMISSION_DELAY = 4000;
+/** Distinguishes the numbers drawn for jobs that are cancelled in advance. */
+constexpr std::uint64_t EARLY_CANCEL_SEED = 0x65;
+/** Number of the first job that is cancelled in advance; the other jobs have lower numbers. */
+constexpr std::uint64_t FIRST_EARLY_CANCEL = 1'000'000;
+
 /** Returns the number as a job id: decimal, padded with zeros to 16 digits. */
 std::string makeId(std::uint64_t number) {
     constexpr std::size_t DIGITS = 16;
@@ -38,7 +45,8 @@
           m_client(client),
           m_promises(promises),
           m_fronts(std::move(fronts)),
-          m_random(seed) {}
+          m_random(seed),
+          m_earlyCancelRandom(seed ^ EARLY_CANCEL_SEED) {}
 
 void Callers::setKey(std::string key) {
     if (!m_key.empty()) {
@@ -49,6 +57,7 @@
 
 void Callers::start() {
     scheduleSubmission();
+    scheduleEarlyCancel();
     schedulePolling();
 }
 
@@ -104,6 +113,53 @@
     }
 }
 
+void Callers::scheduleEarlyCancel() {
+    const Millis pause(200 + static_cast<std::int64_t>(m_earlyCancelRandom.below(800)));
+    m_loop.callLater(pause, [this, alive = std::weak_ptr(m_isAlive)] {
+        if (alive.expired() || m_isStopped) {
+            return;
+        }
+        SoakJob job;
+        job.m_id = makeId(FIRST_EARLY_CANCEL + m_nextEarlyCancel++);
+        job.m_queue = m_earlyCancelRandom.below(2) == 0 ? "/urgent/" : "/batch/";
+        job.m_isCancelRequested = true;
+        m_bodies[job.m_id] =
+                R"({"spec":"500","steps":[{"count":1,"cpu":500,"gpu":1,"est_ms":500}]})";
+        cancelInAdvance(m_promises.add(std::move(job)).m_id, 1);
+        scheduleEarlyCancel();
+    });
+}
+
+void Callers::cancelInAdvance(const std::string& id, unsigned tries) {
+    const SoakJob& job = m_promises.getJobs().at(id);
+    m_client.send(makeCall("DELETE", job.m_queue + id, pickGateway(), m_key),
+                  [this, id, tries, alive = std::weak_ptr(m_isAlive)](const HttpResult& result) {
+                      if (alive.expired()) {
+                          return;
+                      }
+                      SoakJob& cancelled = m_promises.getJobs().at(id);
+                      m_promises.recordEarlyCancellation(cancelled, result.m_status);
+                      const Millis delay =
+                              cancelled.m_isCancelledInAdvance
+                                      ? Millis(static_cast<std::int64_t>(
+                                                m_earlyCancelRandom.below(MAX_SUBMISSION_DELAY)))
+                                      : RETRY_DELAY;
+                      if (!cancelled.m_isCancelledInAdvance && tries >= MAX_TRIES) {
+                          return;
+                      }
+                      m_loop.callLater(delay, [this, id, tries, alive] {
+                          if (alive.expired()) {
+                              return;
+                          }
+                          if (m_promises.getJobs().at(id).m_isCancelledInAdvance) {
+                              send(id, 1);
+                          } else {
+                              cancelInAdvance(id, tries + 1);
+                          }
+                      });
+                  });
+}
+
 void Callers::send(const std::string& id, unsigned tries) {
     const SoakJob& job = m_promises.getJobs().at(id);
     HttpCall call = makeCall("POST", job.m_queue + id, pickGateway(), m_key);
@@ -123,7 +179,8 @@
     // Some accepted jobs are submitted again as well: a repeated id must not create a second job.
     const bool shouldResend = status == HTTP_OK ? m_random.below(12) == 0 : true;
     const unsigned maxTries = isOutcomeUnknown(status) ? 2 * MAX_TRIES : MAX_TRIES;
-    if (!shouldResend || tries >= maxTries || job.m_isCancelRequested) {
+    const bool isGivenUp = job.m_isCancelRequested && !job.m_isCancelledInAdvance;
+    if (!shouldResend || tries >= maxTries || isGivenUp) {
         return;
     }
     m_loop.callLater(RETRY_DELAY, [this, id, tries, alive = std::weak_ptr(m_isAlive)] {
--- a/test/soak/Callers.h
+++ b/test/soak/Callers.h
@@ -44,6 +44,13 @@
     void scheduleSubmission();
     /** Creates a random job and submits it; one job in six is cancelled later. */
     void submitOne();
+    /** Schedules the next job that is cancelled before it is submitted. */
+    void scheduleEarlyCancel();
+    /**
+     * Cancels a job that was not submitted yet, and submits it some time after the cancel was
+     * acknowledged. To the system this looks like a submission that was delayed on its way.
+     */
+    void cancelInAdvance(const std::string& id, unsigned tries);
     /** Sends the POST of a job to a random gateway; `tries` counts from 1. */
     void send(const std::string& id, unsigned tries);
     /** Records the status of a POST (0: no response) and schedules a retry if necessary. */
@@ -69,6 +76,9 @@
     Promises& m_promises;
     const std::vector<Address> m_fronts;
     Random m_random;
+    /** Draws the jobs that are cancelled in advance, so that the other jobs don't depend on them.
+     */
+    Random m_earlyCancelRandom;
     std::string m_key;
     std::vector<RevokedKey> m_revokedKeys;
     /** Request bodies by job id; a retry sends the same body. */
@@ -76,6 +86,8 @@
     bool m_isStopped = false;
     /** Number of the next job, from which makeId() forms the job's id. */
     std::uint64_t m_nextNumber = 1;
+    /** Number of the next job that is cancelled in advance, from FIRST_EARLY_CANCEL. */
+    std::uint64_t m_nextEarlyCancel = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/test/soak/Promises.cpp
+++ b/test/soak/Promises.cpp
@@ -115,6 +115,11 @@
     }
 }
 
+void Promises::recordEarlyCancellation(SoakJob& job, std::uint32_t status) {
+    job.m_isCancelRequested = true;
+    job.m_isCancelledInAdvance = status == HTTP_OK || status == HTTP_GONE;
+}
+
 void Promises::recordRevokedKeyProbe(std::uint32_t status, const std::string& gateway) {
     if (status == HTTP_OK) {
         recordBreach("no revoked key is served", gateway,
@@ -181,6 +186,10 @@
             recordBreach("no refused job runs", id,
                          "every submission was refused, but a task was started");
         }
+        if (job.m_isCancelledInAdvance && countStarts(job) > 0) {
+            recordBreach("work cancelled in advance never starts", id,
+                         "submitted after its cancelling was acknowledged, and started");
+        }
         if (job.m_lastState == "canceled" && countRunning(job) > 0) {
             recordBreach("cancelled work is gone", id, "canceled, but still running");
         }
--- a/test/soak/Promises.h
+++ b/test/soak/Promises.h
@@ -28,6 +28,8 @@
     /** Every POST so far was refused: 401, 429 or 503. */
     bool m_isOnlyRefused = true;
     bool m_isCancelRequested = false;
+    /** A DELETE was acknowledged, with 200 or 410, before the first POST was sent. */
+    bool m_isCancelledInAdvance = false;
     /** A final state was reported to the caller. */
     bool m_isReportedFinished = false;
     /** The most recent state that was reported, and the time of that report. */
@@ -99,9 +101,12 @@
     /**
      * Records the status of a DELETE.
      * @param wasAccepted whether the job was accepted when the DELETE was sent. 410 is correct for
-     * a DELETE that a gateway handled before the job was accepted.
+     * a DELETE that a gateway handled before the job was accepted; that such a job does not run on
+     * is checked with the jobs of recordEarlyCancellation().
      */
     void recordCancellation(SoakJob& job, std::uint32_t status, bool wasAccepted);
+    /** Records the status of a DELETE that was sent before any POST of the job. */
+    static void recordEarlyCancellation(SoakJob& job, std::uint32_t status);
     /** Records the status of a call with a key that no gateway may serve any more. */
     void recordRevokedKeyProbe(std::uint32_t status, const std::string& gateway);
     /** Records that a process ended although the soak did not stop it. */
--- a/test/soak/mutants.sh
+++ b/test/soak/mutants.sh
@@ -71,6 +71,14 @@
             'entry.m_pendingMessages.push_back(
                 {std::string(),
                  RunStop{' ;;
+    early-cancel-not-kept) # work cancelled in advance never starts
+        replace libs/control/src/JobIntakeReads.cpp '    if (!wait.has_value()) {
+        putEarlyCancel(call);' '    if (!wait.has_value()) {
+        answer(call, HTTP_GONE, "", "there is no such job");' ;;
+    early-cancel-at-the-leader-only) # work cancelled in advance never starts
+        replace libs/control/src/JobIntake.cpp '{getRunKey(call.m_id), 0},
+                                {getEarlyCancelKey(call.m_id), call.m_earlyCancel.m_revision}};' \
+            '{getRunKey(call.m_id), 0}};' ;;
     done-too-early) # whole answers to the right caller
         replace libs/control/src/JobIntakeReads.cpp 'm_codec.writePhase(run->m_phase)' \
             'm_codec.writePhase(run->m_hasStarted ? JobPhase::SUCCEEDED : run->m_phase)' ;;
@@ -125,6 +133,7 @@
 if ((${#names[@]} == 0)); then
     names=(lost-without-waiting taken-before-kept unknown-is-refused gang-goes-on
         keys-never-fade stop-is-not-sent done-too-early evacuations-not-read
+        early-cancel-not-kept early-cancel-at-the-leader-only
         record-of-another-incarnation record-of-a-later-epoch bad-hosts-clear-each-other)
 fi
 missed=0
