A statement that was confirmed to its operator is in force at the leader at once, though its watch is silent

An operator is told that a job is withdrawn, a worker drained or a failure domain evacuated, and the leader goes on as before for as long as its watch says nothing: 0.8 s if the watch hangs (its timeout).

Cause: the leader executes the statement, but learned of its own write only by its watch of the store; callers' cancels are told to it by the gateway that wrote them.

Why this works: the confirmed keys are applied before the operator is answered, with the revision of their transaction; a decision about a worker, a domain or the weight is not replaced by one of a lower revision.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -79,6 +79,8 @@
     void stepDown();
     /** Returns whether a term of leadership is in progress. */
     bool isLeading() const noexcept { return m_isLeading; }
+    /** Applies a confirmed write of a key under input/; does nothing unless the jobs are loaded. */
+    void applyWritten(const StoreItem& item);
     /** Plans anew and sends the changed configuration's revision to the linked gateways. */
     void handleConfiguration();
     /** Sets the provider of this gateway's fitness to lead. */
@@ -169,6 +171,7 @@
     void watch();
     void relist();
     void handleInput(const StoreItem& item);
+    void handleDecision(const StoreItem& item);
     void addJob(const StoreItem& item);
     void addRun(const StoreItem& item);
     void restoreStalledHosts();
@@ -348,6 +351,8 @@
     JobStatistics m_statistics;
     /** TaskPlannerSettings::m_fragmentationWeight, as last set by an operator's statement. */
     std::uint32_t m_currentFragmentationWeight = 0;
+    /** Revisions of the operators' decisions that were applied last, by key. */
+    std::map<std::string, StoreRevision> m_decisionRevisions;
     /** Operators' decisions by host. */
     std::map<std::string, WorkerAdminState> m_adminStates;
     /** Failure domains that an operator's statement evacuates. */
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -50,6 +50,11 @@
      * @return false, with `reason`, if the address for links can't be listened on.
      */
     bool start(Reason& reason);
+    /**
+     * Applies a confirmed write of a key under input/ if this gateway leads, so that it need not
+     * wait for its watch of the store.
+     */
+    void applyWritten(const StoreItem& item) { m_jobs.applyWritten(item); }
     /** Releases the leadership permanently, so that another gateway can take it over. */
     void release() { m_lock.release(); }
 
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -86,6 +86,7 @@
     m_progress.clear();
     m_ticketCache.clear();
     m_adminStates.clear();
+    m_decisionRevisions.clear();
     m_unreadableJobs.clear();
     m_classifiedIncarnations.clear();
     m_hostsWithUnresolvedLosses.clear();
--- a/libs/control/src/JobControllerStore.cpp
+++ b/libs/control/src/JobControllerStore.cpp
@@ -138,14 +138,27 @@
         m_workers.addHost(std::string(key.substr(HOST_PREFIX.size())));
     } else if (key.starts_with(GATEWAY_PREFIX)) {
         m_workers.addHost(std::string(key.substr(GATEWAY_PREFIX.size())));
-    } else if (key == WEIGHT_KEY) {
+    } else {
+        handleDecision(item);
+    }
+    invalidatePlan();
+}
+
+/** Applies an operator's decision, unless a later one about the same subject was applied before. */
+void JobController::handleDecision(const StoreItem& item) {
+    const std::string_view key = item.m_key;
+    StoreRevision& applied = m_decisionRevisions[item.m_key];
+    if (item.m_revision < applied) {
+        return;
+    }
+    applied = item.m_revision;
+    if (key == WEIGHT_KEY) {
         updateWeight(item.m_value);
     } else if (key.starts_with(WORKER_PREFIX)) {
         updateAdminState(std::string(key.substr(WORKER_PREFIX.size())), item.m_value);
     } else if (key.starts_with(DOMAIN_PREFIX)) {
         updateDomain(std::string(key.substr(DOMAIN_PREFIX.size())), item.m_value);
     }
-    invalidatePlan();
 }
 
 /** Sets the fragmentation weight from a number of 0 to 100; reports and ignores any other text. */
@@ -177,8 +190,12 @@
  * of notices and watch events does not matter: a job's record never changes, and a cancel is final.
  */
 void JobController::handleInputNotice(const InputNotice& notice) {
+    applyWritten({notice.m_key, notice.m_value, 0});
+}
+
+void JobController::applyWritten(const StoreItem& item) {
     if (m_isLoaded) {
-        handleInput({notice.m_key, notice.m_value, 0});
+        handleInput(item);
     }
 }
 
--- a/libs/operators/include/pierbank/operators/JobBackend.h
+++ b/libs/operators/include/pierbank/operators/JobBackend.h
@@ -31,8 +31,7 @@
     };
 
     /** The references must outlive the backend. */
-    JobBackend(RecordStore& store, EventLoop& loop, const JobCore& core,
-               const CallerStatistics& callers)
+    JobBackend(RecordStore& store, EventLoop& loop, JobCore& core, const CallerStatistics& callers)
             : m_loop(loop), m_core(core), m_callers(callers), m_audit(store, loop) {}
 
     /** Sets the store whose calls are shown in the metrics; it must outlive the backend. */
@@ -83,7 +82,7 @@
                 StatementCallback done);
 
     EventLoop& m_loop;
-    const JobCore& m_core;
+    JobCore& m_core;
     const CallerStatistics& m_callers;
     const CountingStore* m_countingStore = nullptr;
     AuditTrail m_audit;
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -218,22 +218,31 @@
     entry.m_operator = request.m_operator;
     entry.m_statement = request.m_text;
     entry.m_outcome = outcome;
-    m_audit.commit(
-            std::move(change), std::move(entry),
-            [outcome = std::move(outcome), done = std::move(done)](const StoreCommit& commit) {
-                if (commit.m_status == StoreStatus::OK) {
-                    done(makeAnswer(StatementStatus::DONE, outcome));
-                } else if (commit.m_status == StoreStatus::UNKNOWN) {
-                    done(makeAnswer(StatementStatus::UNKNOWN,
-                                    "unknown: the store did not say; look with `show "
-                                    "audit` before repeating it"));
-                } else {
-                    done(makeAnswer(StatementStatus::NOT_RUN,
-                                    "not run: the store did not take it (" +
-                                            std::string(toText(commit.m_status)) +
-                                            "); something else changed, or it is down"));
-                }
-            });
+    std::vector<StorePut> inputs;
+    for (const StorePut& put : change.m_puts) {
+        if (put.m_key.starts_with(INPUT_PREFIX)) {
+            inputs.push_back(put);
+        }
+    }
+    m_audit.commit(std::move(change), std::move(entry),
+                   [this, inputs = std::move(inputs), outcome = std::move(outcome),
+                    done = std::move(done)](const StoreCommit& commit) {
+                       if (commit.m_status == StoreStatus::OK) {
+                           for (const StorePut& put : inputs) {
+                               m_core.applyWritten({put.m_key, put.m_value, commit.m_revision});
+                           }
+                           done(makeAnswer(StatementStatus::DONE, outcome));
+                       } else if (commit.m_status == StoreStatus::UNKNOWN) {
+                           done(makeAnswer(StatementStatus::UNKNOWN,
+                                           "unknown: the store did not say; look with `show "
+                                           "audit` before repeating it"));
+                       } else {
+                           done(makeAnswer(StatementStatus::NOT_RUN,
+                                           "not run: the store did not take it (" +
+                                                   std::string(toText(commit.m_status)) +
+                                                   "); something else changed, or it is down"));
+                       }
+                   });
 }
 
 // Health and metrics.
