The soak says that a port is in use, in place of ending with a segmentation fault

Cause: a soak that can't listen reports that, and looks for log lines of processes that it has not prepared yet (a null pointer in findLogLines).

No unit test: the soak's own start is not under test.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -239,19 +239,23 @@
 std::vector<std::string> Soak::findLogLines(const std::string& name) const {
     constexpr std::size_t MAX_LINES = 24;
     std::vector<std::string> lines;
-    const auto search = [&](const ChildProcess& process) {
-        std::ifstream log(process.getLogPath());
+    const auto search = [&](const std::unique_ptr<ChildProcess>& process) {
+        if (process == nullptr) {
+            // The soak ended before it had prepared this process.
+            return;
+        }
+        std::ifstream log(process->getLogPath());
         for (std::string line; std::getline(log, line);) {
             if (line.find(name) != std::string::npos) {
-                lines.push_back(line + "  [" + process.getName() + "]");
+                lines.push_back(line + "  [" + process->getName() + "]");
             }
         }
     };
     for (const Gateway& gateway : m_gateways) {
-        search(*gateway.m_process);
+        search(gateway.m_process);
     }
     for (const WorkerNode& node : m_workerNodes) {
-        search(*node.m_process);
+        search(node.m_process);
     }
     // Log lines begin with their timestamp.
     std::sort(lines.begin(), lines.end());
