--- a/test/failures/CancelledInAdvanceTest.cpp
+++ b/test/failures/CancelledInAdvanceTest.cpp
@@ -154,6 +154,27 @@
     EXPECT_EQ(countStarts(), 0U);
 }
 
+/**
+ * The store carries the write of the submission out seconds later: its caller has left, and the
+ * cancelling was acknowledged meanwhile.
+ */
+TEST_F(JobCancelledInAdvance, DoesNotStartIfTheWriteOfItsSubmissionIsLate) {
+    m_fleet.m_storeState.m_writesToDelay = 1;
+    m_fleet.m_storeState.m_writeDelay = Millis(3500);
+    IntakeRequest request;
+    request.m_method = "POST";
+    request.m_host = JobFleet::HOST;
+    request.m_path = PATH;
+    request.m_key = JobFleet::KEY;
+    request.m_body = std::string(R"({"spec":"300","steps":[)") + SMALL + "]}";
+    request.m_timeout = Millis(125);
+    m_fleet.m_gateways[getLeader()].m_core->getIntake().handle(request, [](const IntakeAnswer&) {});
+    m_fleet.m_loop.advance(Millis(10));
+    EXPECT_EQ(cancel(), 410U);
+    m_fleet.m_loop.advance(Millis(6000));
+    EXPECT_EQ(countStarts(), 0U);
+}
+
 /** A leader that does not learn of the cancelling: its watch reports nothing, and a link is cut. */
 class JobCancelledInAdvanceUnknownToTheLeader : public JobCancelledInAdvance {
 protected:
