Relayed requests and their answers are logged with their links

New lines: `gateway relayed` and `gateway relay-answered` (number, link, whether such a request is open), and at the leader `jobs relay-answered` (number, the link over which the request came, the present one). `gateway leader`, `agent leader` and `workers linked` name the number of the link.

--- a/libs/control/include/pierbank/control/LeaderPort.h
+++ b/libs/control/include/pierbank/control/LeaderPort.h
@@ -39,6 +39,8 @@
     bool isLinked() const noexcept { return m_leader != nullptr; }
     /** Highest epoch seen; zero before the first. */
     std::uint64_t getEpoch() const noexcept { return m_epoch; }
+    /** Number that the obeyed leader gave the present link; zero without a link or a number. */
+    std::uint64_t getLinkNumber() const noexcept { return m_leader == nullptr ? 0 : m_linkNumber; }
     /** Time since the last frame of the obeyed leader. */
     Millis getIdleTime() const { return m_loop.now() - m_lastReceivedAt; }
     /** Sends a frame to the leader. @return false when no leader is linked or the send failed. */
@@ -59,6 +61,7 @@
     /** Links whose first frame has not arrived yet. */
     std::vector<std::shared_ptr<Link>> m_newLinks;
     std::uint64_t m_epoch = 0;
+    std::uint64_t m_linkNumber = 0;
     Millis m_lastReceivedAt{0};
     /** Expires with this object; asynchronous callbacks check it. */
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -119,6 +119,8 @@
     struct Host {
         std::string m_address;
         std::shared_ptr<Link> m_link;
+        /** Number of the last link to this host in this term, from 1. */
+        std::uint64_t m_linkNumber = 0;
         std::optional<WorkerNotice> m_notice;
         /**
          * The last incarnation that announced its shutdown or has shut down. The end of this
--- a/libs/control/src/JobControllerGateways.cpp
+++ b/libs/control/src/JobControllerGateways.cpp
@@ -3,17 +3,30 @@
 #include <algorithm>
 #include <utility>
 
+#include "pierbank/base/Log.h"
 #include "pierbank/control/JobController.h"
 
 namespace pierbank {
 
 void JobController::handleRelayedRequest(const std::string& host, const RelayedRequest& request) {
-    m_onRelayed(request, [this, host, number = request.m_number,
+    const std::uint64_t askedOver = m_workers.findHost(host)->m_linkNumber;
+    m_onRelayed(request, [this, host, number = request.m_number, askedOver, askedAt = m_loop.now(),
                           term = std::weak_ptr(m_term)](RelayedAnswer answer) {
-        if (!term.expired()) {
-            answer.m_number = number;
-            m_workers.send(host, answer);
+        if (term.expired()) {
+            return;
         }
+        answer.m_number = number;
+        const WorkerPool::Host* const asker = m_workers.findHost(host);
+        logEvent(Severity::INFO, "jobs", "relay-answered",
+                 {{"host", host},
+                  {"relay", std::to_string(number)},
+                  {"asked_over_link", std::to_string(askedOver)},
+                  {"present_link", asker == nullptr || !asker->isLinked()
+                                           ? "-"
+                                           : std::to_string(asker->m_linkNumber)},
+                  {"status", std::to_string(answer.m_status)},
+                  {"took_ms", std::to_string((m_loop.now() - askedAt).count())}});
+        m_workers.send(host, answer);
     });
 }
 
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "pierbank/base/Log.h"
+
 namespace pierbank {
 
 namespace {
@@ -146,6 +148,13 @@
     request.m_number = number;
     m_openRelays[number] = std::move(done);
     const bool isSent = m_port.send(request);
+    logEvent(Severity::INFO, "gateway", "relayed",
+             {{"relay", std::to_string(number)},
+              {"method", request.m_method},
+              {"path", request.m_path},
+              {"epoch", std::to_string(m_port.getEpoch())},
+              {"link", std::to_string(m_port.getLinkNumber())},
+              {"sent", isSent ? "yes" : "no"}});
     // A request that could not be sent fails on the next turn of the loop, other requests fail by
     // timeout.
     m_loop.callLater(isSent ? timeout : Millis(0),
@@ -158,6 +167,13 @@
 
 void LeaderLink::finishRelay(std::uint64_t number, const RelayedAnswer& answer) {
     const auto found = m_openRelays.find(number);
+    if (answer.m_status != 0) {
+        logEvent(Severity::INFO, "gateway", "relay-answered",
+                 {{"relay", std::to_string(number)},
+                  {"status", std::to_string(answer.m_status)},
+                  {"link", std::to_string(m_port.getLinkNumber())},
+                  {"open", found == m_openRelays.end() ? "no" : "yes"}});
+    }
     if (found == m_openRelays.end()) {
         return;
     }
--- a/libs/control/src/LeaderPort.cpp
+++ b/libs/control/src/LeaderPort.cpp
@@ -71,8 +71,11 @@
     m_lastReceivedAt = m_loop.now();
     const bool isNewEpoch = hello.m_epoch != m_epoch;
     m_epoch = hello.m_epoch;
+    m_linkNumber = hello.m_link;
     logEvent(Severity::INFO, m_component, "leader",
-             {{"epoch", std::to_string(m_epoch)}, {"node", hello.m_node}});
+             {{"epoch", std::to_string(m_epoch)},
+              {"node", hello.m_node},
+              {"link", std::to_string(m_linkNumber)}});
     m_onLeader(hello, isNewEpoch);
 }
 
--- a/libs/control/src/WorkerPoolLinks.cpp
+++ b/libs/control/src/WorkerPoolLinks.cpp
@@ -124,6 +124,7 @@
 void WorkerPool::handleLink(const std::string& address, std::shared_ptr<Link> link) {
     Host& host = m_hosts[address];
     host.m_link = std::move(link);
+    host.m_linkNumber = ++m_linkCounts[address];
     host.m_hasReport = false;
     host.m_lastReceivedAt = m_loop.now();
     const auto term = std::weak_ptr(m_term);
@@ -138,8 +139,9 @@
                     dropLink(address, "closed");
                 }
             });
-    host.m_link->send(LeaderHello{m_epoch, m_settings.m_node, ++m_linkCounts[address]});
-    logEvent(Severity::INFO, "workers", "linked", {{"host", address}});
+    host.m_link->send(LeaderHello{m_epoch, m_settings.m_node, host.m_linkNumber});
+    logEvent(Severity::INFO, "workers", "linked",
+             {{"host", address}, {"link", std::to_string(host.m_linkNumber)}});
 }
 
 void WorkerPool::dropLink(const std::string& address, std::string_view reason) {
