An answer of the leader reaches only the request that was relayed for it

The same mix-up reaches every relayed answer: in drawn orders a caller with a good key was told 401.

Cause: `LeaderLink` numbers relayed requests from 1 in each process, and the leader sent an answer to the host's address, over whatever link was open when it was ready. If a gateway is killed while the leader works on its request, the answer reaches the next process, and there the request of the same number.

Why this works: a request keeps the link over which it came, and its answer goes over that link or is dropped; so the answer can only reach the process that asked.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -161,8 +161,8 @@
     void handleHostExpired(const std::string& host) override;
     void handleKeptRecord(const std::string& host, const KeptRecord& kept) override;
     void handleInputNotice(const InputNotice& notice) override;
-    void handleRelayedRequest(const std::string& host, const RelayedRequest& request) override;
-    void handleGatewayQuery(const std::string& host, const GatewayQuery& query) override;
+    void handleRelayedRequest(const RequestOrigin& origin, const RelayedRequest& request) override;
+    void handleGatewayQuery(const RequestOrigin& origin, const GatewayQuery& query) override;
 
 private:
     // Loads and watches the input in the store (JobControllerStore.cpp).
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -70,6 +70,8 @@
     bool isReady(Millis maxAge) const;
     /** Returns the state of this gateway's candidacy and leadership. */
     const LeaderLock& getLock() const noexcept { return m_lock; }
+    /** Returns the link to the gateway that leads. */
+    const LeaderLink& getLeaderLink() const noexcept { return m_leaderLink; }
     /** Returns the job controller, which has state only while this gateway leads. */
     const JobController& getJobs() const noexcept { return m_jobs; }
 
--- a/libs/control/include/pierbank/control/JobStatistics.h
+++ b/libs/control/include/pierbank/control/JobStatistics.h
@@ -26,6 +26,9 @@
      * was not told that the end is persisted.
      */
     std::uint64_t m_endsWithoutEffect = 0;
+    /** Answers to requests that other gateways relayed: sent, and dropped with their link. */
+    std::uint64_t m_relaysAnswered = 0;
+    std::uint64_t m_relayAnswersDropped = 0;
     /** Runs revoked because their failure domain is under evacuation. */
     std::uint64_t m_revoked = 0;
     /** Transactions with decisions that were sent to the store. */
--- a/libs/control/include/pierbank/control/LeaderLink.h
+++ b/libs/control/include/pierbank/control/LeaderLink.h
@@ -25,6 +25,11 @@
  *
  * The leader also answers requests for a gateway that can't reach the store, and reports the age of
  * the configuration. That age counts from the moment at which the gateway sent its query.
+ *
+ * A relayed request and its answer belong to one link. The number of a request contains the number
+ * of its link, which the leader assigns, so that the answer to a request of this gateway's previous
+ * process matches no request of the present one, even if the leader sends it over the present link
+ * as leaders of earlier versions do.
  */
 class LeaderLink {
 public:
@@ -81,13 +86,24 @@
 
     /**
      * Passes a caller's request on to the leader. `done` is called once, with a status of zero if
-     * no answer arrived within `timeout`.
+     * no answer arrived within `timeout` or the link to the leader has ended.
      */
     void relay(RelayedRequest request, Millis timeout, AnswerCallback done);
 
     /** Notifies the leader, if one is linked, of a key that was written under input/. */
     void notify(std::string_view key, std::string_view value);
 
+    /** Counters since the start of the process. */
+    struct Statistics {
+        /** Requests that were relayed to a leader. */
+        std::uint64_t m_relayed = 0;
+        /** Relayed requests whose link ended before their answer. */
+        std::uint64_t m_lostWithLink = 0;
+        /** Answers to no open request; most come after the timeout of their request. */
+        std::uint64_t m_unmatchedAnswers = 0;
+    };
+    const Statistics& getStatistics() const noexcept { return m_statistics; }
+
 private:
     void handleFrame(const Frame& frame);
     void handleLeader(const LeaderHello& hello);
@@ -99,7 +115,10 @@
     void sendQuery(bool wantsPending, ReplyCallback done);
     void finishQuery(std::uint64_t number, const std::optional<GatewayReply>& reply);
     void handleReply(const GatewayReply& reply);
-    void finishRelay(std::uint64_t number, const RelayedAnswer& answer);
+    std::uint64_t makeRelayNumber();
+    void handleAnswer(const RelayedAnswer& answer);
+    bool finishRelay(std::uint64_t number, const RelayedAnswer& answer);
+    void endRelays();
 
     EventLoop& m_loop;
     LeaderPort m_port;
@@ -120,9 +139,9 @@
     /** Time between two queries; the leader sets it with its replies. */
     Millis m_requestInterval;
     bool m_wasUsable = false;
-    /** Callbacks of relayed requests without an answer, by the request's number. */
+    /** Callbacks of requests that were relayed over the present link, by the request's number. */
     std::map<std::uint64_t, AnswerCallback> m_openRelays;
-    std::uint64_t m_nextRelayNumber = 1;
+    Statistics m_statistics;
     /** Expires with this object; asynchronous callbacks check it. */
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/libs/control/include/pierbank/control/LeaderPort.h
+++ b/libs/control/include/pierbank/control/LeaderPort.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "pierbank/base/EventLoop.h"
@@ -33,6 +34,10 @@
     LeaderPort(const LeaderPort&) = delete;
     LeaderPort& operator=(const LeaderPort&) = delete;
 
+    /** Sets the callback for the end of the obeyed leader's link, also if another one replaces it.
+     */
+    void onLinkEnded(std::function<void()> callback) { m_onLinkEnded = std::move(callback); }
+
     /** Accepts a new connection; the leader identifies itself in its first frame. */
     void handleLink(std::shared_ptr<Link> link);
 
@@ -57,6 +62,8 @@
     const std::string_view m_component;
     const HelloCallback m_onLeader;
     const FrameCallback m_onFrame;
+    std::function<void()> m_onLinkEnded = [] {
+    };
     std::shared_ptr<Link> m_leader;
     /** Links whose first frame has not arrived yet. */
     std::vector<std::shared_ptr<Link>> m_newLinks;
--- a/libs/control/include/pierbank/control/WorkerPool.h
+++ b/libs/control/include/pierbank/control/WorkerPool.h
@@ -77,6 +77,19 @@
     Millis m_hostExpiry{600'000};
 };
 
+/**
+ * The link over which a request came. Another process may be behind the next link to the same
+ * address, and it numbers its requests like the previous process. An answer is therefore sent over
+ * the link of its request or not at all; see WorkerPool::answer().
+ */
+struct RequestOrigin {
+    /** Address of the host. */
+    std::string m_host;
+    /** Number of the link, for the log. */
+    std::uint64_t m_linkNumber = 0;
+    std::weak_ptr<Link> m_link;
+};
+
 /** Receives the reports of the sidecars. Hosts are named by the address of the sidecar. */
 class WorkerPoolListener {
 public:
@@ -93,9 +106,10 @@
     /** A gateway has written this record under input/. */
     virtual void handleInputNotice(const InputNotice& notice) = 0;
     /** A gateway that cannot reach the store forwards the request of a caller. */
-    virtual void handleRelayedRequest(const std::string& host, const RelayedRequest& request) = 0;
+    virtual void handleRelayedRequest(const RequestOrigin& origin,
+                                      const RelayedRequest& request) = 0;
     /** A gateway queries the age of the configuration. */
-    virtual void handleGatewayQuery(const std::string& host, const GatewayQuery& query) = 0;
+    virtual void handleGatewayQuery(const RequestOrigin& origin, const GatewayQuery& query) = 0;
     /** The sidecar gave back what a leader told it to keep; precedes its first report. */
     virtual void handleKeptRecord(const std::string& host, const KeptRecord& kept) = 0;
     /**
@@ -210,6 +224,12 @@
      * @return false if the host has no link.
      */
     bool send(const std::string& host, const Frame& frame);
+    /**
+     * Sends the answer to a request over the link of the request.
+     *
+     * @return false if that link has ended; the answer is then dropped.
+     */
+    bool answer(const RequestOrigin& origin, const Frame& frame);
 
 private:
     void enqueueConnect(const std::string& address);
@@ -219,7 +239,8 @@
     void handleConnected(const std::string& address, std::shared_ptr<Link> link);
     void scheduleReconnect(const std::string& address);
     void handleLink(const std::string& address, std::shared_ptr<Link> link);
-    void handleFrame(const std::string& address, const Frame& frame);
+    void handleFrame(const std::string& address, const std::shared_ptr<Link>& link,
+                     const Frame& frame);
     void reconnect(Host& host);
     void answerLeaseRequest(Host& host, const LeaseRequest& leaseRequest);
     void dropLink(const std::string& address, std::string_view reason);
--- a/libs/control/src/JobControllerGateways.cpp
+++ b/libs/control/src/JobControllerGateways.cpp
@@ -8,25 +8,27 @@
 
 namespace pierbank {
 
-void JobController::handleRelayedRequest(const std::string& host, const RelayedRequest& request) {
-    const std::uint64_t askedOver = m_workers.findHost(host)->m_linkNumber;
-    m_onRelayed(request, [this, host, number = request.m_number, askedOver, askedAt = m_loop.now(),
+/**
+ * Answers over the link of the request. If that link has ended, the gateway has already told its
+ * caller that no answer came, or it is another process, so the answer is dropped.
+ */
+void JobController::handleRelayedRequest(const RequestOrigin& origin,
+                                         const RelayedRequest& request) {
+    m_onRelayed(request, [this, origin, number = request.m_number, askedAt = m_loop.now(),
                           term = std::weak_ptr(m_term)](RelayedAnswer answer) {
         if (term.expired()) {
             return;
         }
         answer.m_number = number;
-        const WorkerPool::Host* const asker = m_workers.findHost(host);
-        logEvent(Severity::INFO, "jobs", "relay-answered",
-                 {{"host", host},
+        const bool isSent = m_workers.answer(origin, answer);
+        ++(isSent ? m_statistics.m_relaysAnswered : m_statistics.m_relayAnswersDropped);
+        logEvent(isSent ? Severity::INFO : Severity::WARNING, "jobs", "relay-answered",
+                 {{"host", origin.m_host},
                   {"relay", std::to_string(number)},
-                  {"asked_over_link", std::to_string(askedOver)},
-                  {"present_link", asker == nullptr || !asker->isLinked()
-                                           ? "-"
-                                           : std::to_string(asker->m_linkNumber)},
+                  {"link", std::to_string(origin.m_linkNumber)},
                   {"status", std::to_string(answer.m_status)},
-                  {"took_ms", std::to_string((m_loop.now() - askedAt).count())}});
-        m_workers.send(host, answer);
+                  {"took_ms", std::to_string((m_loop.now() - askedAt).count())},
+                  {"outcome", isSent ? "sent" : "dropped, the link of the request has ended"}});
     });
 }
 
@@ -48,13 +50,13 @@
     }
 }
 
-void JobController::handleGatewayQuery(const std::string& host, const GatewayQuery& query) {
+void JobController::handleGatewayQuery(const RequestOrigin& origin, const GatewayQuery& query) {
     GatewayReply reply = makeGatewayReply(query.m_number);
     if (query.m_wantsPending && isLeadershipConfirmed()) {
         reply.m_knowsPending = true;
         reply.m_pending = countPending();
     }
-    m_workers.send(host, reply);
+    m_workers.answer(origin, reply);
 }
 
 /**
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -29,6 +29,7 @@
                   [this](const Frame& frame) { handleFrame(frame); }),
           m_candidacy(candidacy),
           m_requestInterval(QUERY_INTERVAL) {
+    m_port.onLinkEnded([this] { endRelays(); });
     keepAlive();
 }
 
@@ -133,7 +134,7 @@
 void LeaderLink::handleFrame(const Frame& frame) {
     m_wasUsable = true;
     if (const auto* const answer = std::get_if<RelayedAnswer>(&frame)) {
-        finishRelay(answer->m_number, *answer);
+        handleAnswer(*answer);
     } else if (const auto* const reply = std::get_if<GatewayReply>(&frame)) {
         handleReply(*reply);
     }
@@ -143,11 +144,20 @@
     return m_port.isLinked() && m_port.getIdleTime() <= m_requestInterval + MAX_REPLY_DELAY;
 }
 
+/** Returns the number of the next request: the link's number, then the request's in this process.
+ */
+std::uint64_t LeaderLink::makeRelayNumber() {
+    constexpr unsigned REQUEST_BITS = 32;
+    constexpr std::uint64_t REQUEST_MASK = (std::uint64_t{1} << REQUEST_BITS) - 1;
+    return (m_port.getLinkNumber() << REQUEST_BITS) | (++m_statistics.m_relayed & REQUEST_MASK);
+}
+
 void LeaderLink::relay(RelayedRequest request, Millis timeout, AnswerCallback done) {
-    const std::uint64_t number = m_nextRelayNumber++;
+    const std::uint64_t number = makeRelayNumber();
     request.m_number = number;
     m_openRelays[number] = std::move(done);
-    const bool isSent = m_port.send(request);
+    // Without a link number, the answer could not be told from one to the previous process.
+    const bool isSent = m_port.getLinkNumber() != 0 && m_port.send(request);
     logEvent(Severity::INFO, "gateway", "relayed",
              {{"relay", std::to_string(number)},
               {"method", request.m_method},
@@ -156,7 +166,7 @@
               {"link", std::to_string(m_port.getLinkNumber())},
               {"sent", isSent ? "yes" : "no"}});
     // A request that could not be sent fails on the next turn of the loop, other requests fail by
-    // timeout.
+    // timeout or with the link.
     m_loop.callLater(isSent ? timeout : Millis(0),
                      [this, number, alive = std::weak_ptr(m_isAlive)] {
                          if (!alive.expired()) {
@@ -165,21 +175,36 @@
                      });
 }
 
-void LeaderLink::finishRelay(std::uint64_t number, const RelayedAnswer& answer) {
+void LeaderLink::handleAnswer(const RelayedAnswer& answer) {
+    const bool isOpen = finishRelay(answer.m_number, answer);
+    m_statistics.m_unmatchedAnswers += isOpen ? 0 : 1;
+    logEvent(Severity::INFO, "gateway", "relay-answered",
+             {{"relay", std::to_string(answer.m_number)},
+              {"status", std::to_string(answer.m_status)},
+              {"link", std::to_string(m_port.getLinkNumber())},
+              {"outcome", isOpen ? "passed on" : "dropped, no such request is open"}});
+}
+
+/** Calls the callback of an open request. Returns false if no such request is open. */
+bool LeaderLink::finishRelay(std::uint64_t number, const RelayedAnswer& answer) {
     const auto found = m_openRelays.find(number);
-    if (answer.m_status != 0) {
-        logEvent(Severity::INFO, "gateway", "relay-answered",
-                 {{"relay", std::to_string(number)},
-                  {"status", std::to_string(answer.m_status)},
-                  {"link", std::to_string(m_port.getLinkNumber())},
-                  {"open", found == m_openRelays.end() ? "no" : "yes"}});
-    }
     if (found == m_openRelays.end()) {
-        return;
+        return false;
     }
     const AnswerCallback done = std::move(found->second);
     m_openRelays.erase(found);
     done(answer);
+    return true;
+}
+
+/** Ends the requests that were relayed over a link that has ended: no answer can arrive. */
+void LeaderLink::endRelays() {
+    for (const auto& [number, done] : std::exchange(m_openRelays, {})) {
+        ++m_statistics.m_lostWithLink;
+        logEvent(Severity::WARNING, "gateway", "relay-lost",
+                 {{"relay", std::to_string(number)}, {"reason", "the link has ended"}});
+        done(RelayedAnswer());
+    }
 }
 
 void LeaderLink::notify(std::string_view key, std::string_view value) {
--- a/libs/control/src/LeaderPort.cpp
+++ b/libs/control/src/LeaderPort.cpp
@@ -51,6 +51,7 @@
         m_leader.reset();
         logEvent(Severity::WARNING, m_component, "leader-link-lost",
                  {{"epoch", std::to_string(m_epoch)}});
+        m_onLinkEnded();
     }
 }
 
@@ -66,6 +67,8 @@
     }
     if (m_leader != nullptr && m_leader != link) {
         m_leader->close();
+        m_leader.reset();
+        m_onLinkEnded();
     }
     m_leader = link;
     m_lastReceivedAt = m_loop.now();
@@ -91,6 +94,7 @@
     m_leader.reset();
     logEvent(Severity::WARNING, m_component, "leader-link-dropped",
              {{"epoch", std::to_string(m_epoch)}, {"reason", std::string(reason)}});
+    m_onLinkEnded();
 }
 
 }  // namespace pierbank
--- a/libs/control/src/WorkerPool.cpp
+++ b/libs/control/src/WorkerPool.cpp
@@ -117,6 +117,12 @@
     return found->second.m_link->send(frame);
 }
 
+bool WorkerPool::answer(const RequestOrigin& origin, const Frame& frame) {
+    const Host* const host = findHost(origin.m_host);
+    const auto link = origin.m_link.lock();
+    return host != nullptr && link != nullptr && host->m_link == link && link->send(frame);
+}
+
 /** Records an order that is being sent, and extends the time until which its run may last. */
 void WorkerPool::recordOrder(Host& host, const RunOrder& order) {
     host.m_unreportedOrders[{order.m_task, order.m_run}] = m_loop.now();
@@ -151,8 +157,14 @@
     });
 }
 
-void WorkerPool::handleFrame(const std::string& address, const Frame& frame) {
-    Host& host = m_hosts[address];
+/** Handles a frame of a host, unless it came over another link than the present one. */
+void WorkerPool::handleFrame(const std::string& address, const std::shared_ptr<Link>& link,
+                             const Frame& frame) {
+    const auto found = m_hosts.find(address);
+    if (found == m_hosts.end() || link == nullptr || found->second.m_link != link) {
+        return;
+    }
+    Host& host = found->second;
     host.m_lastReceivedAt = m_loop.now();
     if (const auto* const leaseRequest = std::get_if<LeaseRequest>(&frame)) {
         answerLeaseRequest(host, *leaseRequest);
@@ -173,7 +185,7 @@
     } else if (const auto* const input = std::get_if<InputNotice>(&frame)) {
         m_listener.handleInputNotice(*input);
     } else if (const auto* const request = std::get_if<RelayedRequest>(&frame)) {
-        m_listener.handleRelayedRequest(address, *request);
+        m_listener.handleRelayedRequest({address, host.m_linkNumber, link}, *request);
     } else if (const auto* const kept = std::get_if<KeptRecord>(&frame)) {
         m_listener.handleKeptRecord(address, *kept);
     } else if (const auto* const query = std::get_if<GatewayQuery>(&frame)) {
@@ -181,7 +193,7 @@
         host.m_isLost = false;
         host.m_leaseEnd = m_loop.now() + getMaxLease();
         finishOpening(address);
-        m_listener.handleGatewayQuery(address, *query);
+        m_listener.handleGatewayQuery({address, host.m_linkNumber, link}, *query);
     }
 }
 
--- a/libs/control/src/WorkerPoolLinks.cpp
+++ b/libs/control/src/WorkerPoolLinks.cpp
@@ -129,9 +129,9 @@
     host.m_lastReceivedAt = m_loop.now();
     const auto term = std::weak_ptr(m_term);
     host.m_link->setCallbacks(
-            [this, address, term](const Frame& frame) {
+            [this, address, term, from = std::weak_ptr(host.m_link)](const Frame& frame) {
                 if (!term.expired()) {
-                    handleFrame(address, frame);
+                    handleFrame(address, from.lock(), frame);
                 }
             },
             [this, address, term] {
--- a/libs/operators/include/pierbank/operators/JobBackend.h
+++ b/libs/operators/include/pierbank/operators/JobBackend.h
@@ -74,6 +74,7 @@
                     StatementCallback done);
     /** Adds the work of ended runs, kept and thrown away. */
     void addEarlyCancels(MetricsPage& page) const;
+    void addRelays(MetricsPage& page) const;
     void addIdleJobs(MetricsPage& page) const;
     void addWork(MetricsPage& page) const;
     void addStoreCalls(MetricsPage& page) const;
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -330,6 +330,7 @@
     page.addSummary("pierbank_request_ms", "from a caller's request to its answer",
                     m_callers.m_latency);
     addEarlyCancels(page);
+    addRelays(page);
     addIdleJobs(page);
     addWork(page);
     addStoreCalls(page);
@@ -353,6 +354,23 @@
                   static_cast<double>(m_core.getJobs().getEarlyCancels().size()));
 }
 
+void JobBackend::addRelays(MetricsPage& page) const {
+    const LeaderLink::Statistics& sent = m_core.getLeaderLink().getStatistics();
+    page.addCounter("pierbank_relays_total", "requests relayed to the leader", sent.m_relayed);
+    page.addCounter("pierbank_relays_lost_total",
+                    "relayed requests whose link to the leader ended before the answer",
+                    sent.m_lostWithLink);
+    page.addCounter("pierbank_relay_answers_unmatched_total",
+                    "answers of the leader to no open request; most come after its timeout",
+                    sent.m_unmatchedAnswers);
+    const JobStatistics& answered = m_core.getJobs().getStatistics();
+    page.addCounter("pierbank_relays_answered_total", "answers to requests of other gateways",
+                    answered.m_relaysAnswered);
+    page.addCounter("pierbank_relay_answers_dropped_total",
+                    "such answers that were dropped because the link of the request had ended",
+                    answered.m_relayAnswersDropped);
+}
+
 void JobBackend::addIdleJobs(MetricsPage& page) const {
     constexpr std::int64_t MILLIS_PER_SECOND = 1000;
     const IdleJobLog& log = m_core.getJobs().getIdleJobLog();
--- a/libs/wire/include/pierbank/wire/Frame.h
+++ b/libs/wire/include/pierbank/wire/Frame.h
@@ -82,7 +82,7 @@
 
 /** Gateway to leader: a caller's request that the gateway can't answer without the store. */
 struct RelayedRequest {
-    /** Unique on the link. */
+    /** Unique in the leader's term, also among the processes of a gateway; see LeaderLink. */
     std::uint64_t m_number = 0;
     std::string m_method;
     std::string m_host;
