--- a/libs/control/include/pierbank/control/Documents.h
+++ b/libs/control/include/pierbank/control/Documents.h
@@ -31,6 +31,8 @@
      * heartbeat received before was delayed.
      */
     std::uint64_t m_sequence = 0;
+    /** The worker's steady clock when it sent the heartbeat. */
+    std::optional<Millis> m_clock;
 };
 
 /** One wave of machine maintenance that the operators request. */
