A heartbeat of another writer hides a worker's own ones no longer

Starts go to a worker that drains (DRAIN) and over the capacity of one that has shrunk (LIMIT where a service doesn't guard it), for as many heartbeats as the number is too large. No log line said that a heartbeat was ignored.

Cause: the order of a worker's heartbeats rested on their sequence number alone, which any writer can state.

The clock decides which heartbeat is newer; one that is far ahead of the worker's, or missing though earlier ones had it, is refused (400), and one that the worker hasn't reached makes no later one appear older. So a heartbeat of another writer counts until the worker's next one at most. Sequence numbers decide between equal clocks and for workers without a clock.

--- a/libs/control/include/pierbank/control/WorkerAgent.h
+++ b/libs/control/include/pierbank/control/WorkerAgent.h
@@ -14,6 +14,7 @@
 
 #include "pierbank/base/EventLoop.h"
 #include "pierbank/control/Documents.h"
+#include "pierbank/control/HeartbeatOrder.h"
 #include "pierbank/control/IncarnationRuns.h"
 #include "pierbank/control/LeaderPort.h"
 #include "pierbank/control/PendingOrders.h"
@@ -97,8 +98,11 @@
 
     /** Adds a link that a leader opened. */
     void handleLink(std::shared_ptr<Link> link) { m_leader.handleLink(std::move(link)); }
-    /** Handles a heartbeat of the worker. */
-    void handleHeartbeat(const WorkerHeartbeat& heartbeat);
+    /**
+     * Handles a heartbeat of the worker.
+     * @return NEWER also for a heartbeat of another incarnation, which is verified first.
+     */
+    HeartbeatAge handleHeartbeat(const WorkerHeartbeat& heartbeat);
     /**
      * Handles the announcement of the worker that it exits. An announcement without a start time
      * may come from any process with that id.
@@ -155,6 +159,7 @@
     void probe(const std::string& id, std::function<void(const HoldReply&)> done);
     bool isPresent(const WorkerIncarnation& incarnation) const;
     bool isOtherProcess(const HoldReply& reply) const;
+    HeartbeatAge classify(const WorkerHeartbeat& heartbeat) const;
     bool differsFromLast(const WorkerHeartbeat& heartbeat) const;
     Millis getRemainingColdTime() const;
     bool isPrevious(const WorkerIncarnation& incarnation) const;
--- a/libs/control/src/WorkerAgentIncarnation.cpp
+++ b/libs/control/src/WorkerAgentIncarnation.cpp
@@ -38,19 +38,50 @@
 
 // Heartbeats and exit announcements of the worker.
 
-void WorkerAgent::handleHeartbeat(const WorkerHeartbeat& heartbeat) {
+HeartbeatAge WorkerAgent::handleHeartbeat(const WorkerHeartbeat& heartbeat) {
     if (m_incarnation.isEmpty()) {
         applyHeartbeat(heartbeat);
         beginIncarnation(heartbeat.m_incarnation);
-    } else if (!isPresent(heartbeat.m_incarnation)) {
+        return HeartbeatAge::NEWER;
+    }
+    if (!isPresent(heartbeat.m_incarnation)) {
         setCandidate(heartbeat);
-    } else if (!m_heartbeat.has_value() || heartbeat.m_sequence > m_heartbeat->m_sequence) {
+        return HeartbeatAge::NEWER;
+    }
+    const HeartbeatAge age = classify(heartbeat);
+    if (age == HeartbeatAge::NEWER) {
         const bool isChanged = m_hasExited || differsFromLast(heartbeat);
         applyHeartbeat(heartbeat);
         if (isChanged) {
             sendNotice();
         }
     }
+    return age;
+}
+
+/** Compares a heartbeat of the present incarnation with the last one; logs one that is ignored. */
+HeartbeatAge WorkerAgent::classify(const WorkerHeartbeat& heartbeat) const {
+    if (!m_heartbeat.has_value()) {
+        return HeartbeatAge::NEWER;
+    }
+    const auto clock = m_clock.has_value()
+                               ? std::optional(m_clock->first + (m_loop.now() - m_clock->second))
+                               : std::nullopt;
+    const HeartbeatAge age = classifyHeartbeat(*m_heartbeat, heartbeat, clock);
+    if (age != HeartbeatAge::NEWER) {
+        const auto toText = [](const std::optional<Millis>& time) {
+            return time.has_value() ? std::to_string(time->count()) : "-";
+        };
+        logEvent(Severity::WARNING, "agent", "heartbeat-ignored",
+                 {{"life", m_incarnationName},
+                  {"reason", age == HeartbeatAge::OLDER ? "delayed" : "not the worker's"},
+                  {"sequence", std::to_string(heartbeat.m_sequence)},
+                  {"last_sequence", std::to_string(m_heartbeat->m_sequence)},
+                  {"clock_ms", toText(heartbeat.m_clock)},
+                  {"last_clock_ms", toText(m_heartbeat->m_clock)},
+                  {"worker_clock_ms", toText(clock)}});
+    }
+    return age;
 }
 
 void WorkerAgent::applyHeartbeat(const WorkerHeartbeat& heartbeat) {
--- a/libs/daemon/src/Sidecar.cpp
+++ b/libs/daemon/src/Sidecar.cpp
@@ -55,7 +55,12 @@
         call->answer(answer);
         return;
     }
-    m_agent.handleHeartbeat(*heartbeat);
+    if (m_agent.handleHeartbeat(*heartbeat) == HeartbeatAge::IMPOSSIBLE) {
+        reportUnreadable("sidecar", "impossible-beat", {{"id", id}});
+        answer.m_status = HTTP_BAD_REQUEST;
+        call->answer(answer);
+        return;
+    }
     answer.m_headers = {{"Content-Type", "application/json"}};
     answer.m_body = "{}";
     call->answer(answer);
--- a/test/support/JobFleet.cpp
+++ b/test/support/JobFleet.cpp
@@ -134,6 +134,7 @@
     heartbeat.m_warmUpRemaining = sidecar.m_warmUpRemaining;
     heartbeat.m_failureDomain = "d" + std::to_string(index / 4);
     heartbeat.m_sequence = sidecar.m_worker->nextHeartbeatNumber();
+    heartbeat.m_clock = sidecar.m_worker->getClock();
     return heartbeat;
 }
 
