A schedule with many runs due at once runs them in portions

Cause: `addDueOccurrences` adds all that is due to the job's run, which is one record. The store refuses it over 1 MB, and the leader repeats that commit for ever.

--- a/libs/job/src/Occurrences.cpp
+++ b/libs/job/src/Occurrences.cpp
@@ -20,6 +20,22 @@
     return occurrence;
 }
 
+/**
+ * Number of a job's tasks in unfinished occurrences from which on no further occurrence is added.
+ * The run of a job is one record of the store, which holds 1 MB; 30,000 tasks take 0.66 MB.
+ */
+constexpr std::size_t MAX_OPEN_TASKS = 10'000;
+
+std::size_t countOpenTasks(const JobRun& run) {
+    std::size_t tasks = 0;
+    for (const OccurrenceRun& occurrence : run.m_occurrences) {
+        for (const StepRun& step : occurrence.m_steps) {
+            tasks += step.m_tasks.size();
+        }
+    }
+    return tasks;
+}
+
 }  // namespace
 
 JobRun makeJobRun(const JobRecord& record) {
@@ -44,11 +60,16 @@
 }
 
 bool addDueOccurrences(const JobRecord& record, JobRun& run, Millis wallNow) {
+    std::size_t openTasks = countOpenTasks(run);
     bool isAdded = false;
-    for (auto due = getNextDue(record, run); due.has_value() && *due <= wallNow;
+    for (auto due = getNextDue(record, run);
+         due.has_value() && *due <= wallNow && openTasks < MAX_OPEN_TASKS;
          due = getNextDue(record, run)) {
         run.m_occurrences.push_back(makeOccurrence(record.m_spec, run.m_startedOccurrences));
         ++run.m_startedOccurrences;
+        for (const StepSpec& step : record.m_spec.m_steps) {
+            openTasks += step.m_tasks;
+        }
         isAdded = true;
     }
     return isAdded;
