A sidecar discards the connections to its worker after a poll without an answer

Cause: a poll that times out closes its connection, and the next one takes the next idle connection, which is as silent: a timeout for each of them, up to fifty after a burst of starts, while the lease lasts 4.5 s.

Why this works: after the first poll without an answer, calls to the worker use connections that were opened since; one timeout of 2 s at most remains. Calls in progress go on.

--- a/libs/control/include/pierbank/control/TaskWorker.h
+++ b/libs/control/include/pierbank/control/TaskWorker.h
@@ -150,6 +150,8 @@
      */
     virtual void hold(const WorkerCall& call, const HoldCall& hold,
                       std::function<void(const HoldReply&)> done) = 0;
+    /** Makes later calls use no connection to the worker that is open now. */
+    virtual void discardConnections() = 0;
 };
 
 }  // namespace pierbank
--- a/libs/control/src/WorkerAgentPolls.cpp
+++ b/libs/control/src/WorkerAgentPolls.cpp
@@ -153,6 +153,9 @@
     const bool wasAnswering = std::exchange(m_isAnswering, false);
     if (wasAnswering) {
         m_fence.raise();
+        // The connection may have fallen silent for good, and the idle ones with it. With a timeout
+        // for each of them the lease would lapse.
+        m_worker.discardConnections();
     }
     m_firstPollSinceFailure = m_pollNumber + 1;
     // A long poll that is still in progress may have been lost with its process. The next poll must
--- a/libs/http/include/pierbank/http/HttpClient.h
+++ b/libs/http/include/pierbank/http/HttpClient.h
@@ -63,6 +63,12 @@
 
     /** Sends a request. `done` is called once, in a later iteration of the loop. */
     void send(const HttpCall& call, Callback done);
+    /**
+     * Makes later calls to a server use no connection that is open now. Calls in progress go on.
+     * For a server of which a connection fell silent: the idle ones may be as silent, and each
+     * would cost another timeout.
+     */
+    void discardConnections(const Address& server);
 
 private:
     struct Detail;
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include <libsoup/soup.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "pierbank/http/HttpHeaders.h"
@@ -140,25 +141,52 @@
     return std::string(findHeader(m_headers, name));
 }
 
-struct HttpClient::Detail {
-    SoupSession* m_session = soup_session_new_with_options(
-            "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, nullptr);
-};
+namespace {
 
-HttpClient::HttpClient() : m_detail(std::make_unique<Detail>()) {
+SoupSession* makeSession() {
+    SoupSession* session = soup_session_new_with_options(
+            "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, nullptr);
     // Prevents GIO from loading a proxy module, which reads the settings of the desktop.
-    soup_session_set_proxy_resolver(m_detail->m_session, nullptr);
+    soup_session_set_proxy_resolver(session, nullptr);
+    return session;
 }
 
+/** Owner of a session, which keeps the idle connections. */
+using SessionPtr = std::unique_ptr<SoupSession, decltype(&g_object_unref)>;
+
+}  // namespace
+
+struct HttpClient::Detail {
+    SessionPtr m_session{makeSession(), &g_object_unref};
+    /** Sessions of servers whose connections were discarded, by the server's address. */
+    std::map<std::string, SessionPtr> m_replacements;
+
+    SoupSession* getSession(const std::string& server) const {
+        const auto found = m_replacements.find(server);
+        return found == m_replacements.end() ? m_session.get() : found->second.get();
+    }
+};
+
+HttpClient::HttpClient() : m_detail(std::make_unique<Detail>()) {}
+
 HttpClient::~HttpClient() {
-    soup_session_abort(m_detail->m_session);
-    g_object_unref(m_detail->m_session);
+    soup_session_abort(m_detail->m_session.get());
+    for (const auto& [server, session] : m_detail->m_replacements) {
+        soup_session_abort(session.get());
+    }
+}
+
+void HttpClient::discardConnections(const Address& server) {
+    // A call in progress holds a reference to its session.
+    m_detail->m_replacements.insert_or_assign(server.toText(),
+                                              SessionPtr(makeSession(), &g_object_unref));
 }
 
 void HttpClient::send(const HttpCall& call, Callback done) {
     auto pending = std::make_unique<PendingCall>();
     pending->m_done = std::move(done);
-    const std::string uri = "http://" + call.m_address.toText() + call.m_target;
+    const std::string server = call.m_address.toText();
+    const std::string uri = "http://" + server + call.m_target;
     pending->m_message = soup_message_new(call.m_method.c_str(), uri.c_str());
     if (pending->m_message == nullptr) {
         auto* idle = pending.release();
@@ -197,8 +225,8 @@
                                      pending.get());
     g_signal_connect(message, "got-headers", G_CALLBACK(&extendTimeout), pending.get());
     GCancellable* cancellable = pending->m_cancellable;
-    soup_session_send_and_read_async(m_detail->m_session, message, G_PRIORITY_DEFAULT, cancellable,
-                                     &finishSend, pending.release());
+    soup_session_send_and_read_async(m_detail->getSession(server), message, G_PRIORITY_DEFAULT,
+                                     cancellable, &finishSend, pending.release());
 }
 
 std::string escapeUri(std::string_view text) {
--- a/libs/http/test/HttpClientTest.cpp
+++ b/libs/http/test/HttpClientTest.cpp
@@ -108,6 +108,59 @@
     Address m_address;
 };
 
+/** Server that answers each request at once, except on connections that it has silenced. */
+class SilencingServer {
+public:
+    explicit SilencingServer(EventLoop& loop) : m_loop(loop) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        auto* const name = reinterpret_cast<sockaddr*>(&address);
+        bind(m_listener, name, length);
+        getsockname(m_listener, name, &length);
+        listen(m_listener, 16);
+        m_address = {"127.0.0.1", ntohs(address.sin_port)};
+        serve();
+    }
+    SilencingServer(const SilencingServer&) = delete;
+    SilencingServer& operator=(const SilencingServer&) = delete;
+    ~SilencingServer() {
+        m_loop.cancel(m_timer);
+        for (const int connection : m_connections) {
+            close(connection);
+        }
+        close(m_listener);
+    }
+
+    const Address& getAddress() const { return m_address; }
+    /** Lets all open connections fall silent; they stay open. */
+    void silence() { m_silenced = m_connections.size(); }
+
+private:
+    void serve() {
+        const int connection = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+        if (connection >= 0) {
+            m_connections.push_back(connection);
+        }
+        for (std::size_t i = m_silenced; i < m_connections.size(); ++i) {
+            std::array<char, 4096> request{};
+            if (recv(m_connections[i], request.data(), request.size(), 0) > 0) {
+                constexpr std::string_view ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                send(m_connections[i], ANSWER.data(), ANSWER.size(), MSG_NOSIGNAL);
+            }
+        }
+        m_timer = m_loop.callLater(Millis(2), [this] { serve(); });
+    }
+
+    EventLoop& m_loop;
+    int m_listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    std::vector<int> m_connections;
+    std::size_t m_silenced = 0;
+    TimerId m_timer = TimerId::NONE;
+    Address m_address;
+};
+
 class HttpClientTest : public GlibFixture {
 protected:
     HttpClient m_client;
@@ -171,5 +224,33 @@
     EXPECT_EQ(answer->m_status, 0U);
 }
 
+/** Each idle connection that fell silent would otherwise cost the time of another timeout. */
+TEST_F(HttpClientTest, UsesNoIdleConnectionOnceTheConnectionsOfAServerAreDiscarded) {
+    SilencingServer server(m_loop);
+    const auto callTimes = [&](std::size_t count, Millis timeout) {
+        std::vector<std::uint32_t> statuses;
+        for (std::size_t i = 0; i < count; ++i) {
+            HttpCall call;
+            call.m_address = server.getAddress();
+            call.m_timeout = timeout;
+            m_client.send(call, [&](const HttpResult& result) {
+                statuses.push_back(result.m_status);
+                if (statuses.size() == count) {
+                    m_loop.quit();
+                }
+            });
+        }
+        run();
+        return statuses;
+    };
+    constexpr Millis LONG{5000};
+    EXPECT_EQ(callTimes(3, LONG), (std::vector<std::uint32_t>{200, 200, 200}));
+    server.silence();
+    EXPECT_EQ(callTimes(1, Millis(50)), std::vector<std::uint32_t>{0});
+    EXPECT_EQ(callTimes(1, Millis(50)), std::vector<std::uint32_t>{0});
+    m_client.discardConnections(server.getAddress());
+    EXPECT_EQ(callTimes(1, LONG), std::vector<std::uint32_t>{200});
+}
+
 }  // namespace
 }  // namespace pierbank::testing
--- a/test/failures/WorkerFailuresTest.cpp
+++ b/test/failures/WorkerFailuresTest.cpp
@@ -353,4 +353,20 @@
     }
 }
 
+/**
+ * Guards against the lapse of a sound worker's lease after connections fell silent: each poll took
+ * the next idle connection, which was as silent as the one before, and waited for its timeout.
+ */
+TEST_F(WorkerFailuresTest, ALeaseDoesNotLapseWhenIdleConnectionsFallSilent) {
+    ASSERT_EQ(m_fleet.submit(ID, SMALL, "60000").m_status, 200U);
+    ASSERT_TRUE(waitUntil(Millis(3000), [&] { return m_fleet.m_witness.isRunning(taskOf(ID)); }));
+    const auto index = findWorker(taskOf(ID));
+    ASSERT_TRUE(index.has_value());
+    getSidecar(*index).m_worker->m_silentConnections = 20;
+    for (int i = 0; i < 100; ++i) {
+        m_fleet.m_loop.advance(Millis(100));
+        ASSERT_TRUE(getSidecar(*index).m_worker->isRunning(taskOf(ID))) << i;
+    }
+}
+
 }  // namespace pierbank::testing
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -283,6 +283,15 @@
 void FakeTaskWorker::hold(const WorkerCall& call, const HoldCall& hold,
                           std::function<void(const HoldReply&)> done) {
     m_loop.callLater(LATENCY, [this, call, hold, done = std::move(done)] {
+        if (m_silentConnections > 0) {
+            --m_silentConnections;
+            m_loop.callLater(hold.m_wait + LOST_ANSWER_TIMEOUT, [done] {
+                HoldReply lost;
+                lost.m_reason = "lost";
+                done(lost);
+            });
+            return;
+        }
         if (m_holdsToDelay > 0) {
             --m_holdsToDelay;
             m_loop.callLater(m_startDelay, [this, call, hold, alive = std::weak_ptr(m_isAlive)] {
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -51,6 +51,7 @@
               std::function<void(const RunReply&)> done) override;
     void hold(const WorkerCall& call, const HoldCall& hold,
               std::function<void(const HoldReply&)> done) override;
+    void discardConnections() override { m_silentConnections = 0; }
 
     /**
      * Replaces the process at once: all runs, ends and the fence are lost, and ends and heartbeats
@@ -84,6 +85,11 @@
     /** The same for stops and holds, which are also delayed by m_startDelay. */
     unsigned m_stopsToDelay = 0;
     unsigned m_holdsToDelay = 0;
+    /**
+     * Number of idle connections that carry nothing any more. Each hold uses up one of them and
+     * gets no answer, unless the caller discards them.
+     */
+    unsigned m_silentConnections = 0;
     /** Reason with which every start is refused; empty: starts are accepted. */
     std::string m_refusal;
     /** Number of starts refused for m_refusal. */
