A guaranteed urgent job is placed first however late it is

Cause: `mayPreempt` evicts the borrower for the guaranteed unit however late that is, while `chooseBand` placed what is later than twice its span last, also a guaranteed unit; the freed capacity went back to the borrower.

Why this works: whoever may evict is also placed before the evicted one, so that the two rules can't alternate.

--- a/libs/job/src/PlanningPassOrder.cpp
+++ b/libs/job/src/PlanningPassOrder.cpp
@@ -122,9 +122,10 @@
 
 /**
  * Returns the band of a step; lower bands are placed first. Bands are ordered by priority. Within a
- * priority, guaranteed steps come first, then steps that can still meet their objective, then late
- * steps. Steps that are so late that their result has no value any more come last, also if they are
- * urgent.
+ * priority, guaranteed steps come first, however late they are: a guarantee has no end, and the
+ * capacity that such a step has preempted must not go to the step that lost it. Then come steps
+ * that can still meet their objective, then late steps. Steps that are so late that their result
+ * has no value any more come last, also if they are urgent.
  */
 std::uint32_t PlanningPass::chooseBand(const WaitingStep& step,
                                        const OccurrenceRun& occurrence) const {
@@ -135,10 +136,10 @@
     const Millis slack = step.m_objective - m_wallNow - remaining;
     const Millis span = step.m_objective - step.m_dueAt;
     Band band = slack < Millis(0) ? LATE : ON_TIME;
-    if (slack < -span * m_settings.m_hopelessFactor) {
-        band = HOPELESS;
-    } else if (isUrgent && step.m_isGuaranteed) {
+    if (isUrgent && step.m_isGuaranteed) {
         band = GUARANTEED;
+    } else if (slack < -span * m_settings.m_hopelessFactor) {
+        band = HOPELESS;
     }
     // Starved steps go right after urgent work, so that their reservations are made before smaller
     // units are placed.
--- a/libs/job/test/TaskPlannerTest.cpp
+++ b/libs/job/test/TaskPlannerTest.cpp
@@ -125,6 +125,23 @@
     EXPECT_EQ(result.m_stops[0].m_task.m_job, "c");
 }
 
+/**
+ * Guards against two urgent jobs that undo each other: the guaranteed one preempts the other, which
+ * is then placed first on the capacity that was freed, because the guaranteed one is too late.
+ */
+TEST_F(TaskPlannerTest, GuaranteedWorkIsPlacedFirstHoweverLateItIs) {
+    m_guarantees["o"] = 32;
+    const Millis longAgo = NOW - Millis(600'000);
+    addJob("late", 0, makeStep(4, 8), longAgo);
+    TestJob& borrower = addJob("borrower", 0, makeStep(4, 8));
+    borrower.m_record.m_organisation = "without a guarantee";
+    const TaskPlan result = plan();
+    ASSERT_EQ(result.m_placements.size(), 4U);
+    for (const Placement& placement : result.m_placements) {
+        EXPECT_EQ(placement.m_task.m_job, "late");
+    }
+}
+
 TEST_F(TaskPlannerTest, UrgentWorkBeyondGuaranteePreemptsOnlyIfJustified) {
     for (int i = 0; i < 4; ++i) {
         addRunning("a" + std::to_string(i), i, 8, Millis(9000));
