A lasting task that was away for long is started by itself, whatever else of its job runs

Cause: the worker is kept for urgent work that may come; the bound on idle time overrules that, but asks `isJobIdle`, which wants that no run of the whole job is active. The rule speaks of each lasting task.

With the new condition taken out, PlannerHeadroomTest.AcceptsALastingTaskThatHasBeenAwayForLong fails.

Why this works: the leader notes since when each lasting task has no run (`LastingTasks`), and a task that was away for 6 s is overdue by itself. The rule allows 6 s and then 3 s on end.

--- a/libs/control/include/pierbank/control/JobTable.h
+++ b/libs/control/include/pierbank/control/JobTable.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "pierbank/job/JobRun.h"
+#include "pierbank/job/LastingTasks.h"
 #include "pierbank/job/TaskPlanner.h"
 #include "pierbank/job/WorkOutcome.h"
 #include "pierbank/store/RecordStore.h"
@@ -38,6 +39,7 @@
     std::optional<Millis> m_idleSince;
     /** Whether a run was active while this gateway has led. */
     bool m_wasActive = false;
+    LastingTasks m_lasting;
     /** Whether the job's record and cancel are still in the store. */
     bool m_hasInput = true;
     /** Why the urgent job waited in the last plan, for the log; empty if it did not wait. */
@@ -55,7 +57,7 @@
     std::vector<PendingMessage> m_committingMessages;
     std::vector<std::pair<WorkerId, std::uint64_t>> m_committingEnds;
 
-    /** Takes over whether a run is active now. */
+    /** Takes over whether a run is active now, of the job and of each lasting task. */
     void updateIdleTime(Millis wallNow);
     /** Returns whether a start or a stop of this run waits for a commit. */
     bool hasPendingMessage(const std::string& task, std::uint32_t run) const;
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -115,7 +115,7 @@
         if (!entry.m_hasInput) {
             continue;
         }
-        PlannedJob job{&entry.m_record, &entry.m_run, nullptr, entry.m_idleSince};
+        PlannedJob job{&entry.m_record, &entry.m_run, nullptr, entry.m_idleSince, &entry.m_lasting};
         if (entry.m_record.m_policy.m_advice.has_value()) {
             advisedWorkers.push_back(m_ticketCache.getAdvisedWorkers(id));
             job.m_advised = &advisedWorkers.back();
--- a/libs/control/src/JobTable.cpp
+++ b/libs/control/src/JobTable.cpp
@@ -25,6 +25,7 @@
     } else if (m_wasActive && !m_idleSince.has_value()) {
         m_idleSince = wallNow;
     }
+    m_lasting.update(m_record, m_run, wallNow);
 }
 
 bool JobEntry::hasPendingMessage(const std::string& task, std::uint32_t run) const {
--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -14,6 +14,7 @@
 
 #include "pierbank/job/IdleWait.h"
 #include "pierbank/job/JobRun.h"
+#include "pierbank/job/LastingTasks.h"
 #include "pierbank/job/WorkOutcome.h"
 
 namespace pierbank {
@@ -67,6 +68,8 @@
     const AdvisedWorkers* m_advised = nullptr;
     /** Wall time at which the last active run ended; empty if there was none, or if unknown. */
     std::optional<Millis> m_idleSince = std::nullopt;
+    /** Observations of the job's lasting tasks; null if there are none. */
+    const LastingTasks* m_lasting = nullptr;
 };
 
 /** Weights and limits of the planner's decisions. */
@@ -124,6 +127,11 @@
      * twice the capacity that it needs. The rest of the 3 s is for the plan, its commit and orders.
      */
     Millis m_maxIdleTime{1800};
+    /**
+     * The same for each lasting task, whether or not others of its job run. The platform's contract
+     * allows 6 s after the task's last run, and then 3 s.
+     */
+    Millis m_maxLastingIdleTime{6000};
     double m_lowUtilization = 0.55;
     /**
      * Weight of a worker's slowness against free capacity in the choice of a worker: a worker that
@@ -146,7 +154,10 @@
     bool m_migratesOffLeaving = true;
     /** Slow tasks of speculative steps get a second run on another worker. */
     bool m_copiesSlowTasks = true;
-    /** A lasting task counts as unavailable until its run has lasted for this long. */
+    /**
+     * A lasting task counts as unavailable until its run has lasted for this long, and until its
+     * worker reports it at work.
+     */
     Millis m_settleTime{5000};
     /** Urgent work is placed where it is forecast to meet its objective, see switch
      * `forecasts-completion`. */
--- a/libs/job/src/PlanningPassIdle.cpp
+++ b/libs/job/src/PlanningPassIdle.cpp
@@ -21,6 +21,24 @@
     return m_wallNow - std::max(step.m_dueAt, step.m_idleSince.value_or(step.m_dueAt));
 }
 
+/**
+ * Whether a unit has waited for so long that only the capacity may keep it waiting: the first unit
+ * of an idle job, or a lasting task by itself.
+ */
+bool PlanningPass::isOverdue(const WorkUnit& unit) const {
+    const WaitingStep& step = *unit.m_waitingStep;
+    if (getIdleTime(step) >= m_settings.m_maxIdleTime && isJobIdle(step)) {
+        return true;
+    }
+    const LastingTasks* const lasting = m_input.m_jobs[step.m_jobIndex].m_lasting;
+    if (!step.m_spec->m_isLongRunning || lasting == nullptr) {
+        return false;
+    }
+    const auto idleSince = lasting->getIdleSince(
+            {step.m_record->m_id, step.m_occurrence, step.m_number, unit.m_taskIndexes.front()});
+    return idleSince.has_value() && m_wallNow - *idleSince >= m_settings.m_maxLastingIdleTime;
+}
+
 /**
  * Places the first unit of a job that has been idle for long wherever workers have capacity. This
  * is the only place that knows the bound on idle time: it does not ask the rules that keep work off
@@ -31,8 +49,7 @@
  */
 bool PlanningPass::placeOverdue(const WorkUnit& unit) {
     const WaitingStep& step = *unit.m_waitingStep;
-    if (step.m_hasTriedOverdue || !m_input.m_mayPreempt ||
-        getIdleTime(step) < m_settings.m_maxIdleTime || !isJobIdle(step)) {
+    if (step.m_hasTriedOverdue || !m_input.m_mayPreempt || !isOverdue(unit)) {
         return false;
     }
     step.m_hasTriedOverdue = true;
--- a/libs/job/test/TaskPlannerTest.cpp
+++ b/libs/job/test/TaskPlannerTest.cpp
@@ -16,6 +16,7 @@
     struct TestJob {
         JobRecord m_record;
         JobRun m_run;
+        LastingTasks m_lasting;
     };
 
     TaskPlannerTest() {
@@ -68,7 +69,8 @@
     TaskPlan plan() {
         std::vector<PlannedJob> jobs;
         for (const TestJob& entry : m_jobs) {
-            jobs.push_back({&entry.m_record, &entry.m_run});
+            jobs.push_back(
+                    {&entry.m_record, &entry.m_run, nullptr, std::nullopt, &entry.m_lasting});
         }
         return TaskPlanner(m_settings).plan(m_workers, jobs, m_remaining, m_guarantees, NOW);
     }
@@ -232,6 +234,28 @@
     EXPECT_EQ(hosts["later"], std::set<std::string>{"h1"});
 }
 
+/**
+ * Guards against a lasting task that stays away beside an empty worker: the worker is kept for
+ * urgent work, and the bound on idle time asked only whether the whole job is idle.
+ */
+TEST_F(PlannerHeadroomTest, AcceptsALastingTaskThatHasBeenAwayForLong) {
+    StepSpec step = makeStep(2, 4);
+    step.m_isLongRunning = true;
+    step.m_maxUnavailable = 1;
+    step.m_requiredLabel = "wanted";
+    TestJob& job = addJob("lasting", 2, step, NOW - Millis(30'000));
+    m_workers[0].m_labels.insert("wanted");
+    m_workers[1].m_labels.insert("wanted");
+    applyPlacement(job.m_run, {"lasting", 0, 0, 0}, 1, m_workers[0].m_id, NOW - Millis(25'000));
+    job.m_lasting.update(job.m_record, job.m_run, NOW - Millis(5900));
+    EXPECT_TRUE(plan().m_placements.empty());
+    job.m_lasting = LastingTasks();
+    job.m_lasting.update(job.m_record, job.m_run, NOW - Millis(6000));
+    const TaskPlan result = plan();
+    ASSERT_EQ(result.m_placements.size(), 1U);
+    EXPECT_EQ(result.m_placements[0].m_worker.m_host, "h1");
+}
+
 TEST_F(PlannerHeadroomTest, IsUsedLastByOtherWork) {
     EXPECT_EQ(listHostsOfNewJob(2).count("h1"), 0U);
     m_jobs.back().m_record.m_acceptedAt = NOW - Millis(2000);
