A lasting task counts as at work when its worker reports it so

Cause: `countUnavailable` took a task for at work 4.5 s after its placement, by the clock alone; on the slow worker the start took 7.9 s. The percent that the worker lists was not looked at for lasting steps.

Why this works: a task is available once its run was reported with 100 percent and the settle time has passed. A task that is not at work itself may be stopped, since that takes no other away. Unknown progress counts as not at work.

--- a/libs/control/src/JobControllerHealth.cpp
+++ b/libs/control/src/JobControllerHealth.cpp
@@ -22,7 +22,9 @@
         const auto& steps = found->second.m_record.m_spec.m_steps;
         const bool isLongRunning =
                 key->m_step >= steps.size() || steps[key->m_step].m_isLongRunning;
-        if (!isLongRunning) {
+        if (isLongRunning) {
+            found->second.m_lasting.recordProgress(*key, entry.m_run, entry.m_percent);
+        } else {
             const bool isGangIncomplete = entry.m_percent == 0 && steps[key->m_step].m_isGang &&
                                           !isWholeGangRunning(found->second, *key, entry.m_run);
             const bool mayWait = isGangIncomplete || hasFailedOnSeveralHosts(found->second, *key);
--- a/libs/job/src/PlanningPassPreemption.cpp
+++ b/libs/job/src/PlanningPassPreemption.cpp
@@ -35,13 +35,22 @@
            countUnavailable(occupant) < spec.m_maxUnavailable;
 }
 
-/** Counts the tasks of a lasting step that do not run, are to be stopped, or started recently. */
+/**
+ * Counts the tasks of a lasting step that do not run, are to be stopped, started recently, or are
+ * not at work yet, apart from the occupant: on a slow worker the start may take long.
+ */
 std::uint32_t PlanningPass::countUnavailable(const Occupant& occupant) const {
+    const PlannedJob& job = m_input.m_jobs[occupant.m_jobIndex];
+    TaskKey key{job.m_record->m_id, occupant.m_occurrence, occupant.m_stepNumber, 0};
     std::uint32_t unavailable = 0;
     for (const TaskRun& task : occupant.m_step->m_tasks) {
-        const bool isSettled = task.m_state == TaskState::PLACED &&
+        // To stop a task that is not at work makes no further task unavailable.
+        const bool isAtWork = job.m_lasting == nullptr || key.m_index == occupant.m_index ||
+                              job.m_lasting->isAtWork(key, task.m_run);
+        const bool isSettled = task.m_state == TaskState::PLACED && isAtWork &&
                                m_wallNow - task.m_placedAt >= m_settings.m_settleTime;
         unavailable += isSettled ? 0 : 1;
+        ++key.m_index;
     }
     const OccupantGroup& group = m_groups[occupant.m_group];
     for (std::size_t i = group.m_first; i < group.m_end; ++i) {
