--- a/libs/control/include/pierbank/control/LeaderLink.h
+++ b/libs/control/include/pierbank/control/LeaderLink.h
@@ -95,7 +95,7 @@
 
     /** Counters since the start of the process. */
     struct Statistics {
-        /** Requests that were relayed to a leader. */
+        /** Requests that were to be relayed to a leader. */
         std::uint64_t m_relayed = 0;
         /** Relayed requests whose link ended before their answer. */
         std::uint64_t m_lostWithLink = 0;
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -144,8 +144,7 @@
     return m_port.isLinked() && m_port.getIdleTime() <= m_requestInterval + MAX_REPLY_DELAY;
 }
 
-/** Returns the number of the next request: the link's number, then the request's in this process.
- */
+/** Returns the next number: that of the link, followed by that of the request in this process. */
 std::uint64_t LeaderLink::makeRelayNumber() {
     constexpr unsigned REQUEST_BITS = 32;
     constexpr std::uint64_t REQUEST_MASK = (std::uint64_t{1} << REQUEST_BITS) - 1;
