--- a/libs/http/test/HttpClientTest.cpp
+++ b/libs/http/test/HttpClientTest.cpp
@@ -11,6 +11,19 @@
 namespace pierbank::testing {
 namespace {
 
+/** Lets a socket listen on a free port of the loopback interface. Returns its address. */
+sockaddr_in listenOnLoopback(int listener, int backlog) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const name = reinterpret_cast<sockaddr*>(&address);
+    bind(listener, name, size);
+    getsockname(listener, name, &size);
+    listen(listener, backlog);
+    return address;
+}
+
 /**
  * Server that accepts no connection. Its queue of pending connections is full, so that the kernel
  * drops the packets of further connections.
@@ -18,18 +31,11 @@
 class UnreachableServer {
 public:
     UnreachableServer() {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        auto* const name = reinterpret_cast<sockaddr*>(&address);
-        bind(m_listener, name, size);
-        getsockname(m_listener, name, &size);
-        listen(m_listener, 0);
+        sockaddr_in address = listenOnLoopback(m_listener, 0);
         m_address = {"127.0.0.1", ntohs(address.sin_port)};
         for (int& queued : m_queued) {
             queued = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            connect(queued, name, size);
+            connect(queued, reinterpret_cast<sockaddr*>(&address), sizeof(address));
         }
     }
     UnreachableServer(const UnreachableServer&) = delete;
@@ -56,15 +62,7 @@
 class PausingServer {
 public:
     PausingServer(EventLoop& loop, std::size_t size) : m_loop(loop), m_size(size) {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        auto* const name = reinterpret_cast<sockaddr*>(&address);
-        bind(m_listener, name, length);
-        getsockname(m_listener, name, &length);
-        listen(m_listener, 1);
-        m_address = {"127.0.0.1", ntohs(address.sin_port)};
+        m_address = {"127.0.0.1", ntohs(listenOnLoopback(m_listener, 1).sin_port)};
         pollConnection();
     }
     PausingServer(const PausingServer&) = delete;
@@ -112,15 +110,7 @@
 class SilencingServer {
 public:
     explicit SilencingServer(EventLoop& loop) : m_loop(loop) {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        auto* const name = reinterpret_cast<sockaddr*>(&address);
-        bind(m_listener, name, length);
-        getsockname(m_listener, name, &length);
-        listen(m_listener, 16);
-        m_address = {"127.0.0.1", ntohs(address.sin_port)};
+        m_address = {"127.0.0.1", ntohs(listenOnLoopback(m_listener, 16).sin_port)};
         serve();
     }
     SilencingServer(const SilencingServer&) = delete;
