--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+timeout -k 5 115 python3 case.py
+status=$?
+case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
