Log who counted the pending jobs, and when

The log said "counted" for a GET of a queue, whether the count came from the leader or from lists of the store. The two are made by different code, so a wrong count couldn't be traced to either.

--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -188,6 +188,7 @@
     void countPending(const CallPtr& call);
     void refreshPending();
     void listPending();
+    void answerPending(const CallPtr& call);
     void finishPending(bool isGood);
 
     void answer(const CallPtr& call, std::uint32_t status, std::string body,
@@ -221,6 +222,8 @@
     PendingJobs m_pending;
     Millis m_pendingCountedAt{0};
     bool m_hasPending = false;
+    /** Whether the leader made that count; otherwise it was made from lists of the store. */
+    bool m_isPendingFromLeader = false;
     /** Requests that wait for a new count of the pending jobs. */
     std::vector<CallPtr> m_pendingCalls;
     /** Expires with this object; asynchronous callbacks check it. */
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -225,7 +225,7 @@
 
 void JobIntake::countPending(const CallPtr& call) {
     if (m_hasPending && m_loop.now() - m_pendingCountedAt <= m_settings.m_maxPendingAge) {
-        answerRead(call, m_codec.writePending(m_pending[call->m_policy.m_queue]), "counted");
+        answerPending(call);
         return;
     }
     m_pendingCalls.push_back(call);
@@ -251,6 +251,7 @@
         }
         m_pending = *pending;
         m_pendingCountedAt = at;
+        m_isPendingFromLeader = true;
         m_hasPending = true;
         finishPending(true);
     });
@@ -293,16 +294,26 @@
                              ++m_pending[queue];
                          }
                          m_pendingCountedAt = at;
+                         m_isPendingFromLeader = false;
                          m_hasPending = runs.m_status == StoreStatus::OK;
                          finishPending(m_hasPending);
                      });
     });
 }
 
+/** Answers with the last count. The reason in the log says who made the count, and its age. */
+void JobIntake::answerPending(const CallPtr& call) {
+    const Millis age = m_loop.now() - m_pendingCountedAt;
+    answerRead(call, m_codec.writePending(m_pending[call->m_policy.m_queue]),
+               std::string(m_isPendingFromLeader ? "counted by the leader "
+                                                 : "counted from the store ") +
+                       std::to_string(age.count()) + " ms ago");
+}
+
 void JobIntake::finishPending(bool isGood) {
     for (const CallPtr& call : std::exchange(m_pendingCalls, {})) {
         if (isGood) {
-            answerRead(call, m_codec.writePending(m_pending[call->m_policy.m_queue]), "counted");
+            answerPending(call);
         } else {
             answerUnavailable(call, "the jobs can't be listed");
         }
