A job that has begun nowhere is pending, also when it was placed

Cause: m_hasStarted and the phase RUNNING were set when a worker was chosen, and nothing took them back. The leader's count, a gateway's own count from the store and GET of a job read them.

Fix: the first placement still counts as a begin, without a write of its own. Once a placed run turns out never to have begun and no worker has reported another one, that is taken back with the write that releases the run; then only a worker's report brings it back, with one write. The leader counts by reports; what an earlier leader placed counts as begun until its worker's first report, 2 s at most. The leader's own gateway takes the leader's count instead of listing all jobs. It works because all three readers now hear of the one event that distinguishes a placement from a begin, and because the store hears of it without a call more.

AReadIsNotAnsweredByAReplacedConfiguration needs a gateway that lists the jobs. The leader's one doesn't any more, so the test uses a follower whose link to the leader is cut; it asks the same, and fails with the second authorisation taken out.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -88,6 +88,12 @@
         m_getFitness = std::move(getFitness);
     }
 
+    /**
+     * Returns the number of accepted jobs none of whose tasks has begun, by queue; timed jobs don't
+     * count. Empty as soon as another gateway may lead, which may have jobs unknown to this one.
+     */
+    std::optional<std::vector<PendingEntry>> countPending() const;
+
     /**
      * Returns the jobs that this gateway has loaded as the leader; empty while it does not lead.
      */
@@ -185,7 +191,7 @@
     // Answers gateways that do not lead (JobControllerGateways.cpp).
     GatewayReply makeGatewayReply(std::uint64_t queryNumber) const;
     bool isLeadershipConfirmed() const;
-    std::vector<PendingEntry> countPending() const;
+    bool hasBegun(const std::string& id, const JobEntry& entry) const;
 
     // Schedules and runs steps (JobController.cpp).
     /** Marks the plan as stale and schedules a step, after a change of the plan's input. */
@@ -254,6 +260,8 @@
     void stopOrphanedRuns(const WorkerId& worker, const RunReport& report);
     void applyRunEnd(const WorkerId& worker, const EndedEntry& end);
     void applyEffect(JobEntry& entry, const EndEffect& effect);
+    void confirmStart(JobEntry& entry);
+    void retractStart(JobEntry& entry, std::string_view reason);
 
     // Learns from what the sidecars report of the runs (JobControllerHealth.cpp).
     void recordProgress(const std::string& host, const RunReport& report);
--- a/libs/control/include/pierbank/control/JobCore.h
+++ b/libs/control/include/pierbank/control/JobCore.h
@@ -79,7 +79,8 @@
     void connectLock();
     void connectLeader();
 
-    // IntakeRelay and ConfigurationSource, usable while another gateway leads and is reachable
+    // IntakeRelay and ConfigurationSource; except for countPending(), usable while another gateway
+    // leads and is reachable
     bool isUsable() const override;
     void requestNotice(
             std::function<void(const std::optional<ConfigurationNotice>&)> done) override {
@@ -87,9 +88,7 @@
     }
     void relay(const IntakeRequest& request, Millis timeout,
                std::function<void(const std::optional<IntakeAnswer>&)> done) override;
-    void countPending(std::function<void(const std::optional<PendingJobs>&)> done) override {
-        m_leaderLink.queryPending(std::move(done));
-    }
+    void countPending(std::function<void(const std::optional<PendingJobs>&)> done) override;
     /** Answers, as the leader, a request that another gateway relayed. */
     void answerRelayed(const RelayedRequest& request,
                        std::function<void(const RelayedAnswer&)> done);
--- a/libs/control/include/pierbank/control/JobIntake.h
+++ b/libs/control/include/pierbank/control/JobIntake.h
@@ -105,8 +105,8 @@
     virtual void relay(const IntakeRequest& request, Millis timeout,
                        std::function<void(const std::optional<IntakeAnswer>&)> done) = 0;
     /**
-     * Queries the numbers of pending jobs. `done` is called once, with an empty value if no answer
-     * came in time.
+     * Queries the leader, which may be this gateway, for the numbers of pending jobs. `done` is
+     * called once, with an empty value if no leader is reachable or none answers in time.
      */
     virtual void countPending(std::function<void(const std::optional<PendingJobs>&)> done) = 0;
 };
--- a/libs/control/include/pierbank/control/JobStatistics.h
+++ b/libs/control/include/pierbank/control/JobStatistics.h
@@ -29,6 +29,8 @@
     /** Answers to requests that other gateways relayed: sent, and dropped with their link. */
     std::uint64_t m_relaysAnswered = 0;
     std::uint64_t m_relayAnswersDropped = 0;
+    /** Jobs that counted as started until a start of theirs turned out not to have happened. */
+    std::uint64_t m_retractedStarts = 0;
     /** Runs revoked because their failure domain is under evacuation. */
     std::uint64_t m_revoked = 0;
     /** Transactions with decisions that were sent to the store. */
--- a/libs/control/include/pierbank/control/JobTable.h
+++ b/libs/control/include/pierbank/control/JobTable.h
@@ -35,6 +35,8 @@
     /** Whether a pending transaction contains this job. */
     bool m_isCommitting = false;
     bool m_isCancelRequested = false;
+    /** Whether a worker has reported a run of the job to this leader. */
+    bool m_isStartConfirmed = false;
     /** Wall time at which its last active run ended; empty while one is, or if none was seen. */
     std::optional<Millis> m_idleSince;
     /** Whether a run was active while this gateway has led. */
--- a/libs/control/include/pierbank/control/LeaderLink.h
+++ b/libs/control/include/pierbank/control/LeaderLink.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string_view>
 
 #include "pierbank/base/EventLoop.h"
@@ -17,6 +18,9 @@
 
 namespace pierbank {
 
+/** Returns the numbers that the leader's answer contains, by queue. */
+PendingJobs toPendingJobs(std::span<const PendingEntry> entries);
+
 /**
  * A gateway's end of the link that the leader opens to every gateway. Runs on the event loop.
  *
--- a/libs/control/src/JobControllerGateways.cpp
+++ b/libs/control/src/JobControllerGateways.cpp
@@ -8,6 +8,13 @@
 
 namespace pierbank {
 
+namespace {
+
+/** Age that the platform's contract permits for a count of pending jobs. */
+constexpr Millis MAX_START_PRESUMPTION{2000};
+
+}  // namespace
+
 /**
  * Answers over the link of the request. If that link has ended, the gateway has already told its
  * caller that no answer came, or it is another process, so the answer is dropped.
@@ -52,9 +59,10 @@
 
 void JobController::handleGatewayQuery(const RequestOrigin& origin, const GatewayQuery& query) {
     GatewayReply reply = makeGatewayReply(query.m_number);
-    if (query.m_wantsPending && isLeadershipConfirmed()) {
-        reply.m_knowsPending = true;
-        reply.m_pending = countPending();
+    if (query.m_wantsPending) {
+        const auto pending = countPending();
+        reply.m_knowsPending = pending.has_value();
+        reply.m_pending = pending.value_or(std::vector<PendingEntry>());
     }
     m_workers.answer(origin, reply);
 }
@@ -67,13 +75,35 @@
     return m_isLoaded && m_loop.now() - m_getConfirmedAt() <= m_settings.m_maxConfirmationAge;
 }
 
-/** @return the number of accepted jobs that have not started, by queue; timed jobs do not count. */
-std::vector<PendingEntry> JobController::countPending() const {
+/**
+ * Returns whether a task of the job has begun, as far as this leader can know. Runs that were
+ * placed by an earlier leader count as begun until the first reports of their workers, for a
+ * limited time.
+ */
+bool JobController::hasBegun(const std::string& id, const JobEntry& entry) const {
+    if (!entry.m_run.m_hasStarted || entry.m_isStartConfirmed || hasProvenStart(entry.m_run)) {
+        return entry.m_run.m_hasStarted;
+    }
+    const std::vector<ActiveRun> runs = listActiveRuns(id, entry.m_run);
+    if (runs.empty()) {
+        // A run has ended under an earlier leader, which retracted nothing.
+        return true;
+    }
+    const bool awaitsReport = std::any_of(runs.begin(), runs.end(), [this](const ActiveRun& run) {
+        return m_reports.count(run.m_worker.m_host) == 0;
+    });
+    return awaitsReport && m_loop.now() - m_loadedAt <= MAX_START_PRESUMPTION;
+}
+
+std::optional<std::vector<PendingEntry>> JobController::countPending() const {
+    if (!isLeadershipConfirmed()) {
+        return std::nullopt;
+    }
     std::map<std::string, std::uint64_t> counts;
     for (const auto& [id, entry] : m_jobs) {
-        const bool isPending = entry.m_hasInput && !entry.m_run.m_hasStarted &&
-                               !entry.m_run.isFinished() && !entry.m_record.m_spec.isTimed();
-        if (isPending) {
+        const bool isWaiting = entry.m_hasInput && !entry.m_run.isFinished() &&
+                               !entry.m_record.m_spec.isTimed() && !hasBegun(id, entry);
+        if (isWaiting) {
             ++counts[entry.m_record.m_policy.m_queue];
         }
     }
--- a/libs/control/src/JobControllerHealth.cpp
+++ b/libs/control/src/JobControllerHealth.cpp
@@ -7,8 +7,8 @@
 namespace pierbank {
 
 /**
- * Records the progress of the reported runs, from which stalls and the hosts' speeds are derived.
- * Runs of lasting steps make no progress and are left out.
+ * Records that the reported runs have begun, and their progress, from which stalls and the hosts'
+ * speeds are derived. Runs of lasting steps make no progress and are left out there.
  */
 void JobController::recordProgress(const std::string& host, const RunReport& report) {
     std::vector<ProgressReport> runs;
@@ -18,6 +18,7 @@
         if (found == m_jobs.end() || !found->second.m_hasInput) {
             continue;
         }
+        confirmStart(found->second);
         clearRefutedLosses(found->second, *key, entry.m_run);
         const auto& steps = found->second.m_record.m_spec.m_steps;
         const bool isLongRunning =
--- a/libs/control/src/JobControllerLosses.cpp
+++ b/libs/control/src/JobControllerLosses.cpp
@@ -89,6 +89,7 @@
             }
             applyEffect(entry, applyNotRunning(entry.m_record, entry.m_run, run.m_task, run.m_run,
                                                m_loop.wallNow()));
+            retractStart(entry, toText(cause));
             applyEffect(entry, failIfProvenFaulty(entry.m_run, run.m_task, m_loop.wallNow()));
         }
     }
@@ -170,6 +171,10 @@
     const std::vector<LossCategory> categories = pierbank::classifyCrash(runs);
     for (std::size_t i = 0; i < runs.size(); ++i) {
         const CrashedRun& run = runs[i];
+        const auto job = m_jobs.find(run.m_task.m_job);
+        if (job != m_jobs.end() && run.m_isConfirmed) {
+            confirmStart(job->second);
+        }
         const TaskRun* const task = findTask(run.m_task);
         if (task != nullptr && task->m_state != TaskState::DONE && run.m_run <= task->m_lastRun) {
             const LossCategory category =
--- a/libs/control/src/JobControllerOrders.cpp
+++ b/libs/control/src/JobControllerOrders.cpp
@@ -21,7 +21,7 @@
             gang.m_index = 0;
             run = gangRuns.try_emplace(gang, run).first->second;
         }
-        if (!entry.m_run.m_hasStarted && !entry.m_run.m_isTimed) {
+        if (!entry.m_run.m_isTimed && isNeverPlaced(entry.m_run)) {
             m_statistics.m_timeToFirstPlacement.add(m_loop.wallNow() - entry.m_record.m_acceptedAt);
         }
         applyPlacement(entry.m_run, key, run, placement.m_worker, m_loop.wallNow());
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -145,6 +145,7 @@
         return;
     }
     JobEntry& entry = found->second;
+    confirmStart(entry);
     const auto endKind =
             static_cast<RunEnd>(std::min(end.m_end, static_cast<std::uint32_t>(lastOf(RunEnd()))));
     const auto activeRun = findOrRebindRun(entry, *key, end.m_run, worker);
@@ -180,6 +181,32 @@
     }
 }
 
+/**
+ * Records that a worker has begun a task of the job. Only after a retraction does the store have to
+ * be told.
+ */
+void JobController::confirmStart(JobEntry& entry) {
+    if (std::exchange(entry.m_isStartConfirmed, true) || !pierbank::confirmStart(entry.m_run)) {
+        return;
+    }
+    logEvent(Severity::INFO, "jobs", "start-confirmed", {{"job", entry.m_record.m_id}});
+    entry.m_isDirty = true;
+    scheduleStep();
+}
+
+/**
+ * Records that a placed run of the job was released although no worker reported it. The job counts
+ * as pending unless a worker has reported another run of it.
+ */
+void JobController::retractStart(JobEntry& entry, std::string_view reason) {
+    if (entry.m_isStartConfirmed || !pierbank::retractStart(entry.m_run)) {
+        return;
+    }
+    ++m_statistics.m_retractedStarts;
+    logEvent(Severity::INFO, "jobs", "start-retracted",
+             {{"job", entry.m_record.m_id}, {"reason", std::string(reason)}});
+}
+
 /** Queues the stops that follow from the end of a run, and logs the end of its job. */
 void JobController::applyEffect(JobEntry& entry, const EndEffect& effect) {
     if (!effect.m_isApplied) {
@@ -230,6 +257,7 @@
     entry.m_stopCauses.erase({*key, absent.m_run});
     applyEffect(entry,
                 applyNotRunning(entry.m_record, entry.m_run, *key, absent.m_run, m_loop.wallNow()));
+    retractStart(entry, absent.m_reason);
     applyEffect(entry, failIfProvenFaulty(entry.m_run, *key, m_loop.wallNow()));
     invalidatePlan();
 }
--- a/libs/control/src/JobCore.cpp
+++ b/libs/control/src/JobCore.cpp
@@ -123,6 +123,16 @@
                        });
 }
 
+void JobCore::countPending(std::function<void(const std::optional<PendingJobs>&)> done) {
+    if (isUsable()) {
+        m_leaderLink.queryPending(std::move(done));
+        return;
+    }
+    // Without a leader, this gateway's job controller has no count either.
+    const auto pending = m_jobs.countPending();
+    done(pending.has_value() ? std::optional(toPendingJobs(*pending)) : std::nullopt);
+}
+
 void JobCore::answerRelayed(const RelayedRequest& request,
                             std::function<void(const RelayedAnswer&)> done) {
     IntakeRequest intakeRequest;
--- a/libs/control/src/JobIntakeReads.cpp
+++ b/libs/control/src/JobIntakeReads.cpp
@@ -234,9 +234,12 @@
     }
 }
 
-/** Queries the leader, which has the numbers without listing all jobs, or lists the jobs. */
+/**
+ * Queries the leader, which has the numbers without listing all jobs and knows which runs the
+ * workers have begun, or lists the jobs.
+ */
 void JobIntake::refreshPending() {
-    if (m_relay == nullptr || !m_relay->isUsable()) {
+    if (m_relay == nullptr) {
         listPending();
         return;
     }
--- a/libs/control/src/LeaderLink.cpp
+++ b/libs/control/src/LeaderLink.cpp
@@ -81,17 +81,21 @@
     });
 }
 
+PendingJobs toPendingJobs(std::span<const PendingEntry> entries) {
+    PendingJobs pending;
+    for (const PendingEntry& entry : entries) {
+        pending[entry.m_queue] = entry.m_jobs;
+    }
+    return pending;
+}
+
 void LeaderLink::queryPending(PendingCallback done) {
     sendQuery(true, [done = std::move(done)](const auto& reply, Millis) {
         if (!reply.has_value() || !reply->m_knowsPending) {
             done(std::nullopt);
             return;
         }
-        PendingJobs pending;
-        for (const PendingEntry& entry : reply->m_pending) {
-            pending[entry.m_queue] = entry.m_jobs;
-        }
-        done(pending);
+        done(toPendingJobs(reply->m_pending));
     });
 }
 
--- a/libs/job/include/pierbank/job/JobRun.h
+++ b/libs/job/include/pierbank/job/JobRun.h
@@ -173,7 +173,10 @@
     std::string m_queue;
     /** The job runs several times at an interval; timed jobs are not counted as pending. */
     bool m_isTimed = false;
-    /** Any task has been placed so far. */
+    /**
+     * A task has begun on a worker, as far as is known: the first placement counts as a begin until
+     * retractStart(). The phase is RUNNING exactly as long as this holds and the job is unfinished.
+     */
     bool m_hasStarted = false;
     /** Wall time at which the phase became final; zero before. */
     Millis m_endedAt{0};
@@ -233,7 +236,30 @@
 /** Returns the number of the next run of a task; the members of a gang share the number. */
 std::uint32_t getNextRunNumber(const JobRecord& record, const JobRun& run, const TaskKey& key);
 
-/** Places run `number` of a waiting task on a worker. */
+/** Returns whether no task of the job has ever been placed. */
+bool isNeverPlaced(const JobRun& run);
+
+/** Returns whether the record shows that a task has begun: one has ended or saved progress. */
+bool hasProvenStart(const JobRun& run);
+
+/**
+ * Applies the knowledge that a task has begun on a worker.
+ * @return whether the job was not known to have started.
+ */
+bool confirmStart(JobRun& run);
+
+/**
+ * Applies the knowledge that a placed run never began. If nothing in the record shows that a task
+ * has begun, the job counts as not started until confirmStart(); further placements don't change
+ * that.
+ * @return whether the job counted as started.
+ */
+bool retractStart(JobRun& run);
+
+/**
+ * Places run `number` of a waiting task on a worker. At the first placement of the job, the job
+ * counts as started without waiting for the worker's answer, which saves a write to the store.
+ */
 void applyPlacement(JobRun& run, const TaskKey& key, std::uint32_t number, const WorkerId& worker,
                     Millis wallNow);
 
--- a/libs/job/src/JobTransitions.cpp
+++ b/libs/job/src/JobTransitions.cpp
@@ -156,16 +156,62 @@
     return last + 1;
 }
 
+namespace {
+
+/** Returns whether the condition holds for any task of any occurrence. */
+template <typename Condition>
+bool hasTaskThat(const JobRun& run, Condition condition) {
+    return std::any_of(
+            run.m_occurrences.begin(), run.m_occurrences.end(), [&](const OccurrenceRun& o) {
+                return std::any_of(o.m_steps.begin(), o.m_steps.end(), [&](const StepRun& step) {
+                    return std::any_of(step.m_tasks.begin(), step.m_tasks.end(), condition);
+                });
+            });
+}
+
+}  // namespace
+
+bool isNeverPlaced(const JobRun& run) {
+    return !hasTaskThat(run, [](const TaskRun& task) { return task.m_lastRun != 0; });
+}
+
+bool hasProvenStart(const JobRun& run) {
+    const bool hasFinishedOccurrence = run.m_startedOccurrences > run.m_occurrences.size();
+    return hasFinishedOccurrence || hasTaskThat(run, [](const TaskRun& task) {
+               return task.m_state == TaskState::DONE || task.m_failures != 0 ||
+                      !task.m_checkpoint.empty();
+           });
+}
+
+bool confirmStart(JobRun& run) {
+    if (run.m_hasStarted || run.isFinished()) {
+        return false;
+    }
+    run.m_hasStarted = true;
+    run.m_phase = JobPhase::RUNNING;
+    return true;
+}
+
+bool retractStart(JobRun& run) {
+    if (!run.m_hasStarted || run.isFinished() || hasProvenStart(run)) {
+        return false;
+    }
+    run.m_hasStarted = false;
+    run.m_phase = JobPhase::PENDING;
+    return true;
+}
+
 void applyPlacement(JobRun& run, const TaskKey& key, std::uint32_t number, const WorkerId& worker,
                     Millis wallNow) {
+    if (!run.m_hasStarted && isNeverPlaced(run)) {
+        confirmStart(run);
+    }
     TaskRun& task = *run.findTask(key);
     task.m_state = TaskState::PLACED;
     task.m_run = number;
     task.m_lastRun = number;
     task.m_worker = worker;
     task.m_placedAt = wallNow;
-    run.m_hasStarted = true;
-    run.m_phase = JobPhase::RUNNING;
     run.explain("running: placed on " + worker.m_host, wallNow);
 }
 
--- a/libs/job/test/JobTransitionsTest.cpp
+++ b/libs/job/test/JobTransitionsTest.cpp
@@ -137,5 +137,60 @@
     EXPECT_FALSE(trackOrphanedRun(m_record, m_run, makeOrphan(1)));
 }
 
+namespace {
+
+/** Provides a job whose only placed run turns out never to have begun. */
+class RunThatNeverBeganTest : public JobTransitionsTest {
+protected:
+    void SetUp() override {
+        JobTransitionsTest::SetUp();
+        m_run = makeJobRun(m_record);
+        applyPlacement(m_run, FIRST, 1, HOST_A, NOW);
+        applyNotRunning(m_record, m_run, FIRST, 1, NOW);
+    }
+};
+
+}  // namespace
+
+TEST_F(RunThatNeverBeganTest, TakesBackThatTheJobHasStarted) {
+    EXPECT_TRUE(retractStart(m_run));
+    EXPECT_FALSE(m_run.m_hasStarted);
+    EXPECT_EQ(m_run.m_phase, JobPhase::PENDING);
+    EXPECT_FALSE(retractStart(m_run)) << "there is nothing left to take back";
+}
+
+TEST_F(RunThatNeverBeganTest, LetsTheNextPlacementBeginNothingBeforeItIsConfirmed) {
+    retractStart(m_run);
+    applyPlacement(m_run, FIRST, 2, HOST_A, NOW);
+    EXPECT_FALSE(m_run.m_hasStarted);
+    EXPECT_TRUE(confirmStart(m_run));
+    EXPECT_EQ(m_run.m_phase, JobPhase::RUNNING);
+    EXPECT_FALSE(confirmStart(m_run)) << "the store knows it already";
+}
+
+TEST_F(RunThatNeverBeganTest, DoesNotTakeBackWhatTheRecordProves) {
+    m_run.findTask(SECOND)->m_checkpoint = "0bb8";
+    EXPECT_FALSE(retractStart(m_run));
+    m_run.findTask(SECOND)->m_checkpoint.clear();
+    m_run.findTask(SECOND)->m_failures = 1;
+    EXPECT_FALSE(retractStart(m_run));
+    m_run.findTask(SECOND)->m_failures = 0;
+    m_run.findTask(SECOND)->m_state = TaskState::DONE;
+    EXPECT_FALSE(retractStart(m_run));
+    EXPECT_TRUE(m_run.m_hasStarted);
+}
+
+TEST_F(RunThatNeverBeganTest, DoesNotTakeBackAnOccurrenceThatIsOver) {
+    m_run.m_startedOccurrences = 2;
+    EXPECT_FALSE(retractStart(m_run)) << "one of two occurrences was removed as done";
+}
+
+TEST_F(RunThatNeverBeganTest, LeavesAFinishedJobAsItIs) {
+    applyCancel("j", m_run, NOW);
+    EXPECT_FALSE(retractStart(m_run));
+    EXPECT_FALSE(confirmStart(m_run));
+    EXPECT_EQ(m_run.m_phase, JobPhase::CANCELLED);
+}
+
 }  // namespace
 }  // namespace pierbank
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -296,6 +296,9 @@
     page.addCounter("pierbank_runs_withdrawn_total",
                     "runs taken back unbegun from failure domains under evacuation",
                     statistics.m_revoked);
+    page.addCounter("pierbank_starts_retracted_total",
+                    "jobs that counted as started until a worker did not start them",
+                    statistics.m_retractedStarts);
     page.addGauge("pierbank_hosts_paused", "hosts that get no work now since they fail runs",
                   static_cast<double>(jobs.countPausedHosts()));
     page.addCounter("pierbank_host_probes_total", "runs that tested a host after such a pause",
--- a/test/failures/ConfigurationFailuresTest.cpp
+++ b/test/failures/ConfigurationFailuresTest.cpp
@@ -59,8 +59,10 @@
  * is answered.
  */
 TEST_F(ConfigurationFailuresTest, AReadIsNotAnsweredByAReplacedConfiguration) {
-    // Only the leader lists the jobs; other gateways get the count from it.
-    const std::size_t index = getLeader();
+    // Only a gateway that has no link to the leader lists the jobs; others get the count from it.
+    const std::size_t index = getFollower();
+    m_fleet.m_network.cut(m_fleet.m_gateways[getLeader()].m_name, m_fleet.m_gateways[index].m_name);
+    m_fleet.m_loop.advance(Millis(3000));
     m_fleet.m_storeState.m_listLatency = Millis(400);
     IntakeRequest request;
     request.m_method = "GET";
--- a/test/support/FakeTaskWorker.cpp
+++ b/test/support/FakeTaskWorker.cpp
@@ -176,7 +176,7 @@
     }
     if (!m_refusal.empty()) {
         ++m_refusalCount;
-        return {WorkerStatus::REFUSED, m_refusal};
+        return {m_refusalStatus, m_refusal};
     }
     if (start.m_until <= getClock()) {
         return {WorkerStatus::REFUSED, "late"};
--- a/test/support/FakeTaskWorker.h
+++ b/test/support/FakeTaskWorker.h
@@ -90,8 +90,13 @@
      * gets no answer, unless the caller discards them.
      */
     unsigned m_silentConnections = 0;
-    /** Reason with which every start is refused; empty: starts are accepted. */
+    /**
+     * Reason with which every start is refused while the worker's heartbeats and polls go on;
+     * empty: starts are accepted.
+     */
     std::string m_refusal;
+    /** Outcome of a refused start; UNKNOWN: the connection is closed without an answer. */
+    WorkerStatus m_refusalStatus = WorkerStatus::REFUSED;
     /** Number of starts refused for m_refusal. */
     std::size_t m_refusalCount = 0;
     /** Whether runs are stalled. The worker still answers calls. */
