One preemption takes no more tasks of a lasting step than may be missed

Cause: mayInterrupt asked for each victim as if it were the only one. Runs that the same preemption had chosen before are marked only when the whole choice is carried out, so that neither chooseVictims (one worker) nor addMember (several) counted them. Evidence: the plan's two stops, in one moment, name the same urgent job. A lasting gang, which stops as a whole, was counted as one task.

Fix: the victims chosen so far count as unavailable, over all workers; cached choices of workers with tasks of the same step are made anew; a lasting gang gives way only if all its members may be unavailable. A task that is not at work and stopped counts once. It works because the limit is now asked of the whole set, whatever the order of the choice.

--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -204,10 +204,13 @@
     double getSlownessCost(const WorkUnit& unit, WorkerSlot slot) const;
     double getPreemptionCost(const Victims& victims, const Preemption& preemption,
                              bool isWeighted) const;
-    bool mayPreempt(const WorkUnit& unit, const Occupant& occupant) const;
+    bool mayPreempt(const WorkUnit& unit, const Occupant& occupant,
+                    const std::set<std::size_t>& chosen) const;
+    static bool isLimited(const Occupant& occupant);
     /** Whether a stop keeps the number of unavailable tasks of a lasting step within its limit. */
-    bool mayInterrupt(const Occupant& occupant) const;
-    std::uint32_t countUnavailable(const Occupant& occupant) const;
+    bool mayInterrupt(const Occupant& occupant, const std::set<std::size_t>& chosen) const;
+    std::uint32_t countUnavailable(const Occupant& occupant,
+                                   const std::set<std::size_t>& chosen) const;
     void stop(Occupant& victim, const std::string& explanation,
               WorkOutcome cause = WorkOutcome::PREEMPTED);
     std::size_t getOccupantIndex(const Occupant& occupant) const {
--- a/libs/job/src/PlanningPassPreemption.cpp
+++ b/libs/job/src/PlanningPassPreemption.cpp
@@ -19,44 +19,69 @@
     return need.m_cpuMillis / MILLIS_PER_CORE + CORES_PER_ACCELERATOR * need.m_accelerators;
 }
 
-/** Guaranteed units may also preempt urgent runs without a guarantee. */
-bool PlanningPass::mayPreempt(const WorkUnit& unit, const Occupant& occupant) const {
+/**
+ * Guaranteed units may also preempt urgent runs without a guarantee.
+ * @param chosen runs that the unit preempts in any case.
+ */
+bool PlanningPass::mayPreempt(const WorkUnit& unit, const Occupant& occupant,
+                              const std::set<std::size_t>& chosen) const {
     if (occupant.m_isPreempted || occupant.m_isAwaited ||
         occupant.m_jobIndex == unit.m_waitingStep->m_jobIndex) {
         return false;
     }
     const bool mayReclaim = unit.m_waitingStep->m_isGuaranteed && !occupant.m_isGuaranteed;
-    return (!occupant.m_isUrgent || mayReclaim) && mayInterrupt(occupant);
+    return (!occupant.m_isUrgent || mayReclaim) && mayInterrupt(occupant, chosen);
 }
 
-bool PlanningPass::mayInterrupt(const Occupant& occupant) const {
+/** Whether a run limits how many runs of its step may be stopped at the same time. */
+bool PlanningPass::isLimited(const Occupant& occupant) {
+    return occupant.m_spec->m_isLongRunning && occupant.m_spec->m_maxUnavailable > 0;
+}
+
+/**
+ * Whether a run may be stopped, as far as the limit of unavailable tasks of its step is concerned.
+ * The stop of one member stops a whole gang.
+ * @param chosen runs that are stopped together with this one.
+ */
+bool PlanningPass::mayInterrupt(const Occupant& occupant,
+                                const std::set<std::size_t>& chosen) const {
+    if (!isLimited(occupant)) {
+        return true;
+    }
     const StepSpec& spec = *occupant.m_spec;
-    return !spec.m_isLongRunning || spec.m_maxUnavailable == 0 ||
-           countUnavailable(occupant) < spec.m_maxUnavailable;
+    return spec.m_isGang ? spec.m_tasks <= spec.m_maxUnavailable
+                         : countUnavailable(occupant, chosen) < spec.m_maxUnavailable;
 }
 
 /**
  * Counts the tasks of a lasting step that do not run, are to be stopped, started recently, or are
  * not at work yet, apart from the occupant: on a slow worker the start may take long.
+ * @param chosen runs that are stopped together with this one.
  */
-std::uint32_t PlanningPass::countUnavailable(const Occupant& occupant) const {
+std::uint32_t PlanningPass::countUnavailable(const Occupant& occupant,
+                                             const std::set<std::size_t>& chosen) const {
     const PlannedJob& job = m_input.m_jobs[occupant.m_jobIndex];
     TaskKey key{job.m_record->m_id, occupant.m_occurrence, occupant.m_stepNumber, 0};
-    std::uint32_t unavailable = 0;
+    std::vector<bool> isUnavailable;
+    isUnavailable.reserve(occupant.m_step->m_tasks.size());
     for (const TaskRun& task : occupant.m_step->m_tasks) {
         // To stop a task that is not at work makes no further task unavailable.
         const bool isAtWork = job.m_lasting == nullptr || key.m_index == occupant.m_index ||
                               job.m_lasting->isAtWork(key, task.m_run);
         const bool isSettled = task.m_state == TaskState::PLACED && isAtWork &&
                                m_wallNow - task.m_placedAt >= m_settings.m_settleTime;
-        unavailable += isSettled ? 0 : 1;
+        isUnavailable.push_back(!isSettled);
         ++key.m_index;
     }
     const OccupantGroup& group = m_groups[occupant.m_group];
     for (std::size_t i = group.m_first; i < group.m_end; ++i) {
-        unavailable += m_occupants[i].m_isPreempted ? 1 : 0;
+        const Occupant& other = m_occupants[i];
+        const bool isChosen = other.m_index != occupant.m_index && chosen.count(i) != 0;
+        if (other.m_isPreempted || isChosen) {
+            isUnavailable[other.m_index] = true;
+        }
     }
-    return unavailable;
+    return static_cast<std::uint32_t>(std::count(isUnavailable.begin(), isUnavailable.end(), true));
 }
 
 /** Sets aside capacity that runs which are being stopped will free; no other unit may use it. */
@@ -265,13 +290,17 @@
     return true;
 }
 
-/** Adds victims; the capacity that a gang frees elsewhere changes the choice of victims there. */
+/**
+ * Adds victims. The capacity that a gang frees elsewhere changes the choice of victims there, and
+ * so does the limit of unavailable tasks of a lasting step.
+ */
 void PlanningPass::addVictims(const Victims& victims, Preemption& preemption) const {
     for (const std::size_t victim : victims) {
         const std::size_t group = m_occupants[victim].m_group;
         preemption.m_victims.insert(victim);
-        if (!m_occupants[victim].m_spec->m_isGang ||
-            !preemption.m_gangGroups.insert(group).second) {
+        const bool isNewGang = m_occupants[victim].m_spec->m_isGang &&
+                               preemption.m_gangGroups.insert(group).second;
+        if (!isNewGang && !isLimited(m_occupants[victim])) {
             continue;
         }
         for (std::size_t i = m_groups[group].m_first; i < m_groups[group].m_end; ++i) {
--- a/libs/job/src/PlanningPassReservations.cpp
+++ b/libs/job/src/PlanningPassReservations.cpp
@@ -166,7 +166,7 @@
     }
     const StepSpec& spec = *occupant.m_spec;
     if (spec.m_isLongRunning) {
-        return mayInterrupt(occupant);
+        return mayInterrupt(occupant, {});
     }
     constexpr Millis MAX_LOST_TIME{700};
     const bool isCheap = spec.m_savesProgress || m_wallNow - occupant.m_placedAt <= MAX_LOST_TIME;
@@ -182,7 +182,7 @@
 bool PlanningPass::mustMigrateOffEvacuated(const Occupant& occupant) const {
     const StepSpec& spec = *occupant.m_spec;
     return m_workerStates[occupant.m_slot].m_snapshot->m_isEvacuated && spec.m_isLongRunning &&
-           countUnavailable(occupant) < std::max(1U, spec.m_maxUnavailable);
+           countUnavailable(occupant, {}) < std::max(1U, spec.m_maxUnavailable);
 }
 
 void PlanningPass::migrateOffLeaving() {
--- a/libs/job/src/PlanningPassVictims.cpp
+++ b/libs/job/src/PlanningPassVictims.cpp
@@ -44,15 +44,18 @@
         }
     }
     Victims victims;
+    // The limit of unavailable tasks of a step counts over all workers.
+    std::set<std::size_t> chosen = preemption.m_victims;
     for (const std::size_t candidate : candidates) {
         if (need.fitsInto(capacity)) {
             break;
         }
         const bool isFreed = hasFreed && isFreedByGang(m_occupants[candidate], preemption);
-        if (!isFreed && mayPreempt(unit, m_occupants[candidate])) {
+        if (!isFreed && mayPreempt(unit, m_occupants[candidate], chosen)) {
             releaseCapacity(capacity, overcommitted,
                             m_occupants[candidate].m_spec->getCapacityDemand());
             victims.push_back(candidate);
+            chosen.insert(candidate);
         }
     }
     if (!need.fitsInto(capacity)) {
@@ -148,7 +151,7 @@
         const auto begin = m_occupants.begin() + static_cast<std::ptrdiff_t>(range.m_first);
         const auto end = m_occupants.begin() + static_cast<std::ptrdiff_t>(range.m_end);
         if (std::all_of(begin, end, [&](const Occupant& member) {
-                return mayPreempt(unit, member) && isAllowed(unit, member.m_slot);
+                return mayPreempt(unit, member, {}) && isAllowed(unit, member.m_slot);
             })) {
             gangs.emplace_back(cost, group);
         }
