A lasting task that is away returns at any utilization

Cause: placeOverdue, the one place that knows the bound on idle time, acts only below 0.55 of use; the rule's clause on lasting tasks holds however full the service is. Above it the early reservation of a gang and the headroom kept the task off. Evidence: the leader's log (x86_64): the fourth minion is "reserved" for the gang, the lasting job "idle reason=reserved".

Fix: for a lasting task that has been away for 6 s both yield at any utilization, if twice its demand is free. It works because the bound is asked in its one place, for exactly what the clause names; ordinary jobs and starved units are untouched.

--- a/libs/job/include/pierbank/job/TaskPlanner.h
+++ b/libs/job/include/pierbank/job/TaskPlanner.h
@@ -128,8 +128,9 @@
      */
     Millis m_maxIdleTime{1800};
     /**
-     * The same for each lasting task, whether or not others of its job run. The platform's contract
-     * allows 6 s after the task's last run, and then 3 s.
+     * The same for each lasting task, whether or not others of its job run, and at any utilization
+     * as far as the headroom and early reservations are concerned. The platform's contract allows
+     * 6 s after the task's last run, and then 3 s.
      */
     Millis m_maxLastingIdleTime{6000};
     double m_lowUtilization = 0.55;
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -289,6 +289,7 @@
     bool isJobIdle(const WaitingStep& step) const;
     Millis getIdleTime(const WaitingStep& step) const;
     bool isOverdue(const WorkUnit& unit) const;
+    bool isLastingTaskOverdue(const WorkUnit& unit) const;
     bool placeOverdue(const WorkUnit& unit);
     double getOverduePenalty(const WorkUnit& unit, WorkerSlot slot) const;
     void recordIdleWait(const WorkUnit& unit);
--- a/libs/job/src/PlanningPassIdle.cpp
+++ b/libs/job/src/PlanningPassIdle.cpp
@@ -27,9 +27,14 @@
  */
 bool PlanningPass::isOverdue(const WorkUnit& unit) const {
     const WaitingStep& step = *unit.m_waitingStep;
-    if (getIdleTime(step) >= m_settings.m_maxIdleTime && isJobIdle(step)) {
-        return true;
-    }
+    return (getIdleTime(step) >= m_settings.m_maxIdleTime && isJobIdle(step)) ||
+           isLastingTaskOverdue(unit);
+}
+
+/** Whether the unit is a lasting task that has had no run for long, whatever others of its job do.
+ */
+bool PlanningPass::isLastingTaskOverdue(const WorkUnit& unit) const {
+    const WaitingStep& step = *unit.m_waitingStep;
     const LastingTasks* const lasting = m_input.m_jobs[step.m_jobIndex].m_lasting;
     if (!step.m_spec->m_isLongRunning || lasting == nullptr) {
         return false;
@@ -45,7 +50,8 @@
  * free capacity, so that a new rule cannot outlast the bound. Only what makes a run impossible
  * counts: the capacity, the required label, placement advice, the limit per worker, and workers
  * that take no work. The exception are reservations of starved units. While the utilization is low
- * for some resource only, just the headroom and early reservations yield.
+ * for some resource only, just the headroom and early reservations yield. For a lasting task these
+ * two yield at any utilization, since only then the bound holds for it.
  */
 bool PlanningPass::placeOverdue(const WorkUnit& unit) {
     const WaitingStep& step = *unit.m_waitingStep;
@@ -54,15 +60,16 @@
     }
     step.m_hasTriedOverdue = true;
     const CapacityUse& use = m_useByService[unit.getRecord().m_policy.m_service];
-    const bool isLowForSome = use.getLowest() < m_settings.m_lowUtilization;
+    const bool hasTwiceTheDemand = hasTwiceTheDemandFree(unit);
+    const bool waivesSome = use.getLowest() < m_settings.m_lowUtilization ||
+                            (isLastingTaskOverdue(unit) && hasTwiceTheDemand);
     const auto isUsable = [&](WorkerSlot slot) {
         // A starved unit would never start if idle jobs took its workers as these become free.
         return !m_workerStates[slot].m_reservationStartsIn.has_value() &&
-               (isLowForSome || m_early.findAt(slot) == nullptr);
+               (waivesSome || m_early.findAt(slot) == nullptr);
     };
-    const bool waivesAll =
-            use.m_coreEquivalents < m_settings.m_lowUtilization && hasTwiceTheDemandFree(unit);
-    if ((!waivesAll && !isLowForSome) || countPlaces(unit, isUsable) < unit.m_taskIndexes.size()) {
+    const bool waivesAll = use.m_coreEquivalents < m_settings.m_lowUtilization && hasTwiceTheDemand;
+    if ((!waivesAll && !waivesSome) || countPlaces(unit, isUsable) < unit.m_taskIndexes.size()) {
         return false;
     }
     auto assignment = findPlace(unit, false);
