A worker that keeps refusing starts gets none for a while

Cause: only refusals for room kept the next plan off the minion; after any other one, 10 ms later, it was the best place again.

Fix: refusals of the worker's own (429, 503, closed connection, no answer) pause placements there after three in a row, for 0.1 s doubled up to 1 s, until it begins a run or reports a change. One class for both kinds (StartRefusals, was CapacityRefusals); the reasons that sidecars give are named constants. It works because the plan no longer sees a refusing worker as free, and since each pause bounds the tries and with them the writes.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "pierbank/base/EventLoop.h"
-#include "pierbank/control/CapacityRefusals.h"
 #include "pierbank/control/CommitResolver.h"
 #include "pierbank/control/ConfigurationFeed.h"
 #include "pierbank/control/EarlyCancelTable.h"
@@ -28,6 +27,7 @@
 #include "pierbank/control/PlanThrottle.h"
 #include "pierbank/control/ProgressTracker.h"
 #include "pierbank/control/ReservationLog.h"
+#include "pierbank/control/StartRefusals.h"
 #include "pierbank/control/TicketCache.h"
 #include "pierbank/control/WaveController.h"
 #include "pierbank/control/WorkerAdminState.h"
@@ -264,9 +264,12 @@
     void applyEffect(JobEntry& entry, const EndEffect& effect);
     void confirmStart(JobEntry& entry);
     void retractStart(JobEntry& entry, std::string_view reason);
+    void recordRefusal(const std::string& host, std::string_view reason);
 
     // Learns from what the sidecars report of the runs (JobControllerHealth.cpp).
     void recordProgress(const std::string& host, const RunReport& report);
+    void recordStart(const std::string& host, const JobEntry& entry, const TaskKey& key,
+                     std::uint32_t run);
     void recordRunTime(const std::string& incarnation, const ProgressRate& rate);
     static bool hasFailedOnSeveralHosts(const JobEntry& entry, const TaskKey& task);
     bool isWholeGangRunning(const JobEntry& entry, const TaskKey& member, std::uint32_t run) const;
@@ -312,7 +315,13 @@
     WorkerPool m_workers;
     LearnedState m_learned;
     LearnedHandover m_handover;
-    CapacityRefusals m_capacityRefusals;
+    /** Starts refused for insufficient capacity; the limits keep up with reports of capacity. */
+    StartRefusals m_capacityRefusals{{0, Millis(100), Millis(2000)}};
+    /**
+     * Starts that workers refused for another reason. A worker that refuses some starts only keeps
+     * getting work. The longest pause leaves time within the bound on jobs without a run.
+     */
+    StartRefusals m_workerRefusals{{3, Millis(100), Millis(1000)}};
     ProgressTracker m_progress;
     TicketCache m_ticketCache;
     EvacuationFeed m_evacuations;
--- a/libs/control/include/pierbank/control/JobStatistics.h
+++ b/libs/control/include/pierbank/control/JobStatistics.h
@@ -31,6 +31,8 @@
     std::uint64_t m_relayAnswersDropped = 0;
     /** Jobs that counted as started until a start of theirs turned out not to have happened. */
     std::uint64_t m_retractedStarts = 0;
+    /** Starts that workers refused although they had the capacity, or did not answer. */
+    std::uint64_t m_refusedStarts = 0;
     /** Runs revoked because their failure domain is under evacuation. */
     std::uint64_t m_revoked = 0;
     /** Transactions with decisions that were sent to the store. */
--- a/libs/control/src/JobController.cpp
+++ b/libs/control/src/JobController.cpp
@@ -83,6 +83,7 @@
     m_learned.clear();
     m_handover.stop();
     m_capacityRefusals.clear();
+    m_workerRefusals.clear();
     m_progress.clear();
     m_ticketCache.clear();
     m_adminStates.clear();
--- a/libs/control/src/JobControllerHealth.cpp
+++ b/libs/control/src/JobControllerHealth.cpp
@@ -19,6 +19,7 @@
             continue;
         }
         confirmStart(found->second);
+        recordStart(host, found->second, *key, entry.m_run);
         clearRefutedLosses(found->second, *key, entry.m_run);
         const auto& steps = found->second.m_record.m_spec.m_steps;
         const bool isLongRunning =
@@ -59,6 +60,18 @@
     }
 }
 
+/** Records that a host's worker has begun a run, which ends the memory of earlier refusals. */
+void JobController::recordStart(const std::string& host, const JobEntry& entry, const TaskKey& key,
+                                std::uint32_t run) {
+    if (!m_workerRefusals.hasRefused(host)) {
+        return;
+    }
+    const auto active = entry.m_run.findActiveRun(key, run);
+    if (active.has_value()) {
+        m_workerRefusals.recordStart(host, m_loop.now() - (m_loop.wallNow() - active->m_placedAt));
+    }
+}
+
 /** Records how long a run takes compared with its declared time, the speed of its host taken out.
  */
 void JobController::recordRunTime(const std::string& incarnation, const ProgressRate& rate) {
--- a/libs/control/src/JobControllerReports.cpp
+++ b/libs/control/src/JobControllerReports.cpp
@@ -11,6 +11,7 @@
 void JobController::handleWorkerChanged(const std::string& host) {
     m_areSnapshotsStale = true;
     m_capacityRefusals.forget(host);
+    m_workerRefusals.forget(host);
     const WorkerPool::Host* const poolHost = m_workers.findHost(host);
     if (poolHost == nullptr || !poolHost->isLinked()) {
         m_progress.forgetHost(host);
@@ -262,10 +263,8 @@
     if (mayReportFalseAbsence(host)) {
         return;
     }
-    if (absent.m_reason == "room") {
-        m_capacityRefusals.recordRefusal(host, m_loop.now());
-    }
-    if (absent.m_reason == "ticket") {
+    recordRefusal(host, absent.m_reason);
+    if (absent.m_reason == absence::NO_TICKET) {
         m_ticketCache.dropTicket({key->m_job, key->m_occurrence, key->m_step},
                                  absent.m_incarnation);
     }
@@ -277,6 +276,23 @@
     invalidatePlan();
 }
 
+/** Pauses placements on a host whose worker keeps refusing starts. */
+void JobController::recordRefusal(const std::string& host, std::string_view reason) {
+    Millis pause{0};
+    if (reason == absence::NO_CAPACITY) {
+        pause = m_capacityRefusals.recordRefusal(host, m_loop.now());
+    } else if (isWorkerRefusal(reason)) {
+        ++m_statistics.m_refusedStarts;
+        pause = m_workerRefusals.recordRefusal(host, m_loop.now());
+    }
+    if (pause > Millis(0)) {
+        logEvent(Severity::WARNING, "jobs", "host-paused",
+                 {{"host", host},
+                  {"reason", std::string(reason)},
+                  {"pause_ms", std::to_string(pause.count())}});
+    }
+}
+
 /**
  * Sends the orders and stops for a host's runs again, for example after a new link, since some may
  * not have arrived.
--- a/libs/control/src/JobControllerView.cpp
+++ b/libs/control/src/JobControllerView.cpp
@@ -59,7 +59,8 @@
             !snapshot.m_isEvacuated && host.isLinked() && host.m_hasReport && !notice.m_hasExited &&
             !host.m_isWorkerUnresponsive && !snapshot.m_leavesIn.has_value() &&
             getAdminState(address) == WorkerAdminState::RELEASE && !isAvoided(address) &&
-            !isStalled(address) && !m_capacityRefusals.isPaused(address, m_loop.now());
+            !isStalled(address) && !m_capacityRefusals.isPaused(address, m_loop.now()) &&
+            !m_workerRefusals.isPaused(address, m_loop.now());
     const auto coldUntil = getColdUntil(address);
     const bool isCold = coldUntil.has_value() && m_loop.now() < *coldUntil;
     snapshot.m_slowness = m_settings.m_learnsSpeeds
--- a/libs/control/src/PendingOrders.cpp
+++ b/libs/control/src/PendingOrders.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "pierbank/base/Log.h"
+#include "pierbank/control/StartRefusals.h"
 
 namespace pierbank {
 
@@ -53,7 +54,7 @@
     for (const RunKey& key : ready) {
         Order& order = m_orders[key];
         if (m_loop.now() - order.m_receivedAt > m_settings.m_maxOrderAge) {
-            preventStart(key.first, key.second, "the order is too old");
+            preventStart(key.first, key.second, absence::ORDER_TOO_OLD);
         } else {
             sendStart(key, order, *until);
         }
@@ -113,7 +114,7 @@
         return;
     }
     preventStart(key.first, key.second,
-                 reply.m_reason.empty() ? "the worker did not answer" : reply.m_reason);
+                 reply.m_reason.empty() ? absence::NO_ANSWER : std::string_view(reply.m_reason));
 }
 
 void PendingOrders::preventStart(const TaskKey& task, std::uint32_t run, std::string_view reason) {
--- a/libs/control/src/WorkerAgent.cpp
+++ b/libs/control/src/WorkerAgent.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "pierbank/base/Log.h"
+#include "pierbank/control/StartRefusals.h"
 
 namespace pierbank {
 
@@ -155,7 +156,7 @@
             return;
         }
         m_leader.send(RunAbsent{order.m_incarnation, order.m_task, order.m_run,
-                                "another life of the worker"});
+                                std::string(absence::OTHER_INCARNATION)});
         return;
     }
     m_throttle.addRun({*task, order.m_run}, {Millis(order.m_latencyTargetMs), order.m_isFilling});
@@ -163,7 +164,7 @@
         return;
     }
     if (m_hasExited || (m_heartbeat.has_value() && m_heartbeat->m_isDraining)) {
-        m_orders.preventStart(*task, order.m_run, "the worker is draining");
+        m_orders.preventStart(*task, order.m_run, absence::DRAINING);
         return;
     }
     m_orders.start(*task, order);
@@ -179,10 +180,10 @@
             return;
         }
         m_leader.send(RunAbsent{stop.m_incarnation, stop.m_task, stop.m_run,
-                                "another life of the worker"});
+                                std::string(absence::OTHER_INCARNATION)});
         return;
     }
-    m_orders.preventStart(*task, stop.m_run, "stopped on the leader's word");
+    m_orders.preventStart(*task, stop.m_run, absence::STOPPED);
 }
 
 /** Gives the kept record back. It precedes the reports, so that the leader restores it first. */
--- a/libs/operators/src/JobBackend.cpp
+++ b/libs/operators/src/JobBackend.cpp
@@ -299,6 +299,8 @@
     page.addCounter("pierbank_starts_retracted_total",
                     "jobs that counted as started until a worker did not start them",
                     statistics.m_retractedStarts);
+    page.addCounter("pierbank_starts_refused_total",
+                    "starts that workers refused or did not answer", statistics.m_refusedStarts);
     page.addGauge("pierbank_hosts_paused", "hosts that get no work now since they fail runs",
                   static_cast<double>(jobs.countPausedHosts()));
     page.addCounter("pierbank_host_probes_total", "runs that tested a host after such a pause",
