A plan counts its copies against the limit of tasks per worker

Cause: the count of a step's tasks per worker takes the record and what commit() places in the same plan. addCopy() placed copies without counting them, so that several copies of one plan saw the same worker as free of the step.

Fix: commit() and addCopy() count through one function. It works since both go through the one count that all choices ask.

--- a/libs/job/src/PlanningPass.cpp
+++ b/libs/job/src/PlanningPass.cpp
@@ -246,10 +246,6 @@
 /** Adds the placements of a unit to the plan, and updates the state of the workers. */
 void PlanningPass::commit(const WorkUnit& unit, const Assignment& assignment) {
     --m_plan.m_waitingUnits;
-    const bool isCounted = unit.getSpec().m_maxPerWorker > 0;
-    if (isCounted) {
-        countTasksPerWorker(unit);
-    }
     for (std::size_t i = 0; i < assignment.size(); ++i) {
         WorkerState& state = m_workerStates[assignment[i]];
         state.m_free -= unit.getSpec().getCapacityDemand();
@@ -258,9 +254,7 @@
         state.m_hasSuspectRun = state.m_hasSuspectRun || unit.m_isSuspect;
         m_hasSuspectRuns = m_hasSuspectRuns || unit.m_isSuspect;
         m_plan.m_placements.push_back({unit.getKey(unit.m_taskIndexes[i]), state.m_snapshot->m_id});
-        if (isCounted) {
-            ++m_tasksPerWorker.at(&unit.getStep())[assignment[i]];
-        }
+        countPlacedTask(unit, assignment[i]);
     }
     m_hasPlacements[unit.m_waitingStep->m_jobIndex] = true;
     if (m_input.m_withExplanations) {
--- a/libs/job/src/PlanningPass.h
+++ b/libs/job/src/PlanningPass.h
@@ -179,6 +179,7 @@
     bool canPreferredDomainHold(const WorkUnit& unit) const;
     bool canEverUse(const WorkUnit& unit, WorkerSlot slot) const;
     const TasksPerWorker& countTasksPerWorker(const WorkUnit& unit);
+    void countPlacedTask(const WorkUnit& unit, WorkerSlot slot);
     /** Returns the worker's topology domain at the level that must contain the whole unit. */
     DomainId getTopologyDomain(const WorkUnit& unit, WorkerSlot slot) const;
     std::vector<DomainId> listTopologyDomains(const WorkUnit& unit) const;
--- a/libs/job/src/PlanningPassCapacity.cpp
+++ b/libs/job/src/PlanningPassCapacity.cpp
@@ -320,6 +320,14 @@
            getSpreadPenalty(unit, index, worker.m_id.m_host) + fitPenalty;
 }
 
+/** Counts a run or copy that this pass places, for the limit of the step's tasks per worker. */
+void PlanningPass::countPlacedTask(const WorkUnit& unit, WorkerSlot slot) {
+    if (unit.getSpec().m_maxPerWorker > 0) {
+        countTasksPerWorker(unit);
+        ++m_tasksPerWorker.at(&unit.getStep())[slot];
+    }
+}
+
 /** Returns the number of the step's active runs by slot, including those placed by this pass. */
 const PlanningPass::TasksPerWorker& PlanningPass::countTasksPerWorker(const WorkUnit& unit) {
     if (unit.getSpec().m_maxPerWorker == 0) {
--- a/libs/job/src/PlanningPassReservations.cpp
+++ b/libs/job/src/PlanningPassReservations.cpp
@@ -145,6 +145,7 @@
     }
     WorkerState& state = m_workerStates[assignment->front()];
     state.m_free -= unit.getSpec().getCapacityDemand();
+    countPlacedTask(unit, assignment->front());
     m_plan.m_copies.push_back({getKey(occupant), state.m_snapshot->m_id});
 }
 
