Soak: workers refuse starts while their heartbeats go on

The soak's workers never refused a start, so that neither the count of pending jobs nor the storm of starts could show.

--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -17,7 +17,8 @@
         "sidecar-link-slow",   "store-down",         "store-silent",        "store-slow",
         "store-loses",         "store-late",         "store-deaf",          "store-forgets",
         "store-lapses",        "worker-restart",     "worker-silent",       "worker-hangs",
-        "worker-slow",         "worker-drains",      "key-change",          "domain-evacuated"};
+        "worker-slow",         "worker-drains",      "key-change",          "domain-evacuated",
+        "worker-refuses"};
 
 /**
  * Number of kinds that drawFaults() draws from. Evacuations are excluded, because one more kind
@@ -70,6 +71,27 @@
     return faults;
 }
 
+std::vector<Fault> drawRefusals(std::uint64_t seed, Millis length,
+                                const std::vector<std::string>& kinds) {
+    const auto name = toText(FaultKind::WORKER_REFUSES);
+    if (!kinds.empty() && std::find(kinds.begin(), kinds.end(), name) == kinds.end()) {
+        return {};
+    }
+    constexpr std::uint64_t SALT = 0x72656675;
+    Random random(seed ^ SALT);
+    std::vector<Fault> refusals;
+    for (Millis at = FAULT_FREE_START; at < length;) {
+        Fault refusal;
+        refusal.m_kind = FaultKind::WORKER_REFUSES;
+        refusal.m_at = at;
+        refusal.m_duration = Millis(static_cast<std::int64_t>(200 + random.below(6500)));
+        refusal.m_target = random.below(64);
+        refusals.push_back(refusal);
+        at += Millis(static_cast<std::int64_t>(500 + random.below(4000)));
+    }
+    return refusals;
+}
+
 std::vector<Fault> drawEvacuations(std::uint64_t seed, Millis length) {
     constexpr std::uint64_t SALT = 0x65766163;
     Random random(seed ^ SALT);
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -62,10 +62,14 @@
     KEY_CHANGE,
     /** An operator's request rather than a fault; see drawEvacuations(). */
     DOMAIN_EVACUATED,
+    /**
+     * The worker refuses starts, in one of the forms of the contract, while its heartbeats and
+     * polls go on; see drawRefusals().
+     */
+    WORKER_REFUSES,
 };
 
-inline constexpr std::size_t FAULT_KINDS =
-        static_cast<std::size_t>(FaultKind::DOMAIN_EVACUATED) + 1;
+inline constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::WORKER_REFUSES) + 1;
 
 /** Returns the name of a kind for the command line and logs, such as `gateway-kill`. */
 std::string_view toText(FaultKind kind);
@@ -102,6 +106,14 @@
  */
 std::vector<Fault> drawEvacuations(std::uint64_t seed, Millis length);
 
+/**
+ * Returns a random schedule of workers that refuse starts, from a random sequence of its own like
+ * that of the evacuations.
+ * @param kinds as for drawFaults().
+ */
+std::vector<Fault> drawRefusals(std::uint64_t seed, Millis length,
+                                const std::vector<std::string>& kinds);
+
 }  // namespace pierbank::testing
 
 #endif  // PIERBANK_TEST_SOAK_FAULTPLAN_H
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -166,6 +166,8 @@
         return {{"the soak begins", "soak", reason}};
     }
     m_faults = drawFaults(m_options.m_seed, m_options.m_length, m_options.m_faults);
+    const auto refusals = drawRefusals(m_options.m_seed, m_options.m_length, m_options.m_faults);
+    m_faults.insert(m_faults.end(), refusals.begin(), refusals.end());
     if (m_options.m_evacuates) {
         const auto requests = drawEvacuations(m_options.m_seed, m_options.m_length);
         m_faults.insert(m_faults.end(), requests.begin(), requests.end());
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -95,6 +95,7 @@
     void injectProcessFault(const Fault& fault);
     void injectNetworkFault(const Fault& fault);
     void injectStoreFault(const Fault& fault);
+    static void refuseStarts(FakeTaskWorker& tasks, Millis duration);
     void restartWorker(StandinWorker& worker);
     void injectWorkerFault(const Fault& fault);
     /** Undoes a fault; does nothing for kinds without lasting effect and after healAll(). */
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -143,11 +143,22 @@
         case FaultKind::WORKER_DRAINS:
             worker.drain(fault.m_duration);
             break;
+        case FaultKind::WORKER_REFUSES:
+            refuseStarts(worker.getTasks(), fault.m_duration);
+            break;
         default:
             break;
     }
 }
 
+/** The duration, which is drawn, selects the form: for lack of capacity, with 503, or silently. */
+void Soak::refuseStarts(FakeTaskWorker& tasks, Millis duration) {
+    constexpr std::int64_t FORMS = 3;
+    const std::int64_t form = duration.count() % FORMS;
+    tasks.m_refusal = form == 0 ? "room" : "status 503";
+    tasks.m_refusalStatus = form == 2 ? WorkerStatus::UNKNOWN : WorkerStatus::REFUSED;
+}
+
 /**
  * With m_keepsIds, delays some starts and holds, so that calls which were sent to one incarnation
  * are executed by the next. The restarts alternate between the same and a new id.
@@ -233,6 +244,9 @@
         case FaultKind::WORKER_SLOW:
             node.m_worker->getTasks().m_slowness = 1;
             break;
+        case FaultKind::WORKER_REFUSES:
+            node.m_worker->getTasks().m_refusal.clear();
+            break;
         case FaultKind::WORKER_DRAINS:
             // The drained worker has left; another incarnation takes its place.
             restartWorker(*node.m_worker);
