Limits of refused starts have names; an overdue job looks at the room only if that decides

The two limits of StartRefusals are named constants with their reasons. placeOverdue summed the free room of all hosts for each overdue job, also where the use alone decides; the result is the same.

--- a/libs/control/include/pierbank/control/JobController.h
+++ b/libs/control/include/pierbank/control/JobController.h
@@ -315,13 +315,10 @@
     WorkerPool m_workers;
     LearnedState m_learned;
     LearnedHandover m_handover;
-    /** Starts refused for insufficient capacity; the limits keep up with reports of capacity. */
-    StartRefusals m_capacityRefusals{{0, Millis(100), Millis(2000)}};
-    /**
-     * Starts that workers refused for another reason. A worker that refuses some starts only keeps
-     * getting work. The longest pause leaves time within the bound on jobs without a run.
-     */
-    StartRefusals m_workerRefusals{{3, Millis(100), Millis(1000)}};
+    /** Starts that workers refused for insufficient capacity. */
+    StartRefusals m_capacityRefusals{CAPACITY_REFUSAL_LIMITS};
+    /** Starts that workers refused for another reason, or did not answer. */
+    StartRefusals m_workerRefusals{WORKER_REFUSAL_LIMITS};
     ProgressTracker m_progress;
     TicketCache m_ticketCache;
     EvacuationFeed m_evacuations;
--- a/libs/control/include/pierbank/control/StartRefusals.h
+++ b/libs/control/include/pierbank/control/StartRefusals.h
@@ -43,6 +43,18 @@
     Millis m_maxPause{2000};
 };
 
+/**
+ * Limits for refusals for insufficient capacity. If capacity seemed free only because the end of a
+ * run was known before the worker's report of it, that report arrives within the first pause.
+ * Workers report their capacity at least as often as the longest pause.
+ */
+inline constexpr RefusalLimits CAPACITY_REFUSAL_LIMITS{0, Millis(100), Millis(2000)};
+/**
+ * Limits for a worker's other refusals. A worker that refuses only some starts keeps getting work.
+ * The longest pause leaves time for a start within the bound on jobs without a run.
+ */
+inline constexpr RefusalLimits WORKER_REFUSAL_LIMITS{3, Millis(100), Millis(1000)};
+
 /**
  * Pauses placements on workers that refuse starts: without a pause, a start was repeated up to 100
  * times per second. Of several refusals during a pause only the first counts, since they answer
--- a/libs/control/src/StartRefusals.cpp
+++ b/libs/control/src/StartRefusals.cpp
@@ -17,7 +17,12 @@
 Millis StartRefusals::recordRefusal(const std::string& host, Millis now) {
     Host& entry = m_hosts[host];
     entry.m_lastAt = now;
-    if (now < entry.m_until || ++entry.m_count <= m_limits.m_tolerated) {
+    if (now < entry.m_until) {
+        // The refusal answers one of several starts that were sent before the pause began.
+        return Millis(0);
+    }
+    ++entry.m_count;
+    if (entry.m_count <= m_limits.m_tolerated) {
         return Millis(0);
     }
     entry.m_length = std::clamp(2 * entry.m_length, m_limits.m_minPause, m_limits.m_maxPause);
--- a/libs/job/src/PlanningPassIdle.cpp
+++ b/libs/job/src/PlanningPassIdle.cpp
@@ -60,15 +60,17 @@
     }
     step.m_hasTriedOverdue = true;
     const CapacityUse& use = m_useByService[unit.getRecord().m_policy.m_service];
-    const bool hasTwiceTheDemand = hasTwiceTheDemandFree(unit);
-    const bool waivesSome = use.getLowest() < m_settings.m_lowUtilization ||
-                            (isLastingTaskOverdue(unit) && hasTwiceTheDemand);
+    const bool isLow = use.m_coreEquivalents < m_settings.m_lowUtilization;
+    const bool isLasting = isLastingTaskOverdue(unit);
+    const bool hasTwiceTheDemand = (isLow || isLasting) && hasTwiceTheDemandFree(unit);
+    const bool waivesAll = isLow && hasTwiceTheDemand;
+    const bool waivesSome =
+            use.getLowest() < m_settings.m_lowUtilization || (isLasting && hasTwiceTheDemand);
     const auto isUsable = [&](WorkerSlot slot) {
         // A starved unit would never start if idle jobs took its workers as these become free.
         return !m_workerStates[slot].m_reservationStartsIn.has_value() &&
                (waivesSome || m_early.findAt(slot) == nullptr);
     };
-    const bool waivesAll = use.m_coreEquivalents < m_settings.m_lowUtilization && hasTwiceTheDemand;
     if ((!waivesAll && !waivesSome) || countPlaces(unit, isUsable) < unit.m_taskIndexes.size()) {
         return false;
     }
